Thin whole path: caller, node, shard leader, engine or tool, and back, as separate processes

Built: SBE protocol with committed codecs; core state machines (membership, replicated shards, coordinator, scheduler, configuration); Netty runtime; emulators; trace replay; command line. Agrona 2.6 reads memory through jdk.internal.misc, so every java command opens that package: the first node process died of IllegalAccessError without it. Not done yet: unit tests, proofs under failure, archive, docs.

--- /dev/null
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/BaykeelCommand.java
@@ -0,0 +1,62 @@
+package org.baykeel.cli;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+/** The entry point of {@code bin/baykeel}. */
+public final class BaykeelCommand {
+  private static final Map<String, Supplier<Command>> COMMANDS = new LinkedHashMap<>();
+
+  static {
+    COMMANDS.put("node", NodeCommand::new);
+    COMMANDS.put("check-settings", CheckSettingsCommand::new);
+    COMMANDS.put("plan", PlanCommand::new);
+    COMMANDS.put("confirm", ConfirmCommand::new);
+    COMMANDS.put("status", () -> new ShowCommand("/operator/status"));
+    COMMANDS.put("programs", () -> new ShowCommand("/operator/programs"));
+    COMMANDS.put("engines", () -> new ShowCommand("/operator/engines"));
+    COMMANDS.put("history", () -> new ShowCommand("/operator/history"));
+    COMMANDS.put("drain", DrainCommand::new);
+    COMMANDS.put("stop", StopCommand::new);
+    COMMANDS.put("emulator", EmulatorCommand::new);
+    COMMANDS.put("demo", DemoCommand::new);
+    COMMANDS.put("record-traces", RecordTracesCommand::new);
+  }
+
+  private BaykeelCommand() {}
+
+  /** Runs a subcommand and ends the process with its exit code. */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    System.exit(run(arguments));
+  }
+
+  static int run(String[] arguments) throws IOException, InterruptedException {
+    Supplier<Command> factory = arguments.length == 0 ? null : COMMANDS.get(arguments[0]);
+    if (factory == null) {
+      System.err.println("usage: baykeel COMMAND [options]; --help after a command explains it");
+      System.err.println("commands: " + String.join(", ", COMMANDS.keySet()));
+      return ExitCode.USAGE;
+    }
+    Command command = factory.get();
+    CmdLineParser parser = new CmdLineParser(command);
+    String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
+    if (Arrays.asList(rest).contains("--help")) {
+      System.out.println("baykeel " + arguments[0]);
+      parser.printUsage(System.out);
+      return ExitCode.OK;
+    }
+    try {
+      parser.parseArgument(rest);
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      parser.printUsage(System.err);
+      return ExitCode.USAGE;
+    }
+    return command.run();
+  }
+}
--- /dev/null
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/DemoCommand.java
@@ -0,0 +1,44 @@
+package org.baykeel.cli;
+
+import java.io.IOException;
+import java.util.List;
+import org.baykeel.bench.demo.Demo;
+import org.baykeel.bench.demo.Deployment;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Starts a deployment on this machine, replays its trace and checks the promises. */
+final class DemoCommand implements Command {
+  @Argument(metaVar = "NAME", required = true, usage = "association or freight")
+  private String name;
+
+  @Option(name = "--hold", usage = "keep everything up and print what to try")
+  private boolean hold;
+
+  @Option(name = "--kill-engine", usage = "kill one engine during the replay")
+  private boolean killEngine;
+
+  @Override
+  public int run() throws IOException, InterruptedException {
+    Deployment deployment = Deployment.named(name);
+    if (deployment == null) {
+      System.err.println("'" + name + "': allowed: association, freight");
+      return ExitCode.USAGE;
+    }
+    return new Demo(deployment, launcher(), System.out, killEngine).run(hold);
+  }
+
+  /** The command that runs this program again. */
+  static List<String> launcher() {
+    String java = ProcessHandle.current().info().command().orElse("java");
+    return List.of(
+        java,
+        "--add-opens",
+        "java.base/jdk.internal.misc=ALL-UNNAMED",
+        "-XX:+UseSerialGC",
+        "-Xmx256m",
+        "-cp",
+        System.getProperty("java.class.path"),
+        BaykeelCommand.class.getName());
+  }
+}
--- /dev/null
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/DrainCommand.java
@@ -0,0 +1,53 @@
+package org.baykeel.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import org.baykeel.bench.client.OperatorClient;
+import org.kohsuke.args4j.Argument;
+
+/**
+ * Drains an engine at once: plans and confirms the configuration in force with the engine marked as
+ * draining. The declarations in version control should say the same afterwards.
+ */
+final class DrainCommand extends NodeOptions {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  @Argument(metaVar = "ENGINE", required = true, usage = "name of the engine")
+  private String engine;
+
+  @Override
+  public int run() throws IOException {
+    OperatorClient client = client();
+    OperatorClient.Answer present = client.get("/operator/configuration");
+    if (!present.isSuccess()) {
+      return refused(present);
+    }
+    JsonNode document = MAPPER.readTree(MAPPER.readTree(present.body()).path("document").asText());
+    if (!markDraining(document)) {
+      System.err.println("no engine '" + engine + "' is declared");
+      return ExitCode.FAILED;
+    }
+    OperatorClient.Answer plan = client.post("/operator/plan", document.toString());
+    if (!plan.isSuccess()) {
+      return refused(plan);
+    }
+    OperatorClient.Answer accepted = client.post("/operator/confirm", plan.body());
+    if (!accepted.isSuccess()) {
+      return refused(accepted);
+    }
+    System.out.println(accepted.body());
+    return ExitCode.OK;
+  }
+
+  private boolean markDraining(JsonNode document) {
+    for (JsonNode item : document.path("engines")) {
+      if (item.path("name").asText().equals(engine)) {
+        ((ObjectNode) item).put("state", "DRAINING");
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/SettingsFiles.java
@@ -0,0 +1,44 @@
+package org.baykeel.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.baykeel.core.configuration.DeclarationReader;
+import org.baykeel.core.configuration.Declarations;
+import org.baykeel.core.yaml.YamlProblem;
+import org.baykeel.node.settings.ProcessSettings;
+import org.baykeel.node.settings.ProcessSettingsReader;
+
+/** Reads the files that commands name, and prints every error in them. */
+final class SettingsFiles {
+  private SettingsFiles() {}
+
+  /** A node's settings, or null after the errors were printed. */
+  static ProcessSettings readNode(Path file) throws IOException {
+    ProcessSettingsReader.Result result =
+        ProcessSettingsReader.read(file.getFileName().toString(), Files.readString(file));
+    print(result.problems());
+    return result.problems().isEmpty() ? result.settings() : null;
+  }
+
+  /** The declarations of a directory, or null after the errors were printed. */
+  static Declarations readDeclarations(Path directory) throws IOException {
+    Map<String, String> files = new TreeMap<>();
+    try (Stream<Path> paths = Files.list(directory)) {
+      for (Path path : paths.filter(item -> item.toString().endsWith(".yaml")).toList()) {
+        files.put(path.getFileName().toString(), Files.readString(path));
+      }
+    }
+    DeclarationReader.Result result = DeclarationReader.read(files);
+    print(result.problems());
+    return result.problems().isEmpty() ? result.declarations() : null;
+  }
+
+  static void print(List<YamlProblem> problems) {
+    problems.forEach(System.err::println);
+  }
+}
--- /dev/null
+++ b/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ReplicaMaintenance.java
@@ -0,0 +1,111 @@
+package org.baykeel.core.bootstrap;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.baykeel.core.log.LogEvent;
+import org.baykeel.core.membership.Membership;
+import org.baykeel.core.message.MemberId;
+import org.baykeel.core.message.MemberStatus;
+import org.baykeel.core.message.MemberUpdate;
+import org.baykeel.core.replication.ReplicaGroup;
+
+/**
+ * Keeps the groups that this node leads complete: replaces members that are gone, one change at a
+ * time. A replacement joins before the lost member is removed, so copies never become fewer.
+ */
+public final class ReplicaMaintenance {
+  /** Reports what maintenance does. */
+  public interface Events {
+    /** Reports an event. */
+    void event(LogEvent event, Object... arguments);
+  }
+
+  private final BootstrapSettings settings;
+  private final Membership membership;
+  private final Events events;
+  private final Map<MemberId, Long> missingSince = new HashMap<>();
+
+  public ReplicaMaintenance(BootstrapSettings settings, Membership membership, Events events) {
+    this.settings = requireNonNull(settings, "settings");
+    this.membership = requireNonNull(membership, "membership");
+    this.events = requireNonNull(events, "events");
+  }
+
+  /** Looks after one group that this node leads. */
+  public void maintain(ReplicaGroup group, long nowMillis) {
+    if (!group.canChangeMembers()) {
+      return;
+    }
+    dropLostLearners(group);
+    List<MemberId> lost = lostMembers(group, nowMillis);
+    int size = group.members().size();
+    int present = size - lost.size();
+    int wanted = Math.min(settings.replicas(), membership.activeMembers().size());
+    if (size > wanted && !lost.isEmpty() && present >= wanted) {
+      removeOne(group, lost);
+    } else if (present + group.learners().size() < wanted) {
+      addOne(group, lost, nowMillis);
+    }
+  }
+
+  private void dropLostLearners(ReplicaGroup group) {
+    for (MemberId learner : group.learners()) {
+      if (!membership.isRunning(learner)) {
+        group.dropLearner(learner);
+      }
+    }
+  }
+
+  private List<MemberId> lostMembers(ReplicaGroup group, long nowMillis) {
+    List<MemberId> lost = new ArrayList<>();
+    for (MemberId member : group.members()) {
+      if (isLost(member, nowMillis)) {
+        lost.add(member);
+      }
+    }
+    return lost;
+  }
+
+  private boolean isLost(MemberId member, long nowMillis) {
+    if (membership.isSuperseded(member)) {
+      return true;
+    }
+    MemberUpdate update = membership.member(member.nodeId());
+    boolean leaving = update != null && update.status() == MemberStatus.LEAVING;
+    if (membership.isRunning(member) && !leaving) {
+      missingSince.remove(member);
+      return false;
+    }
+    long since = missingSince.computeIfAbsent(member, id -> nowMillis);
+    return nowMillis - since >= settings.replaceAfterMillis();
+  }
+
+  private void removeOne(ReplicaGroup group, List<MemberId> lost) {
+    for (MemberId member : lost) {
+      if (group.removeMember(member)) {
+        events.event(LogEvent.REPLICA_REMOVED, group.group(), member);
+        return;
+      }
+    }
+  }
+
+  private void addOne(ReplicaGroup group, List<MemberId> lost, long nowMillis) {
+    List<MemberUpdate> staying = new ArrayList<>();
+    for (MemberId member : group.members()) {
+      MemberUpdate update = membership.member(member.nodeId());
+      if (!lost.contains(member) && update != null) {
+        staying.add(update);
+      }
+    }
+    MemberUpdate addition =
+        ReplicaPlacement.chooseAddition(group.group().shard(), membership.activeMembers(), staying);
+    if (addition != null && !group.members().contains(addition.id())) {
+      group.addLearner(addition.id(), nowMillis);
+      events.event(LogEvent.REPLICA_ADDED, group.group(), addition.id());
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-core/src/main/java/org/baykeel/core/node/NodeSettings.java
@@ -0,0 +1,43 @@
+package org.baykeel.core.node;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import org.baykeel.core.bootstrap.BootstrapSettings;
+import org.baykeel.core.edge.EdgeSettings;
+import org.baykeel.core.membership.Membership.Seed;
+import org.baykeel.core.membership.MembershipSettings;
+import org.baykeel.core.program.CoordinatorSettings;
+import org.baykeel.core.replication.ReplicationSettings;
+
+/** All checked settings of a node's logic. */
+public record NodeSettings(
+    List<Seed> seeds,
+    MembershipSettings membership,
+    ReplicationSettings replication,
+    BootstrapSettings bootstrap,
+    CoordinatorSettings coordinator,
+    EdgeSettings edge,
+    SchedulingSettings scheduling) {
+  public NodeSettings {
+    seeds = List.copyOf(seeds);
+    requireNonNull(membership, "membership");
+    requireNonNull(replication, "replication");
+    requireNonNull(bootstrap, "bootstrap");
+    requireNonNull(coordinator, "coordinator");
+    requireNonNull(edge, "edge");
+    requireNonNull(scheduling, "scheduling");
+  }
+
+  /** Default settings with the given seeds. */
+  public static NodeSettings withSeeds(List<Seed> seeds) {
+    return new NodeSettings(
+        seeds,
+        MembershipSettings.DEFAULT,
+        ReplicationSettings.DEFAULT,
+        BootstrapSettings.DEFAULT,
+        CoordinatorSettings.DEFAULT,
+        EdgeSettings.DEFAULT,
+        SchedulingSettings.DEFAULT);
+  }
+}
