--- a/baykeel-cli/src/main/java/org/baykeel/cli/BaykeelCommand.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/BaykeelCommand.java
@@ -25,6 +25,7 @@
     COMMANDS.put("stop", StopCommand::new);
     COMMANDS.put("emulator", EmulatorCommand::new);
     COMMANDS.put("demo", DemoCommand::new);
+    COMMANDS.put("simulate", SimulateCommand::new);
     COMMANDS.put("record-traces", RecordTracesCommand::new);
   }
 
--- a/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ReplicaMaintenance.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ReplicaMaintenance.java
@@ -45,13 +45,22 @@
     int size = group.members().size();
     int present = size - lost.size();
     int wanted = Math.min(settings.replicas(), membership.activeMembers().size());
-    if (size > wanted && !lost.isEmpty() && present >= wanted) {
+    if (size > wanted && !lost.isEmpty() && present >= leastMembers()) {
       removeOne(group, lost);
     } else if (present + group.learners().size() < wanted) {
       addOne(group, lost, nowMillis);
     }
   }
 
+  /**
+   * A group that cannot be completed may shrink by one member, but never so far that a quorum has
+   * fewer copies: four members have the same quorum as five.
+   */
+  private int leastMembers() {
+    int quorum = settings.replicas() / 2 + 1;
+    return Math.max(1, 2 * (quorum - 1));
+  }
+
   private void dropLostLearners(ReplicaGroup group) {
     for (MemberId learner : group.learners()) {
       if (!membership.isRunning(learner)) {
@@ -76,7 +85,10 @@
     }
     MemberUpdate update = membership.member(member.nodeId());
     boolean leaving = update != null && update.status() == MemberStatus.LEAVING;
-    if (membership.isRunning(member) && !leaving) {
+    if (leaving) {
+      return true;
+    }
+    if (membership.isRunning(member)) {
       missingSince.remove(member);
       return false;
     }
--- a/baykeel-core/src/main/java/org/baykeel/core/edge/CallerEdge.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/edge/CallerEdge.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.core.message.CallerReply;
@@ -270,8 +271,23 @@
   /** An acknowledged request is repeated less often; the repetition shows that its leader lives. */
   private static final int ACCEPTED_REPEAT_FACTOR = 4;
 
-  /** Only a request that no leader can have seen is called "not run". */
+  /**
+   * Answers a request that no leader acknowledges. Later calls of the same program go with it: a
+   * leader may yet run the first, and the others must not overtake it.
+   */
   private void giveUp(PendingRequest item, long nowMillis) {
+    if (isOrdered(item.request)) {
+      List<PendingRequest> later = new ArrayList<>(programs.get(item.request.programId()));
+      later.remove(item);
+      for (PendingRequest next : later) {
+        finishUnserved(next, nowMillis);
+      }
+    }
+    finishUnserved(item, nowMillis);
+  }
+
+  /** Only a request that no leader can have seen is called "not run". */
+  private void finishUnserved(PendingRequest item, long nowMillis) {
     boolean seenByNobody = !item.forwarded && !item.keyFromCaller;
     finish(
         item, failed(seenByNobody ? ErrorKind.NOT_READY : ErrorKind.LEADER_UNREACHABLE), nowMillis);
--- a/baykeel-core/src/main/java/org/baykeel/core/message/LogRecord.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/message/LogRecord.java
@@ -90,6 +90,16 @@
       boolean closesCall)
       implements ProgramRecord {}
 
+  /**
+   * A submission of a call was refused, or its call given up. A copy of that very submission that
+   * is still on its way must not run the call after its caller was told.
+   *
+   * @param edge the node that holds the caller's connection
+   * @param requestId the edge's number of the submission
+   */
+  record SubmissionRefused(String programId, MemberId edge, long requestId, ErrorKind kind)
+      implements ProgramRecord {}
+
   /** A program has ended; the engines that served it owe the release of their cache. */
   record ProgramEnded(String programId, long endedAtMillis) implements ProgramRecord {}
 
--- a/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
@@ -452,6 +452,7 @@
             self,
             shard,
             settings.coordinator(),
+            settings.replication().electionMillis() / 2,
             configuration::image,
             engines,
             scheduler,
@@ -805,9 +806,39 @@
     }
   }
 
-  /** True once a planned stop cuts nothing off. */
+  /** True once a planned stop cuts nothing off, and no group needs this replica any more. */
   public boolean isDrained() {
-    return stopping && edge.pendingRequests() == 0 && !leadsAnything();
+    return stopping
+        && edge.pendingRequests() == 0
+        && !leadsAnything()
+        && replicas.values().stream().allMatch(replica -> isDispensable(replica.group()));
+  }
+
+  /**
+   * A stop is a loss of a copy. It waits while any other member of the group is gone, so that the
+   * stop and the next failure together are never more than two losses.
+   */
+  private boolean isDispensable(ReplicaGroup group) {
+    if (!group.isMember()) {
+      return true;
+    }
+    for (MemberId member : group.members()) {
+      if (!member.equals(self) && !stays(member)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Of two members that both want to leave, the one with the lower number goes first. */
+  private boolean stays(MemberId member) {
+    MemberUpdate update = membership.member(member.nodeId());
+    if (update == null || !update.id().equals(member)) {
+      return false;
+    }
+    boolean leavesLater =
+        update.status() == MemberStatus.LEAVING && member.nodeId() > self.nodeId();
+    return update.status() == MemberStatus.ALIVE || leavesLater;
   }
 
   private boolean leadsAnything() {
--- a/baykeel-core/src/main/java/org/baykeel/core/program/ProgramShard.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/program/ProgramShard.java
@@ -15,6 +15,7 @@
 import org.baykeel.core.message.LogRecord.ProgramEnded;
 import org.baykeel.core.message.LogRecord.ProgramForgotten;
 import org.baykeel.core.message.LogRecord.ProgramRecord;
+import org.baykeel.core.message.LogRecord.SubmissionRefused;
 import org.baykeel.core.replication.ReplicaStateMachine;
 
 /**
@@ -89,6 +90,10 @@
       program.end(ended);
       return true;
     }
+    if (record instanceof SubmissionRefused refused) {
+      program.refuse(refused);
+      return true;
+    }
     if (record instanceof CacheReleased released) {
       program.releaseCache(released.engine());
       return true;
--- a/baykeel-core/src/main/java/org/baykeel/core/program/ProgramState.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/program/ProgramState.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.baykeel.core.error.ErrorKind;
 import org.baykeel.core.message.CallKind;
 import org.baykeel.core.message.LogRecord;
 import org.baykeel.core.message.LogRecord.AttemptFailed;
@@ -16,6 +18,7 @@
 import org.baykeel.core.message.LogRecord.CallDispatched;
 import org.baykeel.core.message.LogRecord.ProgramCreated;
 import org.baykeel.core.message.LogRecord.ProgramEnded;
+import org.baykeel.core.message.LogRecord.SubmissionRefused;
 
 /**
  * The replicated state of one program.
@@ -25,6 +28,8 @@
  * program's figures include its children's.
  */
 public final class ProgramState {
+  private static final int MAXIMUM_REFUSALS = 64;
+
   private final ProgramCreated created;
   private final ProgramState parent;
   private final List<CallState> calls = new ArrayList<>();
@@ -32,6 +37,7 @@
   private final List<ProgramState> children = new ArrayList<>();
   private final Set<String> enginesHoldingCache = new TreeSet<>();
   private final List<LogRecord> journal = new ArrayList<>();
+  private final Map<CallerOrigin, ErrorKind> refusedSubmissions = new LinkedHashMap<>();
   private long spent;
   private long reserved;
   private ProgramEnded ended;
@@ -86,6 +92,11 @@
     return ended;
   }
 
+  /** Why a submission was refused, or null if it was not. */
+  public ErrorKind refusalOf(CallerOrigin submission) {
+    return refusedSubmissions.get(submission);
+  }
+
   /** Settled cost of the program and its children, in cost units. */
   public long spent() {
     return spent;
@@ -170,6 +181,15 @@
     }
   }
 
+  /** Notes a refusal; old ones go, since a copy is on its way for seconds at most. */
+  void refuse(SubmissionRefused record) {
+    CallerOrigin submission = new CallerOrigin(record.edge(), record.requestId());
+    refusedSubmissions.put(submission, record.kind());
+    if (refusedSubmissions.size() > MAXIMUM_REFUSALS) {
+      refusedSubmissions.remove(refusedSubmissions.keySet().iterator().next());
+    }
+  }
+
   void releaseCache(String engine) {
     enginesHoldingCache.remove(engine);
   }
--- a/baykeel-core/src/main/java/org/baykeel/core/program/RefusalBarrier.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/program/RefusalBarrier.java
@@ -36,6 +36,19 @@
     held.add(new Held(openIndex, origin, reply));
   }
 
+  /** Commits the refusal of a submission, then sends it. */
+  void recordAndReply(String programId, CallerOrigin origin, CallerReply.Failed reply) {
+    long index =
+        output.propose(
+            new LogRecord.SubmissionRefused(
+                programId, origin.edge(), origin.requestId(), reply.kind()));
+    if (index < 0) {
+      output.reply(origin, new CallerReply.NotLeader());
+      return;
+    }
+    held.add(new Held(index, origin, reply));
+  }
+
   /** The proposals of this duty cycle go out; later answers need a record of their own. */
   void endCycle() {
     openIndex = -1;
--- a/baykeel-core/src/main/java/org/baykeel/core/program/ShardCoordinator.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/program/ShardCoordinator.java
@@ -52,6 +52,7 @@
   private final MemberId self;
   private final ProgramShard shard;
   private final CoordinatorSettings settings;
+  private final int dispatchLimitMillis;
   private final Supplier<ConfigurationImage> configuration;
   private final EngineDirectory engines;
   private final CallScheduler scheduler;
@@ -69,11 +70,18 @@
   private int nextToolInstance;
   private long lateAnswers;
 
+  /**
+   * A coordinator that waits for its group to lead.
+   *
+   * @param dispatchLimitMillis a dispatch whose record took longer than this to commit is not sent;
+   *     must be less than the time that followers wait before they elect another leader
+   */
   public ShardCoordinator(
       GroupId group,
       MemberId self,
       ProgramShard shard,
       CoordinatorSettings settings,
+      int dispatchLimitMillis,
       Supplier<ConfigurationImage> configuration,
       EngineDirectory engines,
       CallScheduler scheduler,
@@ -83,6 +91,7 @@
     this.self = requireNonNull(self, "self");
     this.shard = requireNonNull(shard, "shard");
     this.settings = requireNonNull(settings, "settings");
+    this.dispatchLimitMillis = dispatchLimitMillis;
     this.configuration = requireNonNull(configuration, "configuration");
     this.engines = requireNonNull(engines, "engines");
     this.scheduler = requireNonNull(scheduler, "scheduler");
@@ -320,6 +329,11 @@
       barrier.confirmAndReply(origin, CallAdmission.failed(ErrorKind.UNKNOWN_PROGRAM, 0));
       return;
     }
+    ErrorKind refusedBefore = program.refusalOf(origin);
+    if (refusedBefore != null) {
+      output.reply(origin, CallAdmission.failed(refusedBefore, retryAfter(refusedBefore)));
+      return;
+    }
     CallState recorded = program.callByKey(request.idempotencyKey());
     if (recorded != null && replyFromRecord(recorded, request, origin)) {
       return;
@@ -335,9 +349,9 @@
       return;
     }
     if (live.queue.size() >= settings.maximumQueuedCalls()) {
-      CallerReply refusal =
+      CallerReply.Failed refusal =
           CallAdmission.failed(ErrorKind.OVERLOADED, scheduler.retryAfterMillis());
-      barrier.confirmAndReply(origin, refusal);
+      barrier.recordAndReply(request.programId(), origin, refusal);
       return;
     }
     LiveCall call = new LiveCall(request, nowMillis);
@@ -478,9 +492,10 @@
     }
   }
 
-  private void refuse(LiveCall call, CallerReply refusal) {
+  private void refuse(LiveCall call, CallerReply.Failed refusal) {
     withdrawTicket(call);
-    call.origins().forEach(origin -> barrier.confirmAndReply(origin, refusal));
+    String programId = call.request.programId();
+    call.origins().forEach(origin -> barrier.recordAndReply(programId, origin, refusal));
   }
 
   private void withdrawTicket(LiveCall call) {
@@ -682,7 +697,7 @@
     if (model && failure != AttemptFailure.REJECTED) {
       engines.avoid(call.attemptBackend, nowMillis);
     }
-    if (failure == AttemptFailure.REJECTED) {
+    if (failure == AttemptFailure.REJECTED && !call.resumed) {
       settleFailure(live, call, latest, ErrorKind.INVALID_REQUEST, 0, true);
     } else if (isProvedNotTaken(failure) && !call.resumed) {
       settleFailure(live, call, latest, ErrorKind.NO_BACKEND, 0, false);
@@ -799,7 +814,11 @@
       return;
     }
     CallState open = program.openCall();
-    if (open != null && open.latest() == record) {
+    boolean valid = open != null && open.latest() == record;
+    if (valid && nowMillis - record.dispatchedAtMillis() > dispatchLimitMillis) {
+      // This process stood still; by now another leader may be in office and further on.
+      settleFailure(live, call, record, ErrorKind.NO_BACKEND, 0, false);
+    } else if (valid) {
       startAttempt(live, call, open, nowMillis);
     } else if (open != null) {
       closeCall(live, call, open);
@@ -821,14 +840,16 @@
       AttemptFailed record,
       long nowMillis) {
     if (state.closure() == record) {
-      finish(live, call, CallAdmission.failed(record.kind(), retryAfter(record)), nowMillis);
+      live.active = null;
+      refuse(call, CallAdmission.failed(record.kind(), retryAfter(record.kind())));
+      advance(live, nowMillis);
     } else if (!state.isClosed()) {
       retryOrClose(live, call, program, state, nowMillis);
     }
   }
 
-  private int retryAfter(AttemptFailed record) {
-    boolean delayed = record.kind().retryAdvice() == ErrorKind.RetryAdvice.AFTER_DELAY;
+  private int retryAfter(ErrorKind kind) {
+    boolean delayed = kind.retryAdvice() == ErrorKind.RetryAdvice.AFTER_DELAY;
     return delayed ? scheduler.retryAfterMillis() : 0;
   }
 
--- a/baykeel-core/src/main/java/org/baykeel/core/replication/ReplicaGroup.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/replication/ReplicaGroup.java
@@ -363,6 +363,10 @@
   }
 
   private void onVoteRequest(MemberId from, VoteRequest request, long nowMillis) {
+    if (isReadyLeader() && isFormerMember(from)) {
+      informFormerMember(from, request);
+      return;
+    }
     boolean hearsLeader = nowMillis - lastLeaderContactMillis < settings.electionMillis();
     boolean leaderInOffice = role == Role.LEADER || hearsLeader;
     boolean upToDate = isUpToDate(request);
@@ -381,6 +385,22 @@
     output.send(from, new VoteResponse(group, term, false, granted));
   }
 
+  private boolean isFormerMember(MemberId id) {
+    return !progress.containsKey(id) && log.latestMembersIndex() <= commitIndex;
+  }
+
+  /** A member that missed its removal stands for election; the log tells it that it is out. */
+  private void informFormerMember(MemberId from, VoteRequest request) {
+    if (log.matches(request.lastIndex(), request.lastTerm())) {
+      List<LogEntry> entries =
+          log.entriesFrom(request.lastIndex() + 1, settings.maximumEntriesPerAppend());
+      output.send(
+          from,
+          new AppendRequest(
+              group, term, request.lastIndex(), request.lastTerm(), commitIndex, entries));
+    }
+  }
+
   private boolean isUpToDate(VoteRequest request) {
     if (request.lastTerm() != log.lastTerm()) {
       return request.lastTerm() > log.lastTerm();
--- a/baykeel-core/src/main/java/org/baykeel/core/wire/LogRecordCodec.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/wire/LogRecordCodec.java
@@ -32,6 +32,8 @@
 import org.baykeel.protocol.generated.ProgramEndedRecordEncoder;
 import org.baykeel.protocol.generated.ProgramForgottenRecordDecoder;
 import org.baykeel.protocol.generated.ProgramForgottenRecordEncoder;
+import org.baykeel.protocol.generated.SubmissionRefusedRecordDecoder;
+import org.baykeel.protocol.generated.SubmissionRefusedRecordEncoder;
 
 /** Encodes the records of a shard's log. Not thread-safe: buffers are reused. */
 public final class LogRecordCodec {
@@ -70,6 +72,9 @@
     if (record instanceof LogRecord.AttemptFailed failed) {
       return encodeFailed(failed);
     }
+    if (record instanceof LogRecord.SubmissionRefused refused) {
+      return encodeRefused(refused);
+    }
     if (record instanceof LogRecord.ProgramEnded ended) {
       ProgramEndedRecordEncoder encoder = new ProgramEndedRecordEncoder();
       encoder.wrapAndApplyHeader(scratch, 0, headerEncoder);
@@ -170,6 +175,15 @@
     return MessageHeaderEncoder.ENCODED_LENGTH + encoder.encodedLength();
   }
 
+  private int encodeRefused(LogRecord.SubmissionRefused record) {
+    SubmissionRefusedRecordEncoder encoder = new SubmissionRefusedRecordEncoder();
+    encoder.wrapAndApplyHeader(scratch, 0, headerEncoder);
+    encoder.requestId(record.requestId()).errorCode(record.kind().code());
+    encoder.edge().nodeId(record.edge().nodeId()).incarnation(record.edge().incarnation());
+    encoder.programId(record.programId());
+    return MessageHeaderEncoder.ENCODED_LENGTH + encoder.encodedLength();
+  }
+
   /**
    * The record of some bytes.
    *
@@ -185,6 +199,7 @@
       case CallDispatchedRecordDecoder.TEMPLATE_ID -> decodeDispatched(buffer);
       case CallCompletedRecordDecoder.TEMPLATE_ID -> decodeCompleted(buffer);
       case AttemptFailedRecordDecoder.TEMPLATE_ID -> decodeFailed(buffer);
+      case SubmissionRefusedRecordDecoder.TEMPLATE_ID -> decodeRefused(buffer);
       case ProgramEndedRecordDecoder.TEMPLATE_ID -> {
         var decoder = new ProgramEndedRecordDecoder();
         decoder.wrapAndApplyHeader(buffer, 0, headerDecoder);
@@ -284,6 +299,14 @@
         Payload.wrap(answer));
   }
 
+  private LogRecord decodeRefused(DirectBuffer buffer) {
+    SubmissionRefusedRecordDecoder decoder = new SubmissionRefusedRecordDecoder();
+    decoder.wrapAndApplyHeader(buffer, 0, headerDecoder);
+    MemberId edge = new MemberId(decoder.edge().nodeId(), decoder.edge().incarnation());
+    ErrorKind kind = ErrorKind.ofCode(decoder.errorCode());
+    return new LogRecord.SubmissionRefused(decoder.programId(), edge, decoder.requestId(), kind);
+  }
+
   private LogRecord decodeFailed(DirectBuffer buffer) {
     AttemptFailedRecordDecoder decoder = new AttemptFailedRecordDecoder();
     decoder.wrapAndApplyHeader(buffer, 0, headerDecoder);
--- a/baykeel-core/src/main/java/org/baykeel/core/wire/PeerMessageEncoder.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/wire/PeerMessageEncoder.java
@@ -230,7 +230,6 @@
         .kind((short) request.kind().ordinal())
         .deadlineMillis(request.deadlineMillis())
         .maximumTokens(request.maximumTokens())
-        .receivedLength(request.receivedText().length())
         .shard(request.shard())
         .tenant(request.tenant())
         .programId(request.programId())
