--- a/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ReplicaMaintenance.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ReplicaMaintenance.java
@@ -44,8 +44,8 @@
     List<MemberId> lost = lostMembers(group, nowMillis);
     int size = group.members().size();
     int present = size - lost.size();
-    int wanted = Math.min(settings.replicas(), membership.activeMembers().size());
-    if (size > wanted && !lost.isEmpty() && present >= leastMembers()) {
+    int wanted = Math.min(settings.replicas(), expectedNodes());
+    if (size > wanted && !lost.isEmpty() && present >= Math.max(wanted, leastMembers())) {
       removeOne(group, lost);
     } else if (present + group.learners().size() < wanted) {
       addOne(group, lost, nowMillis);
@@ -53,8 +53,21 @@
   }
 
   /**
-   * A group that cannot be completed may shrink by one member, but never so far that a quorum has
-   * fewer copies: four members have the same quorum as five.
+   * Nodes that are there or may come back. A dead member is removed only after another has taken
+   * its place: fewer members would not make a smaller quorum safe, and the member may only be cut
+   * off.
+   */
+  private int expectedNodes() {
+    int count = 0;
+    for (MemberUpdate member : membership.members()) {
+      count += member.status() == MemberStatus.LEAVING ? 0 : 1;
+    }
+    return count;
+  }
+
+  /**
+   * When a member leaves for good and none takes its place, a group may shrink, but never so far
+   * that a quorum has fewer copies: four members have the same quorum as five.
    */
   private int leastMembers() {
     int quorum = settings.replicas() / 2 + 1;
