--- a/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedCaller.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedCaller.java
@@ -224,8 +224,10 @@
     request.edge = edge;
     request.edgeLife = edge.life();
     request.received = new ByteArrayOutputStream();
-    request.requestId = simulation.submit(edge, withDeadline(request), reply -> on(request, reply));
+    request.requestId = simulation.nextRequestId();
     long sentAs = request.requestId;
+    simulation.submit(
+        edge, sentAs, withDeadline(request), reply -> onReplyTo(request, sentAs, reply));
     simulation.time().afterMillis(PATIENCE_MILLIS, () -> losePatience(request, sentAs));
   }
 
@@ -267,6 +269,13 @@
     simulation.time().afterMillis(Math.max(1, delayMillis), () -> send(request));
   }
 
+  /** What still comes over a connection that the caller has closed does not reach it. */
+  private void onReplyTo(Request request, long sentAs, CallerReply reply) {
+    if (request.requestId == sentAs) {
+      on(request, reply);
+    }
+  }
+
   private void on(Request request, CallerReply reply) {
     if (request.settled) {
       return;
--- a/baykeel-bench/src/main/java/org/baykeel/bench/simulation/Simulation.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/simulation/Simulation.java
@@ -16,6 +16,7 @@
 import org.baykeel.core.configuration.DeclarationCodec;
 import org.baykeel.core.configuration.Declarations;
 import org.baykeel.core.edge.EdgeSettings;
+import org.baykeel.core.error.ErrorKind;
 import org.baykeel.core.log.LogEvent;
 import org.baykeel.core.membership.Membership.Seed;
 import org.baykeel.core.membership.MembershipSettings;
@@ -277,8 +278,13 @@
     return running.isEmpty() ? null : running.get(callerRandom.nextInt(running.size()));
   }
 
-  long submit(SimulatedNode edge, CallerRequest request, Consumer<CallerReply> sink) {
-    long requestId = nextRequestId++;
+  /** A number for a caller's request. */
+  long nextRequestId() {
+    return nextRequestId++;
+  }
+
+  void submit(
+      SimulatedNode edge, long requestId, CallerRequest request, Consumer<CallerReply> sink) {
     int life = edge.life();
     note(
         "caller sends "
@@ -295,7 +301,6 @@
     time.after(
         PEER_MICROS,
         () -> edge.run(life, () -> edge.core().submit(requestId, request, true, time.millis())));
-    return requestId;
   }
 
   void hangUp(SimulatedNode edge, int life, long requestId) {
@@ -463,7 +468,15 @@
                     outcome -> {
                       if (outcome instanceof ConfigurationManager.Confirmation.Accepted accepted) {
                         onAccepted(accepted.version(), plan, drained);
-                      } else if (time.millis() < untilMillis && plan.baseVersion() == 0) {
+                        return;
+                      }
+                      // Without an answer of the store the plan may have been accepted all the
+                      // same, and nothing is known to be drained any more.
+                      if (outcome instanceof ConfigurationManager.Confirmation.Refused refused
+                          && refused.kind() == ErrorKind.STORE_UNAVAILABLE) {
+                        notServingSince.clear();
+                      }
+                      if (time.millis() < untilMillis && plan.baseVersion() == 0) {
                         time.afterMillis(
                             1_000, () -> confirm(plan, drained, node, life, untilMillis));
                       }
--- a/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
@@ -10,15 +10,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.baykeel.core.bootstrap.ReplicaMaintenance;
-import org.baykeel.core.bootstrap.ShardAssignment;
 import org.baykeel.core.bootstrap.ShardBootstrap;
 import org.baykeel.core.configuration.ConfigurationImage;
 import org.baykeel.core.configuration.ConfigurationManager;
 import org.baykeel.core.configuration.ConfigurationPlan;
-import org.baykeel.core.configuration.Declarations.Engine;
 import org.baykeel.core.edge.CallerEdge;
 import org.baykeel.core.edge.EdgeOutput;
 import org.baykeel.core.error.ErrorKind;
@@ -27,19 +24,15 @@
 import org.baykeel.core.membership.MembershipOutput;
 import org.baykeel.core.message.AttemptFailure;
 import org.baykeel.core.message.AttemptId;
-import org.baykeel.core.message.BackendAttempt;
 import org.baykeel.core.message.CallerReply;
 import org.baykeel.core.message.CallerRequest;
 import org.baykeel.core.message.EngineReport;
-import org.baykeel.core.message.GroupId;
-import org.baykeel.core.message.LogRecord;
 import org.baykeel.core.message.MemberId;
 import org.baykeel.core.message.MemberStatus;
 import org.baykeel.core.message.MemberUpdate;
 import org.baykeel.core.message.NodeAddress;
 import org.baykeel.core.message.Payload;
 import org.baykeel.core.message.PeerMessage;
-import org.baykeel.core.message.PeerMessage.AppendResponse;
 import org.baykeel.core.message.PeerMessage.CacheInventory;
 import org.baykeel.core.message.PeerMessage.ConfigurationDocument;
 import org.baykeel.core.message.PeerMessage.EngineReports;
@@ -49,22 +42,16 @@
 import org.baykeel.core.message.PeerMessage.GroupMessage;
 import org.baykeel.core.message.PeerMessage.Probe;
 import org.baykeel.core.message.PeerMessage.RouteUpdate;
-import org.baykeel.core.message.PeerMessage.VoteResponse;
 import org.baykeel.core.message.ShardRoute;
 import org.baykeel.core.message.Usage;
 import org.baykeel.core.program.CallerOrigin;
-import org.baykeel.core.program.CoordinatorOutput;
 import org.baykeel.core.program.ProgramShard;
 import org.baykeel.core.program.ShardCoordinator;
 import org.baykeel.core.replication.ReplicaGroup;
-import org.baykeel.core.replication.ReplicationOutput;
-import org.baykeel.core.retry.RetryBudget;
-import org.baykeel.core.routing.ProgramIds;
 import org.baykeel.core.routing.ShardRoutes;
 import org.baykeel.core.scheduling.CallScheduler;
 import org.baykeel.core.scheduling.EngineDirectory;
 import org.baykeel.core.scheduling.EngineSelector;
-import org.baykeel.core.scheduling.EngineWatch;
 
 /**
  * A node's whole logic, without thread, socket or clock. Every input is a method call that carries
@@ -72,8 +59,6 @@
  */
 public final class NodeCore {
   private static final int SPREAD_FANOUT = 4;
-  private static final double RETRIES_PER_ATTEMPT = 0.2;
-  private static final int BALANCE_MILLIS = 5_000;
 
   private final MemberId self;
   private final NodeSettings settings;
@@ -83,22 +68,18 @@
   private final ShardRoutes routes = new ShardRoutes();
   private final ConfigurationManager configuration;
   private final EngineDirectory engines = new EngineDirectory();
-  private final EngineWatch watch;
+  private final EngineMonitor monitor;
   private final CallScheduler scheduler;
   private final CallerEdge edge;
   private final ShardBootstrap bootstrap;
   private final ReplicaMaintenance maintenance;
-  private final RetryBudget retryBudget = new RetryBudget(RETRIES_PER_ATTEMPT);
-  private final Map<Integer, ShardReplica> replicas = new TreeMap<>();
+  private final ShardReplicas replicas;
+  private final LeadershipBalancer balancer;
   private final Set<MemberId> membersWithoutReplicas = new HashSet<>();
   private final List<Runnable> localMessages = new ArrayList<>();
   private final Map<String, Long> lastEventMillis = new HashMap<>();
 
   private long now;
-  private long nextPollMillis;
-  private long nextInventoryMillis;
-  private long nextBalanceMillis;
-  private boolean watchOutdated = true;
   private boolean stopping;
   private boolean announcedReady;
 
@@ -125,7 +106,10 @@
             nowMillis);
     this.configuration =
         new ConfigurationManager(output, this::configurationAdopted, CONFIGURATION_POLL_MILLIS);
-    this.watch = new EngineWatch(self, settings.scheduling().watchersPerEngine());
+    NodeLinks links = new Links();
+    this.monitor =
+        new EngineMonitor(
+            self, settings, output, links, membership, routes, configuration::image, engines);
     EngineSelector selector =
         settings.scheduling().policy().create(settings.scheduling().costs(), random.split());
     this.scheduler =
@@ -134,6 +118,18 @@
             selector,
             settings.scheduling().maximumWaiting(),
             settings.scheduling().byProgram());
+    this.replicas =
+        new ShardReplicas(
+            self,
+            settings,
+            output,
+            links,
+            configuration::image,
+            engines,
+            scheduler,
+            random.split());
+    this.balancer =
+        new LeadershipBalancer(self, shardCount(), membership, routes, replicas, random.split());
     this.edge = new CallerEdge(self, routes, settings.edge(), new EdgeAdapter());
     this.bootstrap =
         new ShardBootstrap(
@@ -141,7 +137,7 @@
             membership,
             output,
             () -> Set.copyOf(membersWithoutReplicas),
-            this::adoptAssignment);
+            replicas::adopt);
     this.maintenance = new ReplicaMaintenance(settings.bootstrap(), membership, output::event);
   }
 
@@ -204,7 +200,7 @@
   /** Number of shards that this node leads and serves. */
   public int ledShards() {
     int led = 0;
-    for (ShardReplica replica : replicas.values()) {
+    for (ShardReplica replica : replicas.all()) {
       if (replica.group().isReadyLeader()) {
         led++;
       }
@@ -236,20 +232,20 @@
     configuration.tick(now);
     bootstrap.tick(allShardsRouted(), now);
     inquireWhileUnserved();
-    for (ShardReplica replica : List.copyOf(replicas.values())) {
+    for (ShardReplica replica : replicas.all()) {
       replica.group().tick(now);
       if (replica.group().isReadyLeader()) {
         maintenance.maintain(replica.group(), now);
       }
       replica.coordinator().tick(now);
     }
-    pollEngines();
+    monitor.tick();
     scheduler.dispatchWaiting(now);
     edge.tick(now);
     if (stopping) {
-      handOverLeadership();
+      balancer.handOver(now);
     } else {
-      balanceLeadership();
+      balancer.balance(now);
     }
     announceReadiness();
     endCycle(nowMillis);
@@ -259,7 +255,7 @@
   public void endCycle(long nowMillis) {
     now = nowMillis;
     runLocalMessages();
-    for (ShardReplica replica : List.copyOf(replicas.values())) {
+    for (ShardReplica replica : replicas.all()) {
       replica.coordinator().endCycle();
       replica.group().flush(now);
     }
@@ -283,6 +279,32 @@
 
   // ---- members and routes ----
 
+  private final class Links implements NodeLinks {
+    @Override
+    public void send(MemberId to, PeerMessage message) {
+      NodeCore.this.send(to, message);
+    }
+
+    @Override
+    public void sendToOthers(PeerMessage message) {
+      for (MemberUpdate member : membership.activeMembers()) {
+        if (!member.id().equals(self)) {
+          NodeCore.this.send(member.id(), message);
+        }
+      }
+    }
+
+    @Override
+    public void updateRoute(ShardRoute route) {
+      NodeCore.this.updateRoute(route);
+    }
+
+    @Override
+    public long now() {
+      return now;
+    }
+  }
+
   private final class MembershipAdapter implements MembershipOutput {
     @Override
     public void send(MemberId to, PeerMessage message) {
@@ -311,12 +333,12 @@
 
     @Override
     public int replicas() {
-      return replicas.size();
+      return replicas.count();
     }
   }
 
   private void memberChanged(MemberUpdate previous, MemberUpdate present) {
-    watchOutdated = true;
+    monitor.outdate();
     boolean superseded = previous != null && !previous.id().equals(present.id());
     if (superseded) {
       membersWithoutReplicas.remove(previous.id());
@@ -349,7 +371,8 @@
 
   private void dispatch(MemberId from, PeerMessage message) {
     if (message instanceof GroupMessage groupMessage) {
-      onGroupMessage(from, groupMessage);
+      membersWithoutReplicas.remove(self);
+      replicas.onMessage(from, groupMessage);
     } else if (message instanceof Probe probe) {
       onProbe(from, probe);
     } else if (message instanceof ForwardRequest forward) {
@@ -396,7 +419,7 @@
     if (!unserved || !isDue("inquire", INQUIRY_MILLIS)) {
       return;
     }
-    if (replicas.isEmpty()) {
+    if (replicas.count() == 0) {
       membersWithoutReplicas.add(self);
     }
     for (MemberUpdate member : membership.activeMembers()) {
@@ -417,153 +440,6 @@
     return true;
   }
 
-  // ---- shards ----
-
-  private void adoptAssignment(ShardAssignment assignment) {
-    output.event(LogEvent.SHARDS_ASSIGNED, assignment.shards().size(), assignment.generation());
-    for (int shard = 0; shard < assignment.shards().size(); shard++) {
-      List<MemberId> members = assignment.shards().get(shard);
-      GroupId group = new GroupId(shard, assignment.generation());
-      if (members.contains(self) && !holds(group)) {
-        createReplica(group, members);
-      }
-    }
-  }
-
-  private boolean holds(GroupId group) {
-    ShardReplica present = replicas.get(group.shard());
-    return present != null && present.group().group().generation() >= group.generation();
-  }
-
-  private ShardReplica createReplica(GroupId group, List<MemberId> members) {
-    ShardReplica old = replicas.get(group.shard());
-    if (old != null) {
-      old.coordinator().leadershipLost();
-    }
-    membersWithoutReplicas.remove(self);
-    ProgramShard shard = new ProgramShard();
-    ShardAdapter adapter = new ShardAdapter(group);
-    ReplicaGroup replicaGroup =
-        new ReplicaGroup(
-            group, self, members, settings.replication(), shard, adapter, random.split(), now);
-    ShardCoordinator coordinator =
-        new ShardCoordinator(
-            group,
-            self,
-            shard,
-            settings.coordinator(),
-            settings.replication().electionMillis() / 2,
-            configuration::image,
-            engines,
-            scheduler,
-            retryBudget,
-            adapter);
-    ShardReplica replica = new ShardReplica(replicaGroup, shard, coordinator);
-    replicas.put(group.shard(), replica);
-    return replica;
-  }
-
-  private void onGroupMessage(MemberId from, GroupMessage message) {
-    GroupId group = message.group();
-    ShardReplica replica = replicas.get(group.shard());
-    boolean unknown = replica == null || replica.group().group().generation() < group.generation();
-    if (unknown) {
-      boolean answer = message instanceof VoteResponse || message instanceof AppendResponse;
-      if (answer) {
-        return;
-      }
-      // The sender counts this very incarnation as a member or learner.
-      replica = createReplica(group, List.of());
-    }
-    if (replica.group().group().equals(group)) {
-      replica.group().onMessage(from, message, now);
-    }
-  }
-
-  /** Connects one shard's group and coordinator with the node. */
-  private final class ShardAdapter implements ReplicationOutput, CoordinatorOutput {
-    private final GroupId group;
-
-    ShardAdapter(GroupId group) {
-      this.group = group;
-    }
-
-    private ShardReplica replica() {
-      return replicas.get(group.shard());
-    }
-
-    @Override
-    public void send(MemberId to, PeerMessage message) {
-      NodeCore.this.send(to, message);
-    }
-
-    @Override
-    public void becameLeader(ReplicaGroup leader) {
-      output.event(LogEvent.LEADER_ELECTED, group.shard(), leader.term());
-    }
-
-    @Override
-    public void leaderReady(ReplicaGroup leader) {
-      ShardRoute route = new ShardRoute(group, leader.term(), self);
-      updateRoute(route);
-      RouteUpdate update = new RouteUpdate(List.of(route));
-      for (MemberUpdate member : membership.activeMembers()) {
-        if (!member.id().equals(self)) {
-          send(member.id(), update);
-        }
-      }
-      replica().coordinator().leaderReady(now);
-    }
-
-    @Override
-    public void lostLeadership(ReplicaGroup former) {
-      output.event(LogEvent.LEADERSHIP_LOST, group.shard(), former.term());
-      replica().coordinator().leadershipLost();
-    }
-
-    @Override
-    public void applied(ReplicaGroup applier, long index, LogRecord record) {
-      if (applier.role() == ReplicaGroup.Role.LEADER) {
-        replica().coordinator().onApplied(index, record, now);
-      }
-    }
-
-    @Override
-    public long propose(LogRecord record) {
-      return replica().group().propose(record);
-    }
-
-    @Override
-    public void reply(CallerOrigin origin, CallerReply reply) {
-      send(origin.edge(), new ForwardReply(origin.requestId(), reply));
-    }
-
-    @Override
-    public void startAttempt(BackendAttempt attempt) {
-      output.startAttempt(attempt);
-    }
-
-    @Override
-    public void cancelAttempt(AttemptId id, String backend, String address) {
-      output.cancelAttempt(id, backend, address);
-    }
-
-    @Override
-    public void abandonAttempt(AttemptId id) {
-      output.abandonAttempt(id);
-    }
-
-    @Override
-    public void releaseCache(String engine, String address, String programId) {
-      output.releaseCache(engine, address, programId);
-    }
-
-    @Override
-    public void event(LogEvent event, Object... arguments) {
-      output.event(event, arguments);
-    }
-  }
-
   // ---- callers ----
 
   private final class EdgeAdapter implements EdgeOutput {
@@ -617,16 +493,10 @@
 
   // ---- back ends ----
 
-  private ShardCoordinator coordinatorOf(String programId) {
-    int shard = ProgramIds.shardOf(programId, shardCount());
-    ShardReplica replica = replicas.get(shard);
-    return replica == null ? null : replica.coordinator();
-  }
-
   /** Generated text has arrived. */
   public void onAttemptText(AttemptId id, int offset, Payload text, long nowMillis) {
     now = nowMillis;
-    ShardCoordinator coordinator = coordinatorOf(id.programId());
+    ShardCoordinator coordinator = replicas.coordinatorOf(id.programId());
     if (coordinator != null) {
       coordinator.onAttemptText(id, offset, text, now);
     }
@@ -635,7 +505,7 @@
   /** An attempt has its whole answer. */
   public void onAttemptCompleted(AttemptId id, Payload answer, Usage usage, long nowMillis) {
     now = nowMillis;
-    ShardCoordinator coordinator = coordinatorOf(id.programId());
+    ShardCoordinator coordinator = replicas.coordinatorOf(id.programId());
     if (coordinator != null) {
       coordinator.onAttemptCompleted(id, answer, usage);
       scheduler.dispatchWaiting(now);
@@ -645,7 +515,7 @@
   /** An attempt failed. */
   public void onAttemptFailed(AttemptId id, AttemptFailure failure, long nowMillis) {
     now = nowMillis;
-    ShardCoordinator coordinator = coordinatorOf(id.programId());
+    ShardCoordinator coordinator = replicas.coordinatorOf(id.programId());
     if (coordinator != null) {
       coordinator.onAttemptFailed(id, failure, now);
       scheduler.dispatchWaiting(now);
@@ -655,7 +525,7 @@
   /** An engine confirmed that it holds nothing of a program. */
   public void onCacheReleased(String engine, String programId, long nowMillis) {
     now = nowMillis;
-    ShardCoordinator coordinator = coordinatorOf(programId);
+    ShardCoordinator coordinator = replicas.coordinatorOf(programId);
     if (coordinator != null) {
       coordinator.onCacheReleased(engine, programId);
     }
@@ -664,19 +534,8 @@
   /** An engine that this node polled has answered, or has not. */
   public void onEngineReport(EngineReport report, long nowMillis) {
     now = nowMillis;
-    EngineReport before = engines.report(report.engine());
-    if (before == null || before.status() != report.status()) {
-      output.event(LogEvent.ENGINE_STATUS, report.engine(), report.status());
-    }
-    takeReport(report);
-    Engine engine = configuration.image().engine(report.engine());
-    if (engine != null && watch.isWorthSpreading(report, engine.concurrency())) {
-      EngineReports message = new EngineReports(List.of(report));
-      for (MemberUpdate member : membership.activeMembers()) {
-        if (!member.id().equals(self)) {
-          send(member.id(), message);
-        }
-      }
+    if (monitor.onPolled(report)) {
+      scheduler.dispatchWaiting(now);
     }
   }
 
@@ -689,15 +548,7 @@
   /** An engine that this node polled has told what it caches. */
   public void onInventory(String engine, Collection<String> programIds, long nowMillis) {
     now = nowMillis;
-    Map<Integer, List<String>> byShard = new TreeMap<>();
-    for (String programId : programIds) {
-      int shard = ProgramIds.shardOf(programId, shardCount());
-      if (shard >= 0) {
-        byShard.computeIfAbsent(shard, key -> new ArrayList<>()).add(programId);
-      }
-    }
-    byShard.forEach(
-        (shard, ids) -> send(routes.leader(shard), new CacheInventory(shard, engine, ids)));
+    monitor.onInventory(engine, programIds);
   }
 
   private void onCacheInventory(CacheInventory inventory) {
@@ -707,38 +558,12 @@
     }
   }
 
-  private void pollEngines() {
-    if (watchOutdated) {
-      watchOutdated = false;
-      watch.reassign(configuration.image(), membership.activeMembers());
-    }
-    boolean pollDue = now >= nextPollMillis;
-    boolean inventoryDue = now >= nextInventoryMillis;
-    if (pollDue) {
-      nextPollMillis = now + settings.scheduling().pollMillis();
-    }
-    if (inventoryDue) {
-      nextInventoryMillis = now + settings.scheduling().inventoryMillis();
-    }
-    if (!pollDue && !inventoryDue) {
-      return;
-    }
-    for (String engine : watch.watched()) {
-      if (pollDue) {
-        output.pollEngine(engine, engines.address(engine));
-      }
-      if (inventoryDue) {
-        output.pollInventory(engine, engines.address(engine));
-      }
-    }
-  }
-
   // ---- configuration ----
 
   private void configurationAdopted(ConfigurationImage image, Payload document) {
     output.event(LogEvent.CONFIGURATION_ADOPTED, image.version());
     engines.configure(image);
-    watchOutdated = true;
+    monitor.outdate();
     List<MemberUpdate> others = new ArrayList<>(membership.activeMembers());
     others.removeIf(member -> member.id().equals(self));
     for (int i = 0; i < SPREAD_FANOUT && !others.isEmpty(); i++) {
@@ -761,41 +586,6 @@
 
   // ---- leadership balance and planned stop ----
 
-  /** Gives one shard away if this node leads more than its share. */
-  private void balanceLeadership() {
-    if (now < nextBalanceMillis) {
-      return;
-    }
-    nextBalanceMillis = now + BALANCE_MILLIS + random.nextInt(BALANCE_MILLIS);
-    Map<MemberId, Integer> led = new HashMap<>();
-    routes.all().forEach(route -> led.merge(route.leader(), 1, Integer::sum));
-    int active = Math.max(1, membership.activeMembers().size());
-    int share = (shardCount() + active - 1) / active;
-    if (led.getOrDefault(self, 0) <= share) {
-      return;
-    }
-    for (ShardReplica replica : replicas.values()) {
-      Set<MemberId> lighter = lighterMembers(replica.group(), led, share);
-      if (replica.group().isReadyLeader() && !lighter.isEmpty()) {
-        replica.group().transferLeadership(lighter, now);
-        return;
-      }
-    }
-  }
-
-  private Set<MemberId> lighterMembers(ReplicaGroup group, Map<MemberId, Integer> led, int share) {
-    Set<MemberId> lighter = new HashSet<>();
-    for (MemberId member : group.members()) {
-      MemberUpdate update = membership.member(member.nodeId());
-      boolean alive =
-          update != null && update.id().equals(member) && update.status() == MemberStatus.ALIVE;
-      if (alive && !member.equals(self) && led.getOrDefault(member, 0) < share) {
-        lighter.add(member);
-      }
-    }
-    return lighter;
-  }
-
   /** Begins a planned stop: no new callers, shards are handed over, streams are finished. */
   public void beginStop(long nowMillis) {
     now = nowMillis;
@@ -808,59 +598,6 @@
 
   /** True once a planned stop cuts nothing off, and no group needs this replica any more. */
   public boolean isDrained() {
-    return stopping
-        && edge.pendingRequests() == 0
-        && !leadsAnything()
-        && replicas.values().stream().allMatch(replica -> isDispensable(replica.group()));
-  }
-
-  /**
-   * A stop is a loss of a copy. It waits while any other member of the group is gone, so that the
-   * stop and the next failure together are never more than two losses.
-   */
-  private boolean isDispensable(ReplicaGroup group) {
-    if (!group.isMember()) {
-      return true;
-    }
-    for (MemberId member : group.members()) {
-      if (!member.equals(self) && !stays(member)) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  /** Of two members that both want to leave, the one with the lower number goes first. */
-  private boolean stays(MemberId member) {
-    MemberUpdate update = membership.member(member.nodeId());
-    if (update == null || !update.id().equals(member)) {
-      return false;
-    }
-    boolean leavesLater =
-        update.status() == MemberStatus.LEAVING && member.nodeId() > self.nodeId();
-    return update.status() == MemberStatus.ALIVE || leavesLater;
-  }
-
-  private boolean leadsAnything() {
-    for (ShardReplica replica : replicas.values()) {
-      if (replica.group().role() == ReplicaGroup.Role.LEADER) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private void handOverLeadership() {
-    for (ShardReplica replica : replicas.values()) {
-      ReplicaGroup group = replica.group();
-      if (!group.isReadyLeader()) {
-        continue;
-      }
-      replica.coordinator().drain();
-      if (!replica.coordinator().hasDispatchedCalls()) {
-        Set<MemberId> others = lighterMembers(group, Map.of(), Integer.MAX_VALUE);
-        group.transferLeadership(others, now);
-      }
-    }
+    return stopping && edge.pendingRequests() == 0 && balancer.isDispensable();
   }
 }
--- a/baykeel-core/src/main/java/org/baykeel/core/program/CallAdmission.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/program/CallAdmission.java
@@ -7,6 +7,7 @@
 import org.baykeel.core.configuration.Declarations.BackendState;
 import org.baykeel.core.configuration.Declarations.Model;
 import org.baykeel.core.configuration.Declarations.Operation;
+import org.baykeel.core.configuration.Declarations.ProgramClass;
 import org.baykeel.core.configuration.Declarations.Tool;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.core.message.CallKind;
@@ -19,6 +20,9 @@
   /** Tokens that an engine may add around the messages. */
   private static final int TEMPLATE_TOKENS = 64;
 
+  /** Priority of a program whose class is not declared any more. */
+  private static final int LOWEST_PRIORITY = 1_000;
+
   private static final int NO_BACKEND_RETRY_MILLIS = 2_000;
 
   private final Supplier<ConfigurationImage> configuration;
@@ -99,6 +103,12 @@
     return Math.min(cost, call.latest().reservation());
   }
 
+  /** Priority of a program's class; lower numbers go first. */
+  int priority(ProgramState program) {
+    ProgramClass programClass = configuration.get().programClass(program.created().programClass());
+    return programClass == null ? LOWEST_PRIORITY : programClass.priority();
+  }
+
   /** The declared operation of a tool call, or null. */
   Operation operation(CallerRequest request) {
     Tool tool = configuration.get().tool(request.target());
--- a/baykeel-core/src/main/java/org/baykeel/core/program/ProgramShard.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/program/ProgramShard.java
@@ -33,6 +33,13 @@
     return programs.get(programId);
   }
 
+  /** The program with an id if it belongs to the tenant, or null. */
+  public ProgramState programOf(String tenant, String programId) {
+    ProgramState program = programs.get(programId);
+    boolean own = program != null && program.created().tenant().equals(tenant);
+    return own ? program : null;
+  }
+
   /** All programs, in order of creation. */
   public Collection<ProgramState> programs() {
     return Collections.unmodifiableCollection(programs.values());
