--- a/baykeel-bench/src/main/java/org/baykeel/bench/demo/Cluster.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/demo/Cluster.java
@@ -29,7 +29,11 @@
   private static final long READY_MILLIS = 60_000;
   private static final int POLL_MILLIS = 100;
 
+  private static final String FAST_COSTS =
+      "costs: {prefillTokensPerSecond: 10000000, stepMicros: 1, sequenceMicros: 0}\n";
+
   private final Deployment deployment;
+  private final String engineCosts;
   private final List<String> launcher;
   private final Path directory;
   private final Map<String, Process> processes = new LinkedHashMap<>();
@@ -45,7 +49,17 @@
    * @param launcher the command that runs baykeel, to which a subcommand is added
    */
   public Cluster(Deployment deployment, List<String> launcher) {
+    this(deployment, launcher, "");
+  }
+
+  /** A cluster whose engines answer at once, to measure what the nodes add. */
+  public static Cluster withFastEngines(Deployment deployment, List<String> launcher) {
+    return new Cluster(deployment, launcher, FAST_COSTS);
+  }
+
+  private Cluster(Deployment deployment, List<String> launcher, String engineCosts) {
     this.deployment = deployment;
+    this.engineCosts = engineCosts;
     this.launcher = List.copyOf(launcher);
     int nodes = deployment.nodes();
     int engines = deployment.engines();
@@ -103,8 +117,8 @@
   /** The first engine has a process of its own, so that it can be killed alone. */
   private void startEmulators() {
     startEmulator("platform", "host: " + HOST + "\nplatformPort: " + platformPort + "\n");
-    startEmulator("engine-0", "host: " + HOST + "\nengines:\n" + engineLine(0));
-    StringBuilder others = new StringBuilder("host: " + HOST + "\nengines:\n");
+    startEmulator("engine-0", "host: " + HOST + "\n" + engineCosts + "engines:\n" + engineLine(0));
+    StringBuilder others = new StringBuilder("host: " + HOST + "\n" + engineCosts + "engines:\n");
     for (int i = 1; i < deployment.engines(); i++) {
       others.append(engineLine(i));
     }
--- a/baykeel-cli/src/main/java/org/baykeel/cli/BaykeelCommand.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/BaykeelCommand.java
@@ -20,11 +20,13 @@
     COMMANDS.put("status", () -> new ShowCommand("/operator/status"));
     COMMANDS.put("programs", () -> new ShowCommand("/operator/programs"));
     COMMANDS.put("engines", () -> new ShowCommand("/operator/engines"));
-    COMMANDS.put("history", () -> new ShowCommand("/operator/history"));
+    COMMANDS.put("config history", () -> new ShowCommand("/operator/history"));
     COMMANDS.put("drain", DrainCommand::new);
     COMMANDS.put("stop", StopCommand::new);
     COMMANDS.put("emulator", EmulatorCommand::new);
     COMMANDS.put("demo", DemoCommand::new);
+    COMMANDS.put("bench path", BenchPathCommand::new);
+    COMMANDS.put("bench hollow", BenchHollowCommand::new);
     COMMANDS.put("simulate", SimulateCommand::new);
     COMMANDS.put("record-traces", RecordTracesCommand::new);
   }
@@ -37,17 +39,18 @@
   }
 
   static int run(String[] arguments) throws IOException, InterruptedException {
-    Supplier<Command> factory = arguments.length == 0 ? null : COMMANDS.get(arguments[0]);
-    if (factory == null) {
+    int words = wordsOfCommand(arguments);
+    if (words == 0) {
       System.err.println("usage: baykeel COMMAND [options]; --help after a command explains it");
       System.err.println("commands: " + String.join(", ", COMMANDS.keySet()));
       return ExitCode.USAGE;
     }
-    Command command = factory.get();
+    String name = String.join(" ", Arrays.copyOf(arguments, words));
+    Command command = COMMANDS.get(name).get();
     CmdLineParser parser = new CmdLineParser(command);
-    String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
+    String[] rest = Arrays.copyOfRange(arguments, words, arguments.length);
     if (Arrays.asList(rest).contains("--help")) {
-      System.out.println("baykeel " + arguments[0]);
+      System.out.println("baykeel " + name);
       parser.printUsage(System.out);
       return ExitCode.OK;
     }
@@ -60,4 +63,14 @@
     }
     return command.run();
   }
+
+  /** How many of the first words name a command; zero if none does. */
+  private static int wordsOfCommand(String[] arguments) {
+    for (int words = Math.min(2, arguments.length); words > 0; words--) {
+      if (COMMANDS.containsKey(String.join(" ", Arrays.copyOf(arguments, words)))) {
+        return words;
+      }
+    }
+    return 0;
+  }
 }
