--- a/baykeel-bench/src/main/java/org/baykeel/bench/hollow/HollowRun.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/hollow/HollowRun.java
@@ -59,8 +59,8 @@
     if (faults) {
       falseSuspicions();
       machine();
-      group("rack", RACK);
-      group("zone", nodeCount / HollowFleet.ZONES);
+      group("rack", 1, RACK);
+      group("zone", 2, nodeCount / HollowFleet.ZONES);
       regionCut();
     }
     return steady;
@@ -170,10 +170,10 @@
     restore("machine", List.of(gone));
   }
 
-  private void group(String what, int size) {
+  private void group(String what, int zone, int size) {
     List<HollowNode> gone = new ArrayList<>();
     for (HollowNode node : fleet.nodes()) {
-      boolean sameZone = node.address().zone().equals("zone-1");
+      boolean sameZone = node.address().zone().equals("zone-" + zone);
       if (sameZone && gone.size() < size) {
         gone.add(node);
       }
--- /dev/null
+++ b/baykeel-cli/src/test/java/org/baykeel/cli/TestArchitecture.java
@@ -0,0 +1,77 @@
+package org.baykeel.cli;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** The arrows between the modules point one way, and the core stays deterministic. */
+@AnalyzeClasses(packages = "org.baykeel", importOptions = ImportOption.DoNotIncludeTests.class)
+class TestArchitecture {
+  @ArchTest
+  static final ArchRule MODULES =
+      layeredArchitecture()
+          .consideringOnlyDependenciesInLayers()
+          .layer("protocol")
+          .definedBy("org.baykeel.protocol..")
+          .layer("core")
+          .definedBy("org.baykeel.core..")
+          .layer("node")
+          .definedBy("org.baykeel.node..")
+          .layer("emulator")
+          .definedBy("org.baykeel.emulator..")
+          .layer("bench")
+          .definedBy("org.baykeel.bench..")
+          .layer("cli")
+          .definedBy("org.baykeel.cli..")
+          .whereLayer("cli")
+          .mayNotBeAccessedByAnyLayer()
+          .whereLayer("bench")
+          .mayOnlyBeAccessedByLayers("cli")
+          .whereLayer("emulator")
+          .mayOnlyBeAccessedByLayers("bench", "cli")
+          .whereLayer("node")
+          .mayOnlyBeAccessedByLayers("emulator", "bench", "cli")
+          .whereLayer("core")
+          .mayOnlyBeAccessedByLayers("node", "emulator", "bench", "cli")
+          .whereLayer("protocol")
+          .mayOnlyBeAccessedByLayers("core");
+
+  @ArchTest
+  static final ArchRule CORE_HAS_NO_THREAD_SOCKET_OR_CLOCK =
+      noClasses()
+          .that()
+          .resideInAPackage("org.baykeel.core..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "io.netty..", "java.net..", "java.nio.channels..", "java.util.concurrent..")
+          .orShould()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.lang.Thread")
+          .orShould()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.util.Random")
+          .orShould()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(System.class, "currentTimeMillis");
+
+  @ArchTest
+  static final ArchRule NODES_START_NO_PROCESS =
+      noClasses()
+          .that()
+          .resideInAnyPackage("org.baykeel.core..", "org.baykeel.node..")
+          .should()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.lang.ProcessBuilder")
+          .orShould()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.lang.Runtime")
+          .orShould()
+          .dependOnClassesThat()
+          .resideInAPackage("java.nio.file..");
+}
--- a/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ReplicaMaintenance.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ReplicaMaintenance.java
@@ -28,6 +28,8 @@
   private final Membership membership;
   private final Events events;
   private final Map<MemberId, Long> missingSince = new HashMap<>();
+  private long changesSeen = -1;
+  private int expectedNodes;
 
   public ReplicaMaintenance(BootstrapSettings settings, Membership membership, Events events) {
     this.settings = requireNonNull(settings, "settings");
@@ -58,11 +60,14 @@
    * off.
    */
   private int expectedNodes() {
-    int count = 0;
-    for (MemberUpdate member : membership.members()) {
-      count += member.status() == MemberStatus.LEAVING ? 0 : 1;
+    if (membership.changes() != changesSeen) {
+      changesSeen = membership.changes();
+      expectedNodes = 0;
+      for (MemberUpdate member : membership.members()) {
+        expectedNodes += member.status() == MemberStatus.LEAVING ? 0 : 1;
+      }
     }
-    return count;
+    return expectedNodes;
   }
 
   /**
--- a/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ShardBootstrap.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ShardBootstrap.java
@@ -4,9 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.baykeel.core.membership.Membership;
 import org.baykeel.core.message.MemberId;
@@ -39,7 +37,7 @@
   private final ReplicaCensus census;
   private final Consumer<ShardAssignment> adoption;
   private ShardAssignment assignment;
-  private Set<MemberId> lastSeen = Set.of();
+  private long changesSeen = -1;
   private long unchangedSinceMillis;
   private long nextPollMillis;
   private boolean busy;
@@ -78,10 +76,8 @@
   }
 
   private void noteMembers(long nowMillis) {
-    Set<MemberId> present = new HashSet<>();
-    membership.activeMembers().forEach(member -> present.add(member.id()));
-    if (!present.equals(lastSeen)) {
-      lastSeen = present;
+    if (membership.changes() != changesSeen) {
+      changesSeen = membership.changes();
       unchangedSinceMillis = nowMillis;
     }
   }
--- a/baykeel-core/src/main/java/org/baykeel/core/membership/Membership.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/membership/Membership.java
@@ -41,6 +41,8 @@
   private final List<Integer> probeOrder = new ArrayList<>();
 
   private MemberUpdate self;
+  private List<MemberUpdate> activeMembers;
+  private long changes;
   private long nextSequence = 1;
   private long nextProbeMillis;
   private long nextJoinMillis;
@@ -69,7 +71,7 @@
     this.random = requireNonNull(random, "random");
     this.seeds = List.copyOf(seeds);
     this.self = new MemberUpdate(selfId, 0, MemberStatus.ALIVE, address);
-    members.put(selfId.nodeId(), self);
+    put(self);
     gossip.add(self);
     nextProbeMillis = nowMillis + random.nextInt(settings.probeIntervalMillis());
     nextSynchronizationMillis = nowMillis + random.nextInt(settings.synchronizationMillis());
@@ -106,13 +108,25 @@
 
   /** The members believed to run and not leaving, this one included. */
   public List<MemberUpdate> activeMembers() {
-    List<MemberUpdate> active = new ArrayList<>();
-    for (MemberUpdate update : members.values()) {
-      if (update.status() == MemberStatus.ALIVE || update.status() == MemberStatus.SUSPECT) {
-        active.add(update);
-      }
+    if (activeMembers == null) {
+      activeMembers = members.values().stream().filter(Membership::isActive).toList();
     }
-    return active;
+    return activeMembers;
+  }
+
+  private static boolean isActive(MemberUpdate update) {
+    return update.status() == MemberStatus.ALIVE || update.status() == MemberStatus.SUSPECT;
+  }
+
+  /** Rises with every change of what is believed of any member. */
+  public long changes() {
+    return changes;
+  }
+
+  private void put(MemberUpdate update) {
+    members.put(update.id().nodeId(), update);
+    activeMembers = null;
+    changes++;
   }
 
   /** How often this member had to refute a suspicion of itself. */
@@ -131,7 +145,7 @@
 
   private void replaceSelf(MemberUpdate update) {
     self = update;
-    members.put(update.id().nodeId(), update);
+    put(update);
     gossip.add(update);
   }
 
@@ -383,7 +397,7 @@
     if (previous != null && !isNewer(update, previous)) {
       return;
     }
-    members.put(nodeId, update);
+    put(update);
     gossip.add(update);
     if (update.status() == MemberStatus.SUSPECT) {
       suspectedSince.put(nodeId, nowMillis);
--- a/baykeel-core/src/main/java/org/baykeel/core/node/EngineMonitor.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/node/EngineMonitor.java
@@ -14,6 +14,7 @@
 import org.baykeel.core.membership.Membership;
 import org.baykeel.core.message.EngineReport;
 import org.baykeel.core.message.MemberId;
+import org.baykeel.core.message.MemberUpdate;
 import org.baykeel.core.message.PeerMessage.CacheInventory;
 import org.baykeel.core.message.PeerMessage.EngineReports;
 import org.baykeel.core.routing.ProgramIds;
@@ -23,6 +24,9 @@
 
 /** Polls the engines that this node watches, and passes on what they say. */
 final class EngineMonitor {
+  private static final int SPREAD_MILLIS = 1_000;
+
+  private final MemberId self;
   private final SchedulingSettings settings;
   private final int shardCount;
   private final NodeOutput output;
@@ -34,6 +38,7 @@
   private final EngineWatch watch;
   private boolean outdated = true;
   private long nextPollMillis;
+  private long nextSpreadMillis;
   private long nextInventoryMillis;
 
   EngineMonitor(
@@ -45,6 +50,7 @@
       ShardRoutes routes,
       Supplier<ConfigurationImage> configuration,
       EngineDirectory engines) {
+    this.self = requireNonNull(self, "self");
     this.settings = settings.scheduling();
     this.shardCount = settings.bootstrap().shardCount();
     this.output = requireNonNull(output, "output");
@@ -72,6 +78,10 @@
       nextPollMillis = now + settings.pollMillis();
       watch.watched().forEach(engine -> output.pollEngine(engine, engines.address(engine)));
     }
+    if (now >= nextSpreadMillis) {
+      nextSpreadMillis = now + SPREAD_MILLIS;
+      spread();
+    }
     if (now >= nextInventoryMillis) {
       nextInventoryMillis = now + settings.inventoryMillis();
       watch.watched().forEach(engine -> output.pollInventory(engine, engines.address(engine)));
@@ -81,16 +91,45 @@
   /** An engine that this node polled has answered, or has not; returns whether that is news. */
   boolean onPolled(EngineReport report) {
     EngineReport before = engines.report(report.engine());
-    if (before == null || before.status() != report.status()) {
+    boolean statusChanged = before == null || before.status() != report.status();
+    if (statusChanged) {
       output.event(LogEvent.ENGINE_STATUS, report.engine(), report.status());
     }
-    Engine engine = configuration.get().engine(report.engine());
-    if (engine != null && watch.isWorthSpreading(report, engine.concurrency())) {
-      links.sendToOthers(new EngineReports(List.of(report)));
+    watch.onPolled(report);
+    if (statusChanged) {
+      spread();
     }
     return engines.onReport(report);
   }
 
+  /** Another watcher has spread a report; returns whether it is news. */
+  boolean onPeerReport(EngineReport report) {
+    watch.onPeerReport(report, links.now());
+    return engines.onReport(report);
+  }
+
+  /** Sends what is due, one message for each receiver. */
+  private void spread() {
+    EngineWatch.DueReports due = watch.takeDue(links.now());
+    if (due.everywhere().isEmpty() && due.near().isEmpty() && due.far().isEmpty()) {
+      return;
+    }
+    for (MemberUpdate member : membership.activeMembers()) {
+      List<EngineReport> reports = new ArrayList<>(due.everywhere());
+      String zone = member.address().zone();
+      due.near().stream().filter(report -> isIn(zone, report)).forEach(reports::add);
+      due.far().stream().filter(report -> !isIn(zone, report)).forEach(reports::add);
+      if (!reports.isEmpty() && !member.id().equals(self)) {
+        links.send(member.id(), new EngineReports(reports));
+      }
+    }
+  }
+
+  private boolean isIn(String zone, EngineReport report) {
+    Engine engine = configuration.get().engine(report.engine());
+    return engine != null && engine.zone().equals(zone);
+  }
+
   /** An engine has told which programs it caches: their shards' leaders compare. */
   void onInventory(String engine, Collection<String> programIds) {
     Map<Integer, List<String>> byShard = new TreeMap<>();
--- a/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
@@ -540,7 +540,7 @@
   }
 
   private void takeReport(EngineReport report) {
-    if (engines.onReport(report)) {
+    if (monitor.onPeerReport(report)) {
       scheduler.dispatchWaiting(now);
     }
   }
--- a/baykeel-node/src/main/java/org/baykeel/node/backend/BackendClient.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/backend/BackendClient.java
@@ -41,7 +41,6 @@
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int POLL_MILLIS = 1_000;
-  private static final byte[] NO_BODY = new byte[0];
 
   private final HttpClient client;
   private final BackendEvents events;
@@ -67,7 +66,7 @@
   private void startModel(BackendAttempt attempt) {
     String path =
         attempt.resume() ? "/v1/streams/" + attempt.id() + "/resume" : "/v1/chat/completions";
-    byte[] body = attempt.resume() ? NO_BODY : modelBody(attempt);
+    Payload body = attempt.resume() ? Payload.EMPTY : modelBody(attempt);
     Map<String, String> headers =
         Map.of(
             ATTEMPT_HEADER, attempt.id().toString(),
@@ -80,7 +79,7 @@
   /**
    * An OpenAI chat completion request; a continued answer is sent as its unfinished last message.
    */
-  private static byte[] modelBody(BackendAttempt attempt) {
+  private static Payload modelBody(BackendAttempt attempt) {
     ByteArrayOutputStream body = new ByteArrayOutputStream(attempt.body().length() + 256);
     write(body, "{\"model\":\"" + attempt.target() + "\",\"messages\":[");
     body.writeBytes(attempt.body().array());
@@ -98,7 +97,7 @@
     }
     write(body, ",\"continue_final_message\":" + continues);
     write(body, ",\"stream\":true,\"stream_options\":{\"include_usage\":true}}");
-    return body.toByteArray();
+    return Payload.wrap(body.toByteArray());
   }
 
   private static void write(ByteArrayOutputStream out, String text) {
@@ -121,7 +120,7 @@
             "POST",
             "/v1/operations/" + attempt.operation(),
             headers,
-            attempt.body().array(),
+            attempt.body(),
             true);
     WholeBody collector = new WholeBody(answer -> onToolAnswer(id, answer));
     exchanges.put(id, client.start(call, collector, 0));
@@ -129,7 +128,7 @@
 
   private void onToolAnswer(AttemptId id, WholeBody.Answer answer) {
     if (answer.isSuccess()) {
-      events.onCompleted(id, Payload.wrap(answer.body()), Usage.NONE);
+      events.onCompleted(id, answer.body(), Usage.NONE);
     } else if (answer.status() == 0) {
       events.onFailed(id, answer.requestSent() ? AttemptFailure.BROKEN : AttemptFailure.NOT_TAKEN);
     } else {
@@ -158,7 +157,7 @@
   }
 
   private static HttpCall post(String address, String path) {
-    return new HttpCall(address, "POST", path, Map.of(), NO_BODY, false);
+    return new HttpCall(address, "POST", path, Map.of(), Payload.EMPTY, false);
   }
 
   /** Closes the connection of an attempt and reports nothing further. */
@@ -177,7 +176,7 @@
   /** Tells an engine to drop what it caches of a program. */
   public void releaseCache(String engine, String address, String programId) {
     HttpCall call =
-        new HttpCall(address, "DELETE", "/v1/cache/" + programId, Map.of(), NO_BODY, false);
+        new HttpCall(address, "DELETE", "/v1/cache/" + programId, Map.of(), Payload.EMPTY, false);
     client.start(
         call,
         new WholeBody(
@@ -191,12 +190,12 @@
 
   /** Asks an engine for its load. */
   public void pollEngine(String engine, String address) {
-    HttpCall call = new HttpCall(address, "GET", "/v1/load", Map.of(), NO_BODY, false);
+    HttpCall call = new HttpCall(address, "GET", "/v1/load", Map.of(), Payload.EMPTY, false);
     client.start(call, new WholeBody(answer -> onLoad(engine, answer)), POLL_MILLIS);
   }
 
   private void onLoad(String engine, WholeBody.Answer answer) {
-    JsonNode load = answer.isSuccess() ? json(answer.body()) : null;
+    JsonNode load = answer.isSuccess() ? json(answer.body().array()) : null;
     if (load == null) {
       events.onReport(
           new EngineReport(engine, clock.getAsLong(), 0, 0, 0, EngineReport.Status.UNREACHABLE));
@@ -215,12 +214,12 @@
 
   /** Asks an engine which programs it caches. */
   public void pollInventory(String engine, String address) {
-    HttpCall call = new HttpCall(address, "GET", "/v1/cache", Map.of(), NO_BODY, false);
+    HttpCall call = new HttpCall(address, "GET", "/v1/cache", Map.of(), Payload.EMPTY, false);
     client.start(call, new WholeBody(answer -> onInventory(engine, answer)), POLL_MILLIS);
   }
 
   private void onInventory(String engine, WholeBody.Answer answer) {
-    JsonNode inventory = answer.isSuccess() ? json(answer.body()) : null;
+    JsonNode inventory = answer.isSuccess() ? json(answer.body().array()) : null;
     if (inventory == null) {
       return;
     }
--- a/baykeel-node/src/main/java/org/baykeel/node/platform/PlatformClient.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/platform/PlatformClient.java
@@ -20,7 +20,6 @@
 public final class PlatformClient implements Platform {
   private static final int NOT_FOUND = 404;
   private static final int PRECONDITION_FAILED = 412;
-  private static final byte[] NO_BODY = new byte[0];
 
   private final HttpClient client;
   private final PlatformAddresses addresses;
@@ -46,7 +45,7 @@
 
   @Override
   public void readRow(String key, Consumer<TableResult> callback) {
-    HttpCall call = call(addresses.tableService(), "GET", "/rows/" + key, Map.of(), NO_BODY);
+    HttpCall call = call(addresses.tableService(), "GET", "/rows/" + key, Map.of(), Payload.EMPTY);
     start(call, answer -> agent.accept(() -> callback.accept(rowRead(answer))));
   }
 
@@ -58,7 +57,7 @@
       unavailable.accept("table service");
       return TableResult.UNAVAILABLE;
     }
-    Payload value = Payload.wrap(answer.body());
+    Payload value = answer.body();
     return new TableResult(TableResult.Status.FOUND, version(answer), value);
   }
 
@@ -74,7 +73,7 @@
         expectedVersion == 0
             ? Map.of("If-None-Match", "*")
             : Map.of("If-Match", "\"" + expectedVersion + "\"");
-    HttpCall call = call(addresses.tableService(), "PUT", "/rows/" + key, condition, value.array());
+    HttpCall call = call(addresses.tableService(), "PUT", "/rows/" + key, condition, value);
     start(call, answer -> agent.accept(() -> callback.accept(rowWritten(answer))));
   }
 
@@ -91,24 +90,24 @@
 
   @Override
   public void putObject(String key, Payload value, Consumer<Boolean> callback) {
-    HttpCall call =
-        call(addresses.objectStore(), "PUT", "/objects/" + key, Map.of(), value.array());
+    HttpCall call = call(addresses.objectStore(), "PUT", "/objects/" + key, Map.of(), value);
     start(call, answer -> agent.accept(() -> callback.accept(answer.isSuccess())));
   }
 
   @Override
   public void getObject(String key, Consumer<Payload> callback) {
-    HttpCall call = call(addresses.objectStore(), "GET", "/objects/" + key, Map.of(), NO_BODY);
+    HttpCall call =
+        call(addresses.objectStore(), "GET", "/objects/" + key, Map.of(), Payload.EMPTY);
     start(
         call,
         answer -> {
-          Payload value = answer.isSuccess() ? Payload.wrap(answer.body()) : null;
+          Payload value = answer.isSuccess() ? answer.body() : null;
           agent.accept(() -> callback.accept(value));
         });
   }
 
   private static HttpCall call(
-      String address, String method, String path, Map<String, String> headers, byte[] body) {
+      String address, String method, String path, Map<String, String> headers, Payload body) {
     return new HttpCall(address, method, path, headers, body, false);
   }
 
--- a/baykeel-node/src/main/java/org/baykeel/node/telemetry/EventLog.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/telemetry/EventLog.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.text.MessageFormat;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import org.baykeel.core.log.LogEvent;
 import org.baykeel.node.settings.ProcessSettings.LogSettings;
@@ -20,7 +21,7 @@
 
   /** One line in JSON. */
   private record JsonLine(
-      String node, int event, String name, String level, String message, String[] arguments) {}
+      String node, int event, String name, String level, String message, List<String> arguments) {}
 
   public EventLog(String node, LogSettings settings) {
     this.node = requireNonNull(node, "node");
@@ -35,13 +36,13 @@
     String[] texts = Arrays.stream(arguments).map(String::valueOf).toArray(String[]::new);
     String message = new MessageFormat(event.pattern(), Locale.ROOT).format(texts);
     if (format == LogSettings.Format.JSON) {
-      LOGGER.log(event.level(), json(event, message, texts));
+      LOGGER.log(event.level(), json(event, message, List.of(texts)));
     } else {
       LOGGER.log(event.level(), "BK" + event.number() + " node=" + node + " " + message);
     }
   }
 
-  private String json(LogEvent event, String message, String[] arguments) {
+  private String json(LogEvent event, String message, List<String> arguments) {
     try {
       return MAPPER.writeValueAsString(
           new JsonLine(
--- a/baykeel-node/src/main/java/org/baykeel/node/telemetry/NodeMetrics.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/telemetry/NodeMetrics.java
@@ -80,9 +80,9 @@
     ledShards.set(newLedShards);
     pending.set(newPending);
     waiting.set(newWaiting);
-    configurationVersion.set(newVersion);
-    peerBytes.set(bytes);
-    peerMessages.set(messages);
+    configurationVersion.set((double) newVersion);
+    peerBytes.set((double) bytes);
+    peerMessages.set((double) messages);
   }
 
   /** All metrics in Prometheus' text format. */
--- a/baykeel-node/src/main/java/org/baykeel/node/transport/HttpCall.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/transport/HttpCall.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Map;
+import org.baykeel.core.message.Payload;
 
 /**
  * One request of this node to an outside service.
@@ -19,7 +20,7 @@
     String method,
     String path,
     Map<String, String> headers,
-    byte[] body,
+    Payload body,
     boolean freshConnection) {
   public HttpCall {
     requireNonNull(address, "address");
--- a/baykeel-node/src/main/java/org/baykeel/node/transport/HttpClient.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/transport/HttpClient.java
@@ -166,9 +166,9 @@
             HttpVersion.HTTP_1_1,
             HttpMethod.valueOf(call.method()),
             call.path(),
-            Unpooled.wrappedBuffer(call.body()));
+            Unpooled.wrappedBuffer(call.body().array()));
     request.headers().set(HttpHeaderNames.HOST, call.address());
-    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length());
     request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
     call.headers().forEach(request.headers()::set);
     return request;
--- a/baykeel-node/src/main/java/org/baykeel/node/transport/PeerFrameCodec.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/transport/PeerFrameCodec.java
@@ -5,15 +5,16 @@
 import io.netty.handler.codec.MessageToMessageCodec;
 import java.util.List;
 import org.baykeel.core.message.MemberId;
+import org.baykeel.core.message.Payload;
 
 /** Puts addressing in front of an SBE message; Netty's length-field codec frames the whole. */
 final class PeerFrameCodec extends MessageToMessageCodec<ByteBuf, PeerFrame> {
   @Override
   protected void encode(ChannelHandlerContext context, PeerFrame frame, List<Object> out) {
-    ByteBuf buffer = context.alloc().buffer(PeerFrame.ADDRESSING_BYTES + frame.message().length);
+    ByteBuf buffer = context.alloc().buffer(PeerFrame.ADDRESSING_BYTES + frame.message().length());
     writeMember(buffer, frame.from());
     writeMember(buffer, frame.to());
-    buffer.writeBytes(frame.message());
+    buffer.writeBytes(frame.message().array());
     out.add(buffer);
   }
 
@@ -23,7 +24,7 @@
     MemberId to = readMember(buffer);
     byte[] message = new byte[buffer.readableBytes()];
     buffer.readBytes(message);
-    out.add(new PeerFrame(from, to, message));
+    out.add(new PeerFrame(from, to, Payload.wrap(message)));
   }
 
   private static void writeMember(ByteBuf buffer, MemberId id) {
--- a/baykeel-node/src/main/java/org/baykeel/node/transport/PeerTransport.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/transport/PeerTransport.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
 import org.baykeel.core.message.MemberId;
+import org.baykeel.core.message.Payload;
 import org.baykeel.core.message.PeerMessage;
 import org.baykeel.core.wire.PeerMessageDecoder;
 import org.baykeel.core.wire.PeerMessageEncoder;
@@ -77,7 +78,7 @@
   public void send(String host, int port, MemberId to, PeerMessage message) {
     byte[] bytes = encoder.encode(message);
     ChannelFuture connection = connection(new InetSocketAddress(host, port));
-    PeerFrame frame = new PeerFrame(self, to, bytes);
+    PeerFrame frame = new PeerFrame(self, to, Payload.wrap(bytes));
     sentMessages.increment();
     sentBytes.add(bytes.length + PeerFrame.ADDRESSING_BYTES + LENGTH_BYTES);
     if (connection.isSuccess()) {
@@ -101,7 +102,7 @@
   private ChannelFuture connection(InetSocketAddress address) {
     ChannelFuture present = connections.get(address);
     boolean usable =
-        present != null && (!present.isDone() || present.isSuccess() && isOpen(present));
+        present != null && (!present.isDone() || (present.isSuccess() && isOpen(present)));
     if (usable) {
       return present;
     }
@@ -165,7 +166,7 @@
         receiver.onDropped(frame.from(), "meant for " + frame.to());
         return;
       }
-      receiver.onMessage(frame.from(), decoder.decode(frame.message()));
+      receiver.onMessage(frame.from(), decoder.decode(frame.message().array()));
     }
 
     @Override
--- a/baykeel-node/src/main/java/org/baykeel/node/transport/WholeBody.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/transport/WholeBody.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.function.Consumer;
+import org.baykeel.core.message.Payload;
 
 /** Collects an answer that is short enough to be held whole. */
 public final class WholeBody implements HttpCallListener {
@@ -15,7 +16,7 @@
    * @param status the HTTP status; zero if there was no whole answer
    * @param requestSent false if it is proved that no byte of the request has left
    */
-  public record Answer(int status, HttpHeaders headers, byte[] body, boolean requestSent) {
+  public record Answer(int status, HttpHeaders headers, Payload body, boolean requestSent) {
     /** True for a 2xx status. */
     public boolean isSuccess() {
       return status >= 200 && status < 300;
@@ -46,11 +47,11 @@
 
   @Override
   public void onComplete() {
-    callback.accept(new Answer(status, headers, body.toByteArray(), true));
+    callback.accept(new Answer(status, headers, Payload.wrap(body.toByteArray()), true));
   }
 
   @Override
   public void onFailure(boolean requestSent) {
-    callback.accept(new Answer(0, headers, new byte[0], requestSent));
+    callback.accept(new Answer(0, headers, Payload.EMPTY, requestSent));
   }
 }
