--- a/baykeel-bench/src/main/java/org/baykeel/bench/demo/PortPool.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/demo/PortPool.java
@@ -16,7 +16,7 @@
     List<Integer> ports = new ArrayList<>();
     try {
       for (int i = 0; i < count; i++) {
-        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         sockets.add(socket);
         ports.add(socket.getLocalPort());
       }
--- a/baykeel-bench/src/main/java/org/baykeel/bench/hollow/HollowFleet.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/hollow/HollowFleet.java
@@ -140,7 +140,7 @@
     traffic.bytes += encoder.encode(message).length + FRAME_BYTES;
     String fromRegion = from.address().region();
     boolean far = !fromRegion.equals(target.address().region());
-    boolean lost = far && regionsCut || loss > 0 && random.nextDouble() < loss;
+    boolean lost = (far && regionsCut) || (loss > 0 && random.nextDouble() < loss);
     if (lost) {
       return;
     }
--- a/baykeel-bench/src/main/java/org/baykeel/bench/simulation/FaultSchedule.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/simulation/FaultSchedule.java
@@ -28,10 +28,18 @@
     return new FaultSchedule(seed, List.of());
   }
 
-  /** A random schedule; faults overlap. */
+  /**
+   * A random schedule; faults overlap. Every other one draws from two kinds only, so that pairs of
+   * kinds meet often.
+   */
   public static FaultSchedule random(long seed, int nodes, int engines) {
     SplittableRandom random = new SplittableRandom(seed);
     Fault.Kind[] kinds = Fault.Kind.values();
+    if (seed % 2 == 0) {
+      Fault.Kind one = kinds[random.nextInt(kinds.length)];
+      Fault.Kind other = kinds[random.nextInt(kinds.length)];
+      kinds = new Fault.Kind[] {one, other};
+    }
     List<Fault> faults = new ArrayList<>();
     int count = 1 + random.nextInt(MOST_FAULTS);
     for (int i = 0; i < count; i++) {
--- a/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedCaller.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedCaller.java
@@ -39,7 +39,7 @@
   }
 
   /** One request until it is settled. */
-  private final class Request {
+  private static final class Request {
     final CallerRequest template;
     final int number;
     final int deadlineMillis;
@@ -111,7 +111,7 @@
             ? ProgramIds.shardFor(seed, simulation.shardCount())
             : ProgramIds.shardOf(parentId, simulation.shardCount());
     programId = ProgramIds.create(shard, seed);
-    String programClass = parent == null && random.nextInt(5) == 0 ? "poor" : "ordinary";
+    String programClass = parent == null && random.nextInt(3) == 0 ? "poor" : "ordinary";
     simulation.register(this);
     if (parent == null) {
       simulation.observer().programCreated(programId, Simulation.budgetOf(programClass));
--- a/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedEngine.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedEngine.java
@@ -46,8 +46,11 @@
     /** The engine has taken an attempt. */
     void started(String engine, BackendAttempt attempt, List<String> contents);
 
-    /** The engine has read and generated tokens for a program. */
-    void used(String programId, long tokens);
+    /** The engine has read the tokens of a prompt. */
+    void read(String programId, long tokens);
+
+    /** The engine has generated one token. */
+    void generated(String programId);
   }
 
   private final VirtualTime time;
@@ -134,7 +137,7 @@
 
     @Override
     public void onToken(EngineStream from, String token) {
-      watcher.used(from.request().programId(), 1);
+      watcher.generated(from.request().programId());
       Payload text = Payload.of(token);
       int at = offset;
       offset += text.length();
@@ -159,7 +162,7 @@
   }
 
   void start(BackendAttempt attempt, Client client) {
-    if (!alive || model.isLeaving() && !attempt.resume()) {
+    if (!alive || (model.isLeaving() && !attempt.resume())) {
       boolean leaving = alive && model.isLeaving();
       client.failed(leaving ? AttemptFailure.LEAVING : AttemptFailure.NOT_TAKEN);
       return;
@@ -188,7 +191,7 @@
             attempt.maximumTokens(),
             attempt.priority());
     watcher.started(name, attempt, contents);
-    watcher.used(attempt.id().programId(), tokens);
+    watcher.read(attempt.id().programId(), tokens);
     Connection connection = new Connection(client, attempt, continued.length());
     connections.put(request.streamId(), connection);
     connection.stream = model.submit(request, connection, time.micros());
@@ -259,7 +262,7 @@
 
   private void wake() {
     long next = model.advance(time.micros());
-    if (next < 0 || wakeMicros >= 0 && wakeMicros <= next) {
+    if (next < 0 || (wakeMicros >= 0 && wakeMicros <= next)) {
       return;
     }
     wakeMicros = next;
--- a/baykeel-bench/src/main/java/org/baykeel/bench/simulation/Simulation.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/simulation/Simulation.java
@@ -47,7 +47,10 @@
   private static final int LEAVING_GRACE_MILLIS = 6_000;
   private static final int IN_FORCE_MILLIS = 14_000;
   private static final long ORDINARY_BUDGET = 200_000;
-  private static final long POOR_BUDGET = 1_500;
+  private static final long POOR_BUDGET = 2_000;
+
+  /** Generated tokens cost most, so that a reservation is close to what an attempt uses. */
+  private static final long COMPLETION_PRICE = 20;
 
   private final int nodeCount;
   private final int engineCount;
@@ -364,9 +367,14 @@
     }
 
     @Override
-    public void used(String programId, long tokens) {
+    public void read(String programId, long tokens) {
       observer.used(rootOf(programId), tokens);
     }
+
+    @Override
+    public void generated(String programId) {
+      observer.used(rootOf(programId), COMPLETION_PRICE);
+    }
   }
 
   private void toolStarted(BackendAttempt attempt) {
@@ -431,7 +439,7 @@
                 new Declarations.Operation("upload", false, 1, 2_000)));
     return new Declarations(
         List.of(new Declarations.Tenant("tenant", marker, 1_000)),
-        List.of(new Declarations.Model("model", 1, 1, 100_000)),
+        List.of(new Declarations.Model("model", 1, COMPLETION_PRICE, 100_000)),
         declared,
         List.of(declaredTool),
         List.of(
--- a/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ReplicaMaintenance.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/bootstrap/ReplicaMaintenance.java
@@ -15,7 +15,9 @@
 
 /**
  * Keeps the groups that this node leads complete: replaces members that are gone, one change at a
- * time. A replacement joins before the lost member is removed, so copies never become fewer.
+ * time. The replacement first gets all records without a vote; then the lost member is removed and
+ * the replacement gets its vote. In this order the quorum never rises above what the members that
+ * remain can give: five and four members need three, six would need four.
  */
 public final class ReplicaMaintenance {
   /** Reports what maintenance does. */
@@ -47,7 +49,12 @@
     int size = group.members().size();
     int present = size - lost.size();
     int wanted = Math.min(settings.replicas(), expectedNodes());
-    if (size > wanted && !lost.isEmpty() && present >= Math.max(wanted, leastMembers())) {
+    MemberId learner = group.caughtUpLearner();
+    if (learner != null && (size < wanted || lost.isEmpty())) {
+      group.promoteLearner(learner);
+    } else if (learner != null) {
+      removeOne(group, lost);
+    } else if (size > wanted && !lost.isEmpty() && present >= Math.max(wanted, leastMembers())) {
       removeOne(group, lost);
     } else if (present + group.learners().size() < wanted) {
       addOne(group, lost, nowMillis);
--- a/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
@@ -81,6 +81,9 @@
 
   private long now;
   private boolean stopping;
+  private boolean routed;
+  private long routedDigest = -1;
+  private long routedChanges = -1;
   private boolean announcedReady;
 
   public NodeCore(
@@ -213,7 +216,19 @@
     return !stopping && configuration.image().version() > 0 && allShardsRouted();
   }
 
+  /** Worked out anew only after a change of routes or members: there are a thousand shards. */
   private boolean allShardsRouted() {
+    long digest = routes.digest();
+    long changes = membership.changes();
+    if (digest != routedDigest || changes != routedChanges) {
+      routedDigest = digest;
+      routedChanges = changes;
+      routed = findAllShardsRouted();
+    }
+    return routed;
+  }
+
+  private boolean findAllShardsRouted() {
     for (int shard = 0; shard < shardCount(); shard++) {
       MemberId leader = routes.leader(shard);
       if (leader.equals(MemberId.NONE) || !membership.isRunning(leader)) {
@@ -402,7 +417,7 @@
     if (probe.configurationVersion() < configuration.image().version()) {
       sendConfiguration(from);
     }
-    if (probe.routesDigest() != routes.digest() && !routes.all().isEmpty()) {
+    if (probe.routesDigest() != routes.digest() && !routes.isEmpty()) {
       send(from, new RouteUpdate(routes.all()));
     }
   }
--- a/baykeel-core/src/main/java/org/baykeel/core/program/ShardCoordinator.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/program/ShardCoordinator.java
@@ -36,6 +36,9 @@
  * deposed leader still does can therefore change nothing that counts.
  */
 public final class ShardCoordinator {
+  /** Releases, idle ends and forgetting look at every program, so they come seldom. */
+  private static final int HOUSEKEEPING_MILLIS = 500;
+
   private final CoordinatorContext context;
   private final ProgramShard shard;
   private final CoordinatorSettings settings;
@@ -48,6 +51,7 @@
   private final ProgramLifecycle lifecycle;
   private final AttemptRunner attempts;
   private final Map<String, LiveProgram> programs = new HashMap<>();
+  private long nextHousekeepingMillis;
   private boolean ready;
   private boolean draining;
 
@@ -575,8 +579,11 @@
         tickActive(live, live.active, nowMillis);
       }
     }
-    releaser.tick(nowMillis);
-    lifecycle.tick(programs::containsKey, nowMillis);
+    if (nowMillis >= nextHousekeepingMillis) {
+      nextHousekeepingMillis = nowMillis + HOUSEKEEPING_MILLIS;
+      releaser.tick(nowMillis);
+      lifecycle.tick(programs::containsKey, nowMillis);
+    }
   }
 
   private void expireQueued(LiveProgram live, long nowMillis) {
--- a/baykeel-core/src/main/java/org/baykeel/core/replication/ReplicaGroup.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/replication/ReplicaGroup.java
@@ -202,7 +202,7 @@
 
   // ---- change of members ----
 
-  /** Starts to bring a new member up to date; it becomes a voter once it has caught up. */
+  /** Starts to bring a new member up to date, without a vote. */
   public void addLearner(MemberId member, long nowMillis) {
     if (role != Role.LEADER || log.members().contains(member) || !learners.add(member)) {
       return;
@@ -246,21 +246,33 @@
     return propose(new LogRecord.Members(next)) > 0;
   }
 
-  private void promoteCaughtUpLearner() {
-    if (!canChangeMembers() || learners.isEmpty()) {
-      return;
-    }
-    for (MemberId learner : new ArrayList<>(learners)) {
+  /** A learner that has every committed record, or null. */
+  public MemberId caughtUpLearner() {
+    for (MemberId learner : learners) {
       FollowerProgress state = progress.get(learner);
       if (state != null && state.matchIndex >= commitIndex && state.matchIndex > 0) {
-        List<MemberId> next = new ArrayList<>(log.members());
-        next.add(learner);
-        if (proposeMembers(next)) {
-          learners.remove(learner);
-        }
-        return;
+        return learner;
       }
     }
+    return null;
+  }
+
+  /**
+   * Makes a learner a voter. Refused while another change is under way.
+   *
+   * @return true if the change was proposed
+   */
+  public boolean promoteLearner(MemberId learner) {
+    if (!canChangeMembers() || !learners.contains(learner)) {
+      return false;
+    }
+    List<MemberId> next = new ArrayList<>(log.members());
+    next.add(learner);
+    boolean proposed = proposeMembers(next);
+    if (proposed) {
+      learners.remove(learner);
+    }
+    return proposed;
   }
 
   // ---- leadership ----
@@ -308,7 +320,6 @@
       return;
     }
     replicateToAll(nowMillis, true);
-    promoteCaughtUpLearner();
     flush(nowMillis);
   }
 
--- a/baykeel-core/src/main/java/org/baykeel/core/routing/ShardRoutes.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/routing/ShardRoutes.java
@@ -43,6 +43,11 @@
     return routes.get(shard);
   }
 
+  /** True if no route is known. */
+  public boolean isEmpty() {
+    return routes.isEmpty();
+  }
+
   /** All routes, by shard. */
   public List<ShardRoute> all() {
     return new ArrayList<>(routes.values());
--- a/baykeel-core/src/test/java/org/baykeel/core/replication/TestReplicaGroup.java
+++ b/baykeel-core/src/test/java/org/baykeel/core/replication/TestReplicaGroup.java
@@ -201,9 +201,13 @@
     replicas.put(fresh, new Replica(fresh, List.of()));
     leader().group.addLearner(fresh, now);
     run(1_000);
-    assertTrue(leader().group.members().contains(fresh));
+    assertEquals(fresh, leader().group.caughtUpLearner());
     assertTrue(leader().group.removeMember(old));
+    assertFalse(leader().group.promoteLearner(fresh), "one change at a time");
+    run(1_000);
+    assertTrue(leader().group.promoteLearner(fresh));
     run(1_000);
+    assertTrue(leader().group.members().contains(fresh));
     assertEquals(3, leader().group.members().size());
     assertEquals(List.of("a"), replicas.get(fresh).applied);
   }
--- a/baykeel-emulator/src/main/java/org/baykeel/emulator/engine/EngineServer.java
+++ b/baykeel-emulator/src/main/java/org/baykeel/emulator/engine/EngineServer.java
@@ -183,7 +183,7 @@
 
   private void schedule() {
     long next = model.advance(nowMicros());
-    if (next < 0 || wakeMicros >= 0 && wakeMicros <= next) {
+    if (next < 0 || (wakeMicros >= 0 && wakeMicros <= next)) {
       return;
     }
     wakeMicros = next;
@@ -197,7 +197,7 @@
         TimeUnit.MICROSECONDS);
   }
 
-  private final class HttpStream implements EngineStream.Listener {
+  private static final class HttpStream implements EngineStream.Listener {
     private final EmulatorExchange exchange;
 
     HttpStream(EmulatorExchange exchange) {
--- a/baykeel-emulator/src/main/java/org/baykeel/emulator/platform/PlatformServer.java
+++ b/baykeel-emulator/src/main/java/org/baykeel/emulator/platform/PlatformServer.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.baykeel.core.message.Payload;
 import org.baykeel.emulator.http.EmulatorExchange;
 import org.baykeel.emulator.http.EmulatorServer;
 
@@ -28,7 +29,7 @@
     SLOW
   }
 
-  private record Row(long version, byte[] value) {}
+  private record Row(long version, Payload value) {}
 
   private static final String ROWS = "/rows/";
   private static final String OBJECTS = "/objects/";
@@ -128,7 +129,7 @@
     if (row == null) {
       answer(exchange, answers, 404, new byte[0], Map.of());
     } else {
-      answer(exchange, answers, 200, row.value(), tag(row.version()));
+      answer(exchange, answers, 200, row.value().array(), tag(row.version()));
     }
   }
 
@@ -150,7 +151,7 @@
       return;
     }
     long version = present == null ? 1 : present.version() + 1;
-    rows.put(key, new Row(version, exchange.body()));
+    rows.put(key, new Row(version, Payload.wrap(exchange.body())));
     answer(exchange, answers, 200, new byte[0], tag(version));
   }
 }
