--- a/baykeel-bench/src/main/java/org/baykeel/bench/replay/ProgramReplay.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/replay/ProgramReplay.java
@@ -152,6 +152,7 @@
     String path = "/v1/tools/" + event.target() + "/" + event.operation();
     String runKey = programId + ":" + headers.get("Idempotency-Key");
     replay.toolCalled(runKey, event.operation());
+    long started = System.nanoTime();
     CallerClient.Answer answer = untilSettled(() -> client.call("POST", path, headers, body));
     if (!answer.isSuccess()) {
       if (answer.execution().equals("not_run")) {
@@ -159,7 +160,7 @@
       }
       return answer.errorCode().equals("outcome_unknown");
     }
-    ledger.toolCall();
+    ledger.toolCall((System.nanoTime() - started) / 1_000_000);
     JsonNode done = json(answer.text());
     boolean own =
         done.path("digest").asText().equals(ToolServer.digest(body))
--- a/baykeel-cli/src/main/java/org/baykeel/cli/DemoCommand.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/DemoCommand.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import org.baykeel.bench.demo.Demo;
+import org.baykeel.bench.demo.DemoFault;
 import org.baykeel.bench.demo.Deployment;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
@@ -15,8 +16,8 @@
   @Option(name = "--hold", usage = "keep everything up and print what to try")
   private boolean hold;
 
-  @Option(name = "--kill-engine", usage = "kill one engine during the replay")
-  private boolean killEngine;
+  @Option(name = "--fault", usage = "what is done to the processes during the replay")
+  private DemoFault fault = DemoFault.NONE;
 
   @Override
   public int run() throws IOException, InterruptedException {
@@ -25,7 +26,7 @@
       System.err.println("'" + name + "': allowed: association, freight");
       return ExitCode.USAGE;
     }
-    return new Demo(deployment, launcher(), System.out, killEngine).run(hold);
+    return new Demo(deployment, launcher(), System.out, fault).run(hold);
   }
 
   /** The command that runs this program again. */
--- a/baykeel-node/src/main/java/org/baykeel/node/http/CallerApi.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/http/CallerApi.java
@@ -46,6 +46,19 @@
 
   private record Key(String text, boolean fromCaller) {}
 
+  /**
+   * Refuses every caller for as long as this node knows no configuration, and so no tenant. A
+   * request under the caller's own key may have run through another node.
+   */
+  void requireConfiguration(HttpExchange exchange) {
+    if (node.configuration().version() > 0) {
+      return;
+    }
+    boolean keyed = !exchange.header(KEY_HEADER).isEmpty();
+    ErrorKind kind = keyed ? ErrorKind.LEADER_UNREACHABLE : ErrorKind.NOT_READY;
+    throw new BaykeelException(kind, "this node knows no configuration yet");
+  }
+
   private Tenant tenant(HttpExchange exchange) {
     String authorization = exchange.header("Authorization");
     if (!authorization.startsWith("Bearer ")) {
--- a/baykeel-node/src/main/java/org/baykeel/node/http/HttpExchange.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/http/HttpExchange.java
@@ -29,6 +29,9 @@
   private static final String JSON_TYPE = "application/json";
   private static final int MILLIS_PER_SECOND = 1_000;
 
+  /** When to come back after a refusal that waiting can mend. */
+  private static final int RETRY_MILLIS = 1_000;
+
   private final Channel channel;
   private final String method;
   private final String path;
@@ -114,7 +117,8 @@
 
   /** Answers with an exception's kind. */
   void error(BaykeelException failure) {
-    error(failure.kind(), failure.getMessage(), 0);
+    boolean delayed = failure.kind().retryAdvice() != ErrorKind.RetryAdvice.NEVER;
+    error(failure.kind(), failure.getMessage(), delayed ? RETRY_MILLIS : 0);
   }
 
   private static FullHttpResponse response(int status, String contentType, byte[] content) {
--- a/baykeel-node/src/main/java/org/baykeel/node/http/RequestRouter.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/http/RequestRouter.java
@@ -39,6 +39,9 @@
     if (exchange.path().startsWith("/operator/")) {
       operators.authorize(exchange);
     }
+    if (exchange.path().startsWith("/v1/")) {
+      callers.requireConfiguration(exchange);
+    }
     switch (request) {
       case "POST /v1/chat/completions" -> callers.chatCompletion(exchange);
       case "POST /v1/programs" -> callers.createProgram(exchange);
