--- a/baykeel-bench/src/main/java/org/baykeel/bench/demo/Cluster.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/demo/Cluster.java
@@ -150,9 +150,7 @@
     settings.append("region: home\nseeds:\n");
     peerPorts.forEach(port -> settings.append("  - " + HOST + ":" + port + "\n"));
     settings.append("platform:\n");
-    for (String service : List.of("tableService", "objectStore", "machineList")) {
-      settings.append("  " + service + ": " + platformAddress() + "\n");
-    }
+    settings.append("  tableService: " + platformAddress() + "\n");
     settings.append("shards:\n  expectedNodes: ").append(deployment.nodes()).append('\n');
     launch(nodeName(index), "node", write(nodeName(index) + ".yaml", settings.toString()));
   }
--- a/baykeel-bench/src/main/java/org/baykeel/bench/hollow/HollowFleet.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/hollow/HollowFleet.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -240,9 +241,8 @@
     int shards = settings.bootstrap().shardCount();
     boolean[] led = new boolean[shards];
     for (HollowNode node : nodes) {
-      for (int shard = 0; node.isAlive() && shard < shards; shard++) {
-        ReplicaGroup group = node.core().group(shard);
-        led[shard] |= group != null && group.isReadyLeader();
+      for (int shard : heldShards(node)) {
+        led[shard] |= node.core().group(shard).isReadyLeader();
       }
     }
     int unled = 0;
@@ -252,14 +252,18 @@
     return unled;
   }
 
+  private static Set<Integer> heldShards(HollowNode node) {
+    return node.isAlive() ? node.core().heldShards() : Set.of();
+  }
+
   /** True if every group has its full number of members, all of which run. */
   boolean allComplete() {
     int shards = settings.bootstrap().shardCount();
     boolean[] complete = new boolean[shards];
     for (HollowNode node : nodes) {
-      for (int shard = 0; node.isAlive() && shard < shards; shard++) {
+      for (int shard : heldShards(node)) {
         ReplicaGroup group = node.core().group(shard);
-        if (group != null && group.isReadyLeader()) {
+        if (group.isReadyLeader()) {
           complete[shard] = isComplete(group);
         }
       }
--- a/baykeel-bench/src/main/java/org/baykeel/bench/hollow/HollowNode.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/hollow/HollowNode.java
@@ -162,16 +162,6 @@
           key, expectedVersion, value, result -> later(0, () -> callback.accept(result)));
     }
 
-    @Override
-    public void putObject(String key, Payload value, Consumer<Boolean> callback) {
-      later(POLL_MICROS, () -> callback.accept(true));
-    }
-
-    @Override
-    public void getObject(String key, Consumer<Payload> callback) {
-      later(POLL_MICROS, () -> callback.accept(null));
-    }
-
     @Override
     public void event(LogEvent event, Object... arguments) {
       fleet.logged(index, event);
--- a/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedNode.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedNode.java
@@ -305,16 +305,6 @@
           .writeRow(key, expectedVersion, value, result -> callBack(callback, result));
     }
 
-    @Override
-    public void putObject(String key, Payload value, Consumer<Boolean> callback) {
-      simulation.platform().putObject(key, value, result -> callBack(callback, result));
-    }
-
-    @Override
-    public void getObject(String key, Consumer<Payload> callback) {
-      simulation.platform().getObject(key, result -> callBack(callback, result));
-    }
-
     private <T> void callBack(Consumer<T> callback, T result) {
       run(outputLife, () -> callback.accept(result));
     }
--- a/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedPlatform.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/simulation/SimulatedPlatform.java
@@ -18,7 +18,6 @@
 
   private final VirtualTime time;
   private final Map<String, Row> rows = new HashMap<>();
-  private final Map<String, Payload> objects = new HashMap<>();
   private int down;
   private int losesAnswers;
   private int slow;
@@ -70,20 +69,6 @@
     return new TableResult(TableResult.Status.WRITTEN, version + 1, Payload.EMPTY);
   }
 
-  void putObject(String key, Payload value, Consumer<Boolean> callback) {
-    answer(
-        () -> {
-          objects.put(key, value);
-          return true;
-        },
-        false,
-        callback);
-  }
-
-  void getObject(String key, Consumer<Payload> callback) {
-    answer(() -> objects.get(key), null, callback);
-  }
-
   private interface Operation<T> {
     T apply();
   }
--- a/baykeel-bench/src/main/java/org/baykeel/bench/simulation/Simulation.java
+++ b/baykeel-bench/src/main/java/org/baykeel/bench/simulation/Simulation.java
@@ -97,7 +97,7 @@
       String zone = "zone-" + i % 3;
       nodes.add(new SimulatedNode(this, i, new NodeAddress("10.0.0." + i, 1, 2, zone, "region")));
     }
-    EngineCosts costs = new EngineCosts(8_000, 12_000, 250, 2_048, 8, 20_000, 16, 400_000);
+    EngineCosts costs = new EngineCosts(8_000, 12_000, 250, 2_048, 8, 20_000, 16);
     for (int i = 0; i < engineCount; i++) {
       String name = "engine-" + i;
       engines.put(name, new SimulatedEngine(time, name, costs, new EngineWatcher()));
@@ -246,9 +246,9 @@
     }
     int copies = bad && random.nextInt(10) == 0 ? 2 : 1;
     for (int i = 0; i < copies; i++) {
-      long delay = PEER_MICROS + random.nextInt(PEER_MICROS);
+      long delay = (long) PEER_MICROS + random.nextInt(PEER_MICROS);
       if (bad && random.nextInt(4) == 0) {
-        delay += random.nextInt(400) * 1_000L;
+        delay += 1_000L * random.nextInt(400);
       }
       time.after(delay, () -> target.receive(self, to, message));
     }
--- a/baykeel-core/src/main/java/org/baykeel/core/edge/CallerEdge.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/edge/CallerEdge.java
@@ -28,7 +28,6 @@
  * swap two calls. Invariant: what a caller has received is a prefix of what it receives in the end.
  */
 public final class CallerEdge {
-  private final MemberId self;
   private final ShardRoutes routes;
   private final EdgeSettings settings;
   private final EdgeOutput output;
@@ -70,8 +69,7 @@
     }
   }
 
-  public CallerEdge(MemberId self, ShardRoutes routes, EdgeSettings settings, EdgeOutput output) {
-    this.self = requireNonNull(self, "self");
+  public CallerEdge(ShardRoutes routes, EdgeSettings settings, EdgeOutput output) {
     this.routes = requireNonNull(routes, "routes");
     this.settings = requireNonNull(settings, "settings");
     this.output = requireNonNull(output, "output");
@@ -296,9 +294,4 @@
   private CallerReply.Failed failed(ErrorKind kind) {
     return new CallerReply.Failed(kind, kind.summary(), settings.retryAfterMillis());
   }
-
-  /** This node's id, under which it forwards. */
-  public MemberId self() {
-    return self;
-  }
 }
--- a/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/node/NodeCore.java
@@ -133,7 +133,7 @@
             random.split());
     this.balancer =
         new LeadershipBalancer(self, shardCount(), membership, routes, replicas, random.split());
-    this.edge = new CallerEdge(self, routes, settings.edge(), new EdgeAdapter());
+    this.edge = new CallerEdge(routes, settings.edge(), new EdgeAdapter());
     this.bootstrap =
         new ShardBootstrap(
             settings.bootstrap(),
@@ -194,6 +194,11 @@
     return replica == null ? null : replica.group();
   }
 
+  /** The shards of which this node holds a replica. */
+  public Set<Integer> heldShards() {
+    return replicas.shards();
+  }
+
   /** The programs of a shard on this node, or null. */
   public ProgramShard programs(int shard) {
     ShardReplica replica = replicas.get(shard);
--- a/baykeel-core/src/main/java/org/baykeel/core/node/NodeSettings.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/node/NodeSettings.java
@@ -28,16 +28,4 @@
     requireNonNull(edge, "edge");
     requireNonNull(scheduling, "scheduling");
   }
-
-  /** Default settings with the given seeds. */
-  public static NodeSettings withSeeds(List<Seed> seeds) {
-    return new NodeSettings(
-        seeds,
-        MembershipSettings.DEFAULT,
-        ReplicationSettings.DEFAULT,
-        BootstrapSettings.DEFAULT,
-        CoordinatorSettings.DEFAULT,
-        EdgeSettings.DEFAULT,
-        SchedulingSettings.DEFAULT);
-  }
 }
--- a/baykeel-core/src/main/java/org/baykeel/core/node/ShardReplicas.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/node/ShardReplicas.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Supplier;
@@ -80,6 +81,11 @@
     return List.copyOf(replicas.values());
   }
 
+  /** The shards of which there is a replica. */
+  Set<Integer> shards() {
+    return Set.copyOf(replicas.keySet());
+  }
+
   /** Number of replicas. */
   int count() {
     return replicas.size();
--- a/baykeel-core/src/main/java/org/baykeel/core/platform/Platform.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/platform/Platform.java
@@ -4,8 +4,8 @@
 import org.baykeel.core.message.Payload;
 
 /**
- * The platform's stores. Every operation answers exactly once through its callback, on the node's
- * own thread; an answer that does not come within the time limit is reported as unavailable.
+ * The platform's table service. Every operation answers exactly once through its callback, on the
+ * node's own thread; an answer that does not come within the time limit is reported as unavailable.
  */
 public interface Platform {
   /** Reads a row of the table service. */
@@ -17,10 +17,4 @@
    * @param expectedVersion zero if the row must not exist
    */
   void writeRow(String key, long expectedVersion, Payload value, Consumer<TableResult> callback);
-
-  /** Writes an object; true if the store confirmed it. */
-  void putObject(String key, Payload value, Consumer<Boolean> callback);
-
-  /** Reads an object; null if it is not there or the store does not answer. */
-  void getObject(String key, Consumer<Payload> callback);
 }
--- a/baykeel-emulator/src/main/java/org/baykeel/emulator/EmulatorSettings.java
+++ b/baykeel-emulator/src/main/java/org/baykeel/emulator/EmulatorSettings.java
@@ -74,10 +74,7 @@
             (int) section.number("stepTokenBudget", base.stepTokenBudget(), 1, 1_000_000),
             (int) section.number("maximumBatch", base.maximumBatch(), 1, 10_000),
             section.number("cacheTokens", base.cacheTokens(), 1, 1_000_000_000L),
-            (int) section.number("blockTokens", base.blockTokens(), 1, 10_000),
-            (int)
-                section.number(
-                    "transferTokensPerSecond", base.transferTokensPerSecond(), 1, 100_000_000));
+            (int) section.number("blockTokens", base.blockTokens(), 1, 10_000));
     section.rejectUnknownKeys();
     return costs;
   }
--- a/baykeel-emulator/src/main/java/org/baykeel/emulator/engine/EngineCosts.java
+++ b/baykeel-emulator/src/main/java/org/baykeel/emulator/engine/EngineCosts.java
@@ -1,8 +1,7 @@
 package org.baykeel.emulator.engine;
 
 /**
- * What an emulated engine's work costs. config/engine-costs.yaml holds the values in use, each with
- * its source.
+ * What an emulated engine's work costs.
  *
  * @param prefillTokensPerSecond speed of reading uncached prompt tokens
  * @param stepMicros fixed time of one batch step
@@ -11,7 +10,6 @@
  * @param maximumBatch most sequences in the batch
  * @param cacheTokens size of the prefix cache
  * @param blockTokens the cache keeps whole blocks of this many tokens
- * @param transferTokensPerSecond speed of exporting or importing cached tokens
  */
 public record EngineCosts(
     int prefillTokensPerSecond,
@@ -20,9 +18,8 @@
     int stepTokenBudget,
     int maximumBatch,
     long cacheTokens,
-    int blockTokens,
-    int transferTokensPerSecond) {
+    int blockTokens) {
   /** Assumed: the order of magnitude published for mid-size models on one accelerator node. */
   public static final EngineCosts DEFAULT =
-      new EngineCosts(8_000, 12_000, 250, 2_048, 32, 400_000, 16, 400_000);
+      new EngineCosts(8_000, 12_000, 250, 2_048, 32, 400_000, 16);
 }
--- a/baykeel-emulator/src/main/java/org/baykeel/emulator/platform/PlatformServer.java
+++ b/baykeel-emulator/src/main/java/org/baykeel/emulator/platform/PlatformServer.java
@@ -14,8 +14,8 @@
 import org.baykeel.emulator.http.EmulatorServer;
 
 /**
- * An emulated platform: a table service with conditional writes, an object store, a weight store
- * and a machine list, each rate-limited, and faults that can be switched on.
+ * The platform's emulated table service: conditional writes, a rate limit, and faults that can be
+ * switched on.
  */
 public final class PlatformServer {
   /** How the stores behave. */
@@ -32,7 +32,6 @@
   private record Row(long version, Payload value) {}
 
   private static final String ROWS = "/rows/";
-  private static final String OBJECTS = "/objects/";
   private static final String FAULTS = "/faults/";
   private static final int SLOW_MILLIS = 2_000;
   private static final int OPERATIONS_PER_SECOND = 2_000;
@@ -40,7 +39,6 @@
   private final EventLoop loop;
   private final EmulatorServer server;
   private final Map<String, Row> rows = new TreeMap<>();
-  private final Map<String, byte[]> objects = new TreeMap<>();
   private Fault fault = Fault.NONE;
   private long secondStartedNanos = System.nanoTime();
   private int operationsInSecond;
@@ -87,16 +85,6 @@
       } else {
         readRow(exchange, answers, key);
       }
-    } else if (path.startsWith(OBJECTS)) {
-      String key = path.substring(OBJECTS.length());
-      if (write) {
-        objects.put(key, exchange.body());
-        answer(exchange, answers, 200, new byte[0], Map.of());
-      } else {
-        byte[] value = objects.get(key);
-        int status = value == null ? 404 : 200;
-        answer(exchange, answers, status, value == null ? new byte[0] : value, Map.of());
-      }
     } else {
       byte[] nothing = "{}".getBytes(StandardCharsets.UTF_8);
       answer(exchange, answers, 404, nothing, Map.of());
--- a/baykeel-emulator/src/test/java/org/baykeel/emulator/TestCallerContract.java
+++ b/baykeel-emulator/src/test/java/org/baykeel/emulator/TestCallerContract.java
@@ -69,7 +69,7 @@
         httpPort: 0
         zone: hall-a
         region: home
-        platform: {tableService: "P", objectStore: "P", machineList: "P"}
+        platform: {tableService: "P"}
         shards: {expectedNodes: 1, settleMillis: 0, pollMillis: 50}
         limits: {maximumBodyBytes: 65536}
         """
--- a/baykeel-node/src/main/java/org/baykeel/node/NodeProcess.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/NodeProcess.java
@@ -260,16 +260,6 @@
         String key, long expectedVersion, Payload value, Consumer<TableResult> callback) {
       platform.writeRow(key, expectedVersion, value, callback);
     }
-
-    @Override
-    public void putObject(String key, Payload value, Consumer<Boolean> callback) {
-      platform.putObject(key, value, callback);
-    }
-
-    @Override
-    public void getObject(String key, Consumer<Payload> callback) {
-      platform.getObject(key, callback);
-    }
   }
 
   private final class TransportReceiver implements PeerTransport.Receiver {
--- a/baykeel-node/src/main/java/org/baykeel/node/platform/PlatformClient.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/platform/PlatformClient.java
@@ -14,8 +14,8 @@
 import org.baykeel.node.transport.WholeBody;
 
 /**
- * The platform's stores over HTTP: rows with entity tags and conditional writes ({@code If-Match},
- * {@code If-None-Match}), objects by {@code PUT} and {@code GET}.
+ * The platform's table service over HTTP: rows with entity tags and conditional writes ({@code
+ * If-Match}, {@code If-None-Match}).
  */
 public final class PlatformClient implements Platform {
   private static final int NOT_FOUND = 404;
@@ -88,24 +88,6 @@
     return new TableResult(TableResult.Status.WRITTEN, version(answer), Payload.EMPTY);
   }
 
-  @Override
-  public void putObject(String key, Payload value, Consumer<Boolean> callback) {
-    HttpCall call = call(addresses.objectStore(), "PUT", "/objects/" + key, Map.of(), value);
-    start(call, answer -> agent.accept(() -> callback.accept(answer.isSuccess())));
-  }
-
-  @Override
-  public void getObject(String key, Consumer<Payload> callback) {
-    HttpCall call =
-        call(addresses.objectStore(), "GET", "/objects/" + key, Map.of(), Payload.EMPTY);
-    start(
-        call,
-        answer -> {
-          Payload value = answer.isSuccess() ? answer.body() : null;
-          agent.accept(() -> callback.accept(value));
-        });
-  }
-
   private static HttpCall call(
       String address, String method, String path, Map<String, String> headers, Payload body) {
     return new HttpCall(address, method, path, headers, body, false);
--- a/baykeel-node/src/main/java/org/baykeel/node/settings/ProcessSettings.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/settings/ProcessSettings.java
@@ -34,12 +34,12 @@
   }
 
   /**
-   * IP:PORT of the platform's services.
+   * Where the platform is.
    *
+   * @param tableService IP:PORT of the table service
    * @param timeoutMillis longest time to wait for an answer
    */
-  public record PlatformAddresses(
-      String tableService, String objectStore, String machineList, int timeoutMillis) {}
+  public record PlatformAddresses(String tableService, int timeoutMillis) {}
 
   /**
    * Limits on what callers send.
--- a/baykeel-node/src/main/java/org/baykeel/node/settings/ProcessSettingsReader.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/settings/ProcessSettingsReader.java
@@ -95,8 +95,6 @@
     PlatformAddresses addresses =
         new PlatformAddresses(
             section.requiredAddress("tableService"),
-            section.requiredAddress("objectStore"),
-            section.requiredAddress("machineList"),
             (int) section.number("timeoutMillis", 2_000, 10, MAXIMUM_MILLIS));
     section.rejectUnknownKeys();
     return addresses;
--- a/baykeel-node/src/test/java/org/baykeel/node/settings/TestProcessSettingsReader.java
+++ b/baykeel-node/src/test/java/org/baykeel/node/settings/TestProcessSettingsReader.java
@@ -18,7 +18,7 @@
       httpPort: 8080
       zone: hall-a
       region: home
-      platform: {tableService: "127.0.0.1:1", objectStore: "127.0.0.1:1", machineList: "127.0.0.1:1"}
+      platform: {tableService: "127.0.0.1:1"}
       """;
 
   private static List<YamlProblem> problems(String text) {
