--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
@@ -0,0 +1,197 @@
+package org.baykeel.gateway.budget;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.storage.DurableStore;
+import org.baykeel.gateway.storage.RowAddress;
+import org.baykeel.gateway.storage.StoredRow;
+import org.baykeel.gateway.storage.Transaction;
+import org.baykeel.gateway.storage.TransactionOutcome;
+
+/**
+ * One program's tokens at this process.
+ *
+ * <p>Invariant: the row's granted tokens are at least the tokens that all processes may still hand
+ * out or have handed out. A grant is made only while less than the budget is granted, so no more
+ * than one turn's most is handed out beyond it.
+ */
+final class ProgramAccount {
+  /** Turns granted at once while the budget is far away, to spare calls to the store. */
+  private static final int TURNS_AHEAD = 4;
+
+  /** Grants for several turns are made only below this part of the budget. */
+  private static final double AHEAD_BELOW = 0.6;
+
+  private static final long RETRY_MILLIS = 40;
+
+  private final RowAddress address;
+  private final DurableStore store;
+  private final EventLoop eventLoop;
+  private final GrantIds grantIds;
+  private final ArrayDeque<Reservation> waiting = new ArrayDeque<>();
+  private long budgetTokens;
+  private long allowance;
+  private BudgetRow row = BudgetRow.NONE;
+  private long rowVersion = Transaction.ABSENT;
+  private boolean rowSeen;
+  private boolean asking;
+  private BudgetRow unknownRow;
+  private int openReservations;
+  private long lastUsedNanos;
+
+  ProgramAccount(RowAddress address, DurableStore store, EventLoop eventLoop, GrantIds grantIds) {
+    this.address = address;
+    this.store = store;
+    this.eventLoop = eventLoop;
+    this.grantIds = grantIds;
+  }
+
+  Reservation reserve(long budget, int tokens, long giveUpNanos, Runnable onDecided) {
+    budgetTokens = budget;
+    openReservations++;
+    lastUsedNanos = eventLoop.nanoTime();
+    Reservation reservation = new Reservation(this, tokens, giveUpNanos, onDecided);
+    if (waiting.isEmpty() && allowance >= tokens) {
+      allowance -= tokens;
+      reservation.decideSilently(Grant.GRANTED);
+    } else if (knownExhausted(tokens)) {
+      reservation.decideSilently(Grant.EXHAUSTED);
+    } else {
+      waiting.add(reservation);
+      ask();
+    }
+    return reservation;
+  }
+
+  /** Whether the next grant might be refused because the budget is nearly spent. */
+  boolean nearlySpent(int tokens) {
+    return rowSeen && row.grantedTokens() + 2L * tokens > budgetTokens;
+  }
+
+  boolean idleSince(long nanos) {
+    return openReservations == 0 && waiting.isEmpty() && !asking && lastUsedNanos - nanos < 0;
+  }
+
+  void released(Reservation reservation, int unusedTokens) {
+    openReservations--;
+    lastUsedNanos = eventLoop.nanoTime();
+    if (reservation.grant() == Grant.GRANTED) {
+      allowance += unusedTokens;
+    } else {
+      waiting.remove(reservation);
+    }
+    serveFromAllowance();
+  }
+
+  private boolean knownExhausted(int tokens) {
+    return rowSeen && row.grantedTokens() >= budgetTokens && allowance < tokens;
+  }
+
+  private void ask() {
+    if (asking || waiting.isEmpty()) {
+      return;
+    }
+    long grant = tokensToAskFor();
+    if (grant == 0) {
+      refuseAll(Grant.EXHAUSTED);
+      return;
+    }
+    asking = true;
+    BudgetRow next = new BudgetRow(row.grantedTokens() + grant, grantIds.next());
+    store.transact(
+        Transaction.replace(address, rowVersion, next.encode()),
+        outcome -> onOutcome(next, outcome));
+  }
+
+  private long tokensToAskFor() {
+    long missing = -allowance;
+    long granted = row.grantedTokens();
+    int largest = 0;
+    for (Reservation reservation : waiting) {
+      if (granted + Math.max(0, missing) >= budgetTokens) {
+        break;
+      }
+      missing += reservation.tokens();
+      largest = Math.max(largest, reservation.tokens());
+    }
+    if (missing <= 0) {
+      return 0;
+    }
+    long ahead = missing + (long) (TURNS_AHEAD - 1) * largest;
+    return granted + ahead <= budgetTokens * AHEAD_BELOW ? ahead : missing;
+  }
+
+  private void onOutcome(BudgetRow asked, TransactionOutcome outcome) {
+    asking = false;
+    if (outcome instanceof TransactionOutcome.Applied applied) {
+      adoptOwnGrant(asked, applied.version());
+    } else if (outcome instanceof TransactionOutcome.Conflict conflict) {
+      onConflict(conflict.rows());
+    } else {
+      if (outcome instanceof TransactionOutcome.Unknown) {
+        unknownRow = asked;
+      }
+      retryWithinPatience();
+    }
+  }
+
+  private void adoptOwnGrant(BudgetRow granted, long version) {
+    allowance += granted.grantedTokens() - row.grantedTokens();
+    adopt(granted, version);
+    serveFromAllowance();
+    ask();
+  }
+
+  private void onConflict(List<StoredRow> rows) {
+    BudgetRow current = BudgetRow.NONE;
+    long version = Transaction.ABSENT;
+    for (StoredRow stored : rows) {
+      if (stored.address().key().equals(address.key()) && !stored.removed()) {
+        current = BudgetRow.decode(stored.value());
+        version = stored.version();
+      }
+    }
+    if (unknownRow != null && unknownRow.grantId() == current.grantId()) {
+      adoptOwnGrant(current, version);
+      return;
+    }
+    adopt(current, version);
+    serveFromAllowance();
+    ask();
+  }
+
+  private void adopt(BudgetRow current, long version) {
+    row = current;
+    rowVersion = version;
+    rowSeen = true;
+    unknownRow = null;
+  }
+
+  private void serveFromAllowance() {
+    while (!waiting.isEmpty() && allowance >= waiting.peek().tokens()) {
+      Reservation reservation = waiting.poll();
+      allowance -= reservation.tokens();
+      reservation.decide(Grant.GRANTED);
+    }
+  }
+
+  private void refuseAll(Grant refusal) {
+    while (!waiting.isEmpty()) {
+      waiting.poll().decide(refusal);
+    }
+  }
+
+  private void retryWithinPatience() {
+    long now = eventLoop.nanoTime();
+    for (Reservation reservation : List.copyOf(waiting)) {
+      if (now - reservation.giveUpNanos() >= 0) {
+        waiting.remove(reservation);
+        reservation.decide(Grant.UNAVAILABLE);
+      }
+    }
+    if (!waiting.isEmpty()) {
+      eventLoop.schedule(RETRY_MILLIS, this::ask);
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
@@ -0,0 +1,55 @@
+package org.baykeel.gateway.budget;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.storage.DurableStore;
+import org.baykeel.gateway.storage.RowAddress;
+
+/** The accounts of the programs that this process serves. */
+public final class ProgramBudgets {
+  private static final String TABLE = "budget";
+  private static final long FORGET_NANOS = 120_000_000_000L;
+
+  private final DurableStore store;
+  private final EventLoop eventLoop;
+  private final GrantIds grantIds;
+  private final Map<String, ProgramAccount> accounts = new HashMap<>();
+
+  public ProgramBudgets(DurableStore store, EventLoop eventLoop, GrantIds grantIds) {
+    this.store = store;
+    this.eventLoop = eventLoop;
+    this.grantIds = grantIds;
+  }
+
+  /**
+   * Reserves the most tokens that a turn may generate. The decision may be known at once; if it is
+   * pending, {@code onDecided} runs later.
+   *
+   * @param giveUpNanos when a turn that still waits is told that the store is unavailable
+   */
+  public Reservation reserve(
+      String program, long budgetTokens, int turnTokens, long giveUpNanos, Runnable onDecided) {
+    return account(program).reserve(budgetTokens, turnTokens, giveUpNanos, onDecided);
+  }
+
+  /** Whether a turn's grant might be refused, so that it must not be sent before the decision. */
+  public boolean nearlySpent(String program, int turnTokens) {
+    return account(program).nearlySpent(turnTokens);
+  }
+
+  /** Forgets programs that have not been heard of for a while. Their rows stay in the store. */
+  public void forgetIdle() {
+    long since = eventLoop.nanoTime() - FORGET_NANOS;
+    accounts.values().removeIf(account -> account.idleSince(since));
+  }
+
+  private ProgramAccount account(String program) {
+    return accounts.computeIfAbsent(program, this::open);
+  }
+
+  private ProgramAccount open(String program) {
+    RowAddress address = new RowAddress(TABLE, program, "granted");
+    return new ProgramAccount(address, store, eventLoop, grantIds);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/Reservation.java
@@ -0,0 +1,61 @@
+package org.baykeel.gateway.budget;
+
+/** The tokens that one turn may hand out. Used only from the event loop. */
+public final class Reservation {
+  private final ProgramAccount account;
+  private final int tokens;
+  private final long giveUpNanos;
+  private final Runnable onDecided;
+  private Grant grant = Grant.PENDING;
+  private int usedTokens;
+  private boolean closed;
+
+  Reservation(ProgramAccount account, int tokens, long giveUpNanos, Runnable onDecided) {
+    this.account = account;
+    this.tokens = tokens;
+    this.giveUpNanos = giveUpNanos;
+    this.onDecided = onDecided;
+  }
+
+  int tokens() {
+    return tokens;
+  }
+
+  long giveUpNanos() {
+    return giveUpNanos;
+  }
+
+  boolean closed() {
+    return closed;
+  }
+
+  /** The decision, or {@link Grant#PENDING}. */
+  public Grant grant() {
+    return grant;
+  }
+
+  void decide(Grant decision) {
+    grant = decision;
+    if (!closed) {
+      onDecided.run();
+    }
+  }
+
+  void decideSilently(Grant decision) {
+    grant = decision;
+  }
+
+  /** Notes tokens that were handed to the caller. */
+  public void use(int handedTokens) {
+    usedTokens += handedTokens;
+  }
+
+  /** The turn is over; what it did not use goes to the program's next turns. */
+  public void close() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    account.released(this, Math.max(0, tokens - usedTokens));
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AnswerRelay.java
@@ -0,0 +1,114 @@
+package org.baykeel.gateway.call;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Passes a stream on to the caller, across the engines that produce it. Events are held back until
+ * their tokens are granted; an event that the caller already has is dropped.
+ */
+final class AnswerRelay {
+  private final CallResponder responder;
+  private final ByteArrayOutputStream output;
+  private final List<StreamEvent> held = new ArrayList<>();
+  private AnswerHead head;
+  private boolean open;
+  private boolean begun;
+  private long lastEventId;
+  private int eventsPassed;
+
+  /**
+   * Creates a relay.
+   *
+   * @param lastEventId the last event that the caller has; {@link CallAttributes#ABSENT} if none
+   * @param collectOutput whether the data of the events is to be kept
+   */
+  AnswerRelay(CallResponder responder, long lastEventId, boolean collectOutput) {
+    this.responder = responder;
+    this.lastEventId = lastEventId;
+    this.output = collectOutput ? new ByteArrayOutputStream() : null;
+  }
+
+  /** Takes the head of an engine's answer; that of the first engine is the caller's. */
+  void head(AnswerHead newHead) {
+    if (!begun) {
+      head = newHead;
+    }
+  }
+
+  /** Lets events through from now on. Returns how many that were held went to the caller. */
+  int open() {
+    open = true;
+    int before = eventsPassed;
+    held.forEach(this::pass);
+    held.clear();
+    return eventsPassed - before;
+  }
+
+  /** Takes an event. Returns whether it went to the caller. */
+  boolean event(StreamEvent event) {
+    if (event.id() != CallAttributes.ABSENT && event.id() <= lastEventId) {
+      return false;
+    }
+    if (event.id() != CallAttributes.ABSENT) {
+      lastEventId = event.id();
+    }
+    if (!open) {
+      held.add(event);
+      return false;
+    }
+    pass(event);
+    return true;
+  }
+
+  private void pass(StreamEvent event) {
+    begin();
+    eventsPassed++;
+    if (output != null && event.data() != null) {
+      output.writeBytes(event.data());
+      output.write('\n');
+    }
+    responder.event(event.bytes());
+  }
+
+  private void begin() {
+    if (!begun) {
+      begun = true;
+      responder.begin(head);
+    }
+  }
+
+  void end() {
+    begin();
+    responder.end();
+  }
+
+  void abort() {
+    responder.abort();
+  }
+
+  /** Whether the caller has the head. */
+  boolean begun() {
+    return begun;
+  }
+
+  /** Whether events wait for their grant. */
+  boolean holding() {
+    return !held.isEmpty();
+  }
+
+  /** The last event that the caller has or is about to get. */
+  long lastEventId() {
+    return lastEventId;
+  }
+
+  int eventsPassed() {
+    return eventsPassed;
+  }
+
+  /** The data of the events, a line feed after each. */
+  byte[] output() {
+    return output.toByteArray();
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
@@ -0,0 +1,44 @@
+package org.baykeel.gateway.call;
+
+import java.util.List;
+import org.baykeel.gateway.directory.PromptPart;
+
+/**
+ * What a request says about itself beyond its path and body. Absent texts are null, absent numbers
+ * {@link #ABSENT}.
+ *
+ * @param requestId identifies this request and no other
+ * @param deadlineMillis how long the caller waits
+ * @param programId the program it belongs to
+ * @param sessionId its line of turns within the program
+ * @param tokenBudget tokens that all turns of the program may generate
+ * @param maxOutputTokens the most that this turn generates
+ * @param prompt the parts of its prompt, in order
+ * @param previousTurn the turn it continues
+ * @param lastEventId the last event of a broken stream that the caller has
+ * @param affinityKey the object it concerns
+ */
+public record CallAttributes(
+    String requestId,
+    long deadlineMillis,
+    String programId,
+    String sessionId,
+    long tokenBudget,
+    int maxOutputTokens,
+    List<PromptPart> prompt,
+    String previousTurn,
+    long lastEventId,
+    String affinityKey) {
+
+  /** Stands for a number that the request does not carry. */
+  public static final int ABSENT = -1;
+
+  public CallAttributes {
+    prompt = List.copyOf(prompt);
+  }
+
+  /** Whether the request is a turn of a program with a token budget. */
+  public boolean budgeted() {
+    return programId != null && tokenBudget != ABSENT && maxOutputTokens > 0;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallCoordinator.java
@@ -0,0 +1,17 @@
+package org.baykeel.gateway.call;
+
+/** Starts calls. */
+public final class CallCoordinator {
+  private final GatewayContext context;
+
+  public CallCoordinator(GatewayContext context) {
+    this.context = context;
+  }
+
+  /** Takes a whole request; the responder hears of its end, perhaps before this returns. */
+  public ClientCall accept(CallRequest request, CallResponder responder) {
+    ClientCall call = new ClientCall(context, request, responder);
+    call.start();
+    return call;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallResponder.java
@@ -0,0 +1,23 @@
+package org.baykeel.gateway.call;
+
+/** The way back to a caller. Exactly one of refuse, answer, or begin is called, once. */
+public interface CallResponder {
+
+  /** Ends the request with an answer of baykeel's own. */
+  void refuse(Refusal refusal);
+
+  /** Passes on a whole answer. */
+  void answer(AnswerHead head, byte[] body);
+
+  /** Begins to pass on a stream. */
+  void begin(AnswerHead head);
+
+  /** Passes on a whole event of a stream that has begun. */
+  void event(byte[] bytes);
+
+  /** Ends a stream that is complete. */
+  void end();
+
+  /** Cuts a stream that has begun, so that it does not look complete. */
+  void abort();
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -0,0 +1,618 @@
+package org.baykeel.gateway.call;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.budget.Grant;
+import org.baykeel.gateway.budget.Reservation;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.configuration.ServiceProfile;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.history.KeptTurn;
+import org.baykeel.gateway.history.TurnHistory.Lookup;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.scheduling.EngineSelector;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+
+/**
+ * One request from its arrival to its final answer.
+ *
+ * <p>Invariants: a request that may run only once is sent again only if the engine states that it
+ * did not run it or if not one byte of it was sent; a refusal with a promise of not having run is
+ * given only while that is true; no event reaches the caller before its tokens are granted; a kept
+ * turn ends only after the store has it.
+ */
+public final class ClientCall {
+  private static final int MAX_SENDS = 6;
+  private static final long FIRST_PROGRESS_MILLIS = 1_000;
+  private static final long NEXT_PROGRESS_MILLIS = 600;
+  private static final long SAFE_PROGRESS_MILLIS = 400;
+  private static final long GRANT_PATIENCE_MILLIS = 700;
+  private static final long KEEP_PATIENCE_MILLIS = 1_500;
+  private static final long NOT_READY_RETRY_MILLIS = 250;
+  private static final long BUSY_RETRY_MILLIS = 150;
+  private static final long STORE_RETRY_MILLIS = 800;
+  private static final long FULL_PENALTY_MILLIS = 30;
+
+  private final GatewayContext context;
+  private final CallRequest request;
+  private final CallResponder responder;
+  private final EventLoop eventLoop;
+  private final Set<String> triedEngines = new HashSet<>();
+  private Route route;
+  private String service;
+  private int tokensPerEvent;
+  private AnswerRelay relay;
+  private byte[] engineBody;
+  private List<String> ancestors = List.of();
+  private Reservation reservation;
+  private Attempt attempt;
+  private EventLoop.Timer deadlineTimer;
+  private EventLoop.Timer progressTimer;
+  private long deadlineNanos;
+  private long lastProgressNanos;
+  private long firstEventNanos;
+  private int sends;
+  private int runs;
+  private boolean streamComplete;
+  private boolean over;
+
+  ClientCall(GatewayContext context, CallRequest request, CallResponder responder) {
+    this.context = context;
+    this.request = request;
+    this.responder = responder;
+    this.eventLoop = context.eventLoop();
+  }
+
+  void start() {
+    GatewayConfiguration configuration = context.state().configuration();
+    if (configuration == null) {
+      refuse(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, "no configuration");
+      return;
+    }
+    route = configuration.findRoute(request.host(), request.path());
+    if (route == null) {
+      refuseUnknownRoute();
+      return;
+    }
+    long patience = patienceMillis();
+    deadlineNanos = request.receivedNanos() + patience * 1_000_000;
+    deadlineTimer = eventLoop.schedule(Math.max(0, patience), this::onDeadline);
+    service = context.backendChooser().choose(route, homeKey());
+    ServiceProfile profile = configuration.service(service);
+    tokensPerEvent = profile == null ? 0 : profile.tokensPerEvent();
+    relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
+    if (admitted()) {
+      findHistory();
+    }
+  }
+
+  private CallAttributes attributes() {
+    return request.attributes();
+  }
+
+  private String homeKey() {
+    String session = attributes().sessionId();
+    return session != null && route.kind() == RouteKind.STREAMING
+        ? session
+        : attributes().affinityKey();
+  }
+
+  private long patienceMillis() {
+    long deadline = attributes().deadlineMillis();
+    return deadline == CallAttributes.ABSENT
+        ? route.timeoutMillis()
+        : Math.min(deadline, route.timeoutMillis());
+  }
+
+  private void refuseUnknownRoute() {
+    if (context.state().current()) {
+      refuse(ErrorKind.UNKNOWN_RESOURCE, 0, "no route");
+    } else {
+      refuse(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, "no route in an old configuration");
+    }
+  }
+
+  // Admission: the budget and the history of the turn.
+
+  private boolean admitted() {
+    if (route.kind() != RouteKind.STREAMING) {
+      return true;
+    }
+    if (route.retained() && !context.storeHealth().reachable()) {
+      refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "kept turn without store");
+      return false;
+    }
+    return !attributes().budgeted() || budgetAdmits();
+  }
+
+  private boolean budgetAdmits() {
+    long giveUp = eventLoop.nanoTime() + GRANT_PATIENCE_MILLIS * 1_000_000;
+    reservation =
+        context
+            .budgets()
+            .reserve(
+                attributes().programId(),
+                attributes().tokenBudget(),
+                attributes().maxOutputTokens(),
+                giveUp,
+                this::onGrantDecided);
+    if (reservation.grant() == Grant.EXHAUSTED) {
+      refuse(ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
+      return false;
+    }
+    if (reservation.grant() == Grant.PENDING && !context.storeHealth().reachable()) {
+      refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "no grant without store");
+      return false;
+    }
+    if (reservation.grant() == Grant.GRANTED) {
+      relay.open();
+    }
+    return true;
+  }
+
+  private void findHistory() {
+    if (!route.retained() || attributes().previousTurn() == null) {
+      onReadyToSend(request.body());
+      return;
+    }
+    context.history().find(attributes().previousTurn(), this::onHistory);
+  }
+
+  private void onHistory(Lookup lookup) {
+    if (over) {
+      return;
+    }
+    if (lookup instanceof Lookup.Found found) {
+      adoptChain(found.chain());
+    } else if (lookup instanceof Lookup.Absent) {
+      refuse(ErrorKind.UNKNOWN_PROGRAM, 0, "no such turn");
+    } else {
+      refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "history unavailable");
+    }
+  }
+
+  private void adoptChain(List<KeptTurn> chain) {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    List<String> ids = new ArrayList<>(chain.size());
+    for (KeptTurn turn : chain) {
+      ids.add(turn.id());
+      body.writeBytes(turn.input());
+      body.writeBytes(turn.output());
+    }
+    body.writeBytes(request.body());
+    ancestors = ids;
+    onReadyToSend(body.toByteArray());
+  }
+
+  private void onReadyToSend(byte[] body) {
+    engineBody = body;
+    boolean undecided = reservation != null && reservation.grant() == Grant.PENDING;
+    if (undecided
+        && context
+            .budgets()
+            .nearlySpent(attributes().programId(), attributes().maxOutputTokens())) {
+      return;
+    }
+    dispatch();
+  }
+
+  private void onGrantDecided() {
+    if (over) {
+      return;
+    }
+    switch (reservation.grant()) {
+      case GRANTED -> onGranted();
+      case EXHAUSTED -> onNotGranted(ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
+      default -> onNotGranted(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "grant unknown");
+    }
+  }
+
+  private void onGranted() {
+    if (relay.holding()) {
+      noteEventsPassed(relay.open());
+    } else {
+      relay.open();
+    }
+    if (streamComplete) {
+      finishStream();
+    } else if (engineBody != null && sends == 0) {
+      dispatch();
+    }
+  }
+
+  private void onNotGranted(ErrorKind kind, long retryMillis, String detail) {
+    if (sends == 0) {
+      refuse(kind, retryMillis, detail);
+    } else {
+      // The engine may have begun: nothing that promises the contrary may be said.
+      refuse(ErrorKind.BACKEND_FAILED, 0, detail);
+    }
+  }
+
+  // Attempts.
+
+  private void dispatch() {
+    long now = eventLoop.nanoTime();
+    EngineSelector.Criteria criteria =
+        new EngineSelector.Criteria(
+            service, attributes().prompt(), affinityKey(), attributes().sessionId());
+    Engine engine =
+        sends >= MAX_SENDS ? null : context.selector().select(criteria, triedEngines, now);
+    if (engine == null) {
+      onNoEngine();
+      return;
+    }
+    sends++;
+    runs++;
+    triedEngines.add(engine.record().id());
+    lastProgressNanos = now;
+    attempt = new Attempt(engine, now);
+    engine.requestStarted();
+    long remaining = Math.max(1, (deadlineNanos - now) / 1_000_000);
+    int priority = Math.min(9, route.priority());
+    Attempt sent = attempt;
+    sent.exchange =
+        context
+            .transport()
+            .send(
+                engine,
+                new EngineRequest(request, engineBody, remaining, relay.lastEventId(), priority),
+                sent);
+    armProgressTimer();
+  }
+
+  private String affinityKey() {
+    return route.kind() == RouteKind.STREAMING ? null : attributes().affinityKey();
+  }
+
+  private void onNoEngine() {
+    if (relay.begun()) {
+      abort("no engine left");
+    } else if (runs > 0) {
+      refuse(ErrorKind.BACKEND_FAILED, 0, "no engine left");
+    } else {
+      refuse(ErrorKind.NO_BACKEND, BUSY_RETRY_MILLIS, "no engine takes work");
+    }
+  }
+
+  private void armProgressTimer() {
+    if (!route.repeatable() || progressTimer != null) {
+      return;
+    }
+    progressTimer = eventLoop.schedule(progressMillis(), this::checkProgress);
+  }
+
+  private long progressMillis() {
+    if (route.kind() == RouteKind.SAFE) {
+      return SAFE_PROGRESS_MILLIS;
+    }
+    return firstEventNanos == 0 ? FIRST_PROGRESS_MILLIS : NEXT_PROGRESS_MILLIS;
+  }
+
+  private void checkProgress() {
+    progressTimer = null;
+    if (over || streamComplete) {
+      return;
+    }
+    long allowedNanos = progressMillis() * 1_000_000;
+    long quietNanos = eventLoop.nanoTime() - lastProgressNanos;
+    if (quietNanos >= allowedNanos && attempt != null && mayRunAgain()) {
+      Attempt silent = attempt;
+      silent.exchange.cancel();
+      silent.close("silent");
+      silent.engine.failed(eventLoop.nanoTime());
+      dispatch();
+    }
+    if (!over) {
+      armProgressTimer();
+    }
+  }
+
+  private boolean mayRunAgain() {
+    return route.repeatable() && runs < route.attempts();
+  }
+
+  /** One send to one engine. */
+  private final class Attempt implements EngineTransport.Listener {
+    private final Engine engine;
+    private final long startedNanos;
+    private final EventStreamParser parser = new EventStreamParser();
+    private final double expectedMillis;
+    private EngineTransport.Exchange exchange;
+    private AnswerHead head;
+    private ByteArrayOutputStream body;
+    private boolean closed;
+
+    Attempt(Engine engine, long startedNanos) {
+      this.engine = engine;
+      this.startedNanos = startedNanos;
+      this.expectedMillis = EngineSelector.expectedFirstEventMillis(engine, attributes().prompt());
+    }
+
+    @Override
+    public void onHead(AnswerHead answerHead) {
+      if (closed) {
+        return;
+      }
+      head = answerHead;
+      lastProgressNanos = eventLoop.nanoTime();
+      AnswerTraits traits = head.traits();
+      if (head.status() == 421 || traits.notExecuted()) {
+        onNotExecuted();
+      } else if (head.success() && !traits.signed()) {
+        exchange.cancel();
+        onBroken("success without signature");
+      } else if (head.success() && traits.eventStream()) {
+        relay.head(head);
+      } else {
+        body = new ByteArrayOutputStream();
+      }
+    }
+
+    private void onNotExecuted() {
+      runs--;
+      close("not_executed_" + head.status());
+      if (head.status() == 421) {
+        engine.failed(eventLoop.nanoTime());
+      } else {
+        engine.full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
+      }
+      dispatch();
+    }
+
+    @Override
+    public void onBody(byte[] bytes) {
+      if (closed) {
+        return;
+      }
+      lastProgressNanos = eventLoop.nanoTime();
+      if (body != null) {
+        body.writeBytes(bytes);
+      } else {
+        parser.add(bytes, this::onEvent);
+      }
+    }
+
+    private void onEvent(StreamEvent event) {
+      if (closed) {
+        return;
+      }
+      if (firstEventNanos == 0) {
+        firstEventNanos = eventLoop.nanoTime();
+        engine.cachedPrefixes().add(attributes().prompt());
+        engine.observeLatency((firstEventNanos - startedNanos) / 1e6 / expectedMillis);
+      }
+      if (relay.event(event)) {
+        noteEventsPassed(1);
+      }
+    }
+
+    @Override
+    public void onComplete() {
+      if (closed) {
+        return;
+      }
+      if (body == null && parser.midEvent()) {
+        onBroken("ended within an event");
+        return;
+      }
+      if (body != null) {
+        onWholeAnswer();
+        return;
+      }
+      engine.succeeded();
+      close("complete");
+      streamComplete = true;
+      if (reservation == null || reservation.grant() == Grant.GRANTED) {
+        finishStream();
+      }
+    }
+
+    private void onWholeAnswer() {
+      boolean engineFailed = head.status() >= 500;
+      if (engineFailed && relay.begun()) {
+        onBroken("status " + head.status());
+        return;
+      }
+      if (engineFailed && mayRunAgain() && sends < 2) {
+        close("status_" + head.status());
+        engine.full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
+        dispatch();
+        return;
+      }
+      if (!engineFailed) {
+        engine.succeeded();
+      }
+      close("complete");
+      if (relay.begun()) {
+        abort("status " + head.status() + " in place of the rest");
+        return;
+      }
+      over = true;
+      responder.answer(head, body.toByteArray());
+      ended(head.status(), "answered");
+    }
+
+    @Override
+    public void onFailure(EngineTransport.Failure failure, String detail) {
+      if (closed) {
+        return;
+      }
+      if (failure == EngineTransport.Failure.NOT_SENT) {
+        runs--;
+        engine.failed(eventLoop.nanoTime());
+        close("not_sent " + detail);
+        dispatch();
+      } else {
+        onBroken(detail);
+      }
+    }
+
+    private void onBroken(String detail) {
+      engine.failed(eventLoop.nanoTime());
+      close("broken " + detail);
+      if (mayRunAgain()) {
+        dispatch();
+      } else if (relay.begun()) {
+        abort(detail);
+      } else {
+        refuse(
+            route.repeatable() ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN, 0, detail);
+      }
+    }
+
+    private void close(String outcome) {
+      closed = true;
+      attempt = null;
+      engine.requestEnded();
+      if (!outcome.equals("complete")) {
+        context
+            .log()
+            .write(
+                GatewayEvent.ATTEMPT_ENDED,
+                "id",
+                attributes().requestId(),
+                "engine",
+                engine.record().id(),
+                "outcome",
+                outcome,
+                "ms",
+                (eventLoop.nanoTime() - startedNanos) / 1_000_000,
+                "events",
+                relay.eventsPassed());
+      }
+    }
+  }
+
+  private void noteEventsPassed(int events) {
+    if (reservation != null) {
+      reservation.use(events * tokensPerEvent);
+    }
+  }
+
+  // Ends.
+
+  private void finishStream() {
+    if (!route.retained()) {
+      endStream();
+      return;
+    }
+    KeptTurn turn =
+        new KeptTurn(attributes().requestId(), ancestors, request.body(), relay.output());
+    long patience = eventLoop.nanoTime() + KEEP_PATIENCE_MILLIS * 1_000_000;
+    context.history().keep(turn, Math.min(patience, deadlineNanos), this::onTurnKept);
+  }
+
+  private void onTurnKept(boolean kept) {
+    if (over) {
+      return;
+    }
+    if (kept) {
+      endStream();
+    } else if (relay.begun()) {
+      abort("turn not kept");
+    } else {
+      refuse(ErrorKind.BACKEND_FAILED, 0, "turn not kept");
+    }
+  }
+
+  private void endStream() {
+    over = true;
+    relay.end();
+    ended(200, "streamed");
+  }
+
+  private void onDeadline() {
+    if (over) {
+      return;
+    }
+    cancelAttempt("deadline");
+    if (relay != null && relay.begun()) {
+      abort("deadline");
+    } else {
+      refuse(ErrorKind.DEADLINE_PASSED, 0, "deadline");
+    }
+  }
+
+  /** The caller's connection is gone: nothing of this request is to go on. */
+  public void callerLeft() {
+    if (over) {
+      return;
+    }
+    over = true;
+    cancelAttempt("caller_left");
+    ended(ErrorKind.CANCELLED.httpStatus(), "caller_left");
+  }
+
+  private void cancelAttempt(String outcome) {
+    if (attempt != null) {
+      Attempt current = attempt;
+      current.exchange.cancel();
+      current.close(outcome);
+    }
+  }
+
+  private void abort(String detail) {
+    over = true;
+    cancelAttempt("aborted");
+    relay.abort();
+    ended(0, "aborted: " + detail);
+  }
+
+  private void refuse(ErrorKind kind, long retryMillis, String detail) {
+    over = true;
+    cancelAttempt("refused");
+    responder.refuse(new Refusal(kind, retryMillis, detail));
+    ended(kind.httpStatus(), "refused: " + detail);
+  }
+
+  private void ended(int status, String outcome) {
+    if (deadlineTimer != null) {
+      deadlineTimer.cancel();
+    }
+    if (progressTimer != null) {
+      progressTimer.cancel();
+    }
+    if (reservation != null) {
+      reservation.close();
+    }
+    logEnd(status, outcome);
+  }
+
+  private void logEnd(int status, String outcome) {
+    long now = eventLoop.nanoTime();
+    long received = request.receivedNanos();
+    context
+        .log()
+        .write(
+            status >= 200 && status < 300 ? GatewayEvent.CALL_ENDED : GatewayEvent.CALL_REFUSED,
+            "id",
+            attributes().requestId(),
+            "route",
+            route == null ? "none" : route.name(),
+            "program",
+            attributes().programId(),
+            "session",
+            attributes().sessionId(),
+            "status",
+            status,
+            "outcome",
+            outcome,
+            "ms",
+            (now - received) / 1_000_000,
+            "first_ms",
+            firstEventNanos == 0 ? -1 : (firstEventNanos - received) / 1_000_000,
+            "sends",
+            sends,
+            "runs",
+            runs,
+            "events",
+            relay == null ? 0 : relay.eventsPassed());
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
@@ -0,0 +1,33 @@
+package org.baykeel.gateway.call;
+
+import org.baykeel.gateway.budget.ProgramBudgets;
+import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.scheduling.BackendChooser;
+import org.baykeel.gateway.scheduling.EngineSelector;
+import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.DecisionLog;
+
+/**
+ * What every call works with.
+ *
+ * @param eventLoop the clock and the timers
+ * @param state the configuration in force and the engines
+ * @param selector picks engines
+ * @param backendChooser splits routes among services
+ * @param budgets token budgets of programs
+ * @param history kept turns
+ * @param transport the way to engines
+ * @param storeHealth this process's path to the store
+ * @param log takes one line for each decision
+ */
+public record GatewayContext(
+    EventLoop eventLoop,
+    GatewayState state,
+    EngineSelector selector,
+    BackendChooser backendChooser,
+    ProgramBudgets budgets,
+    TurnHistory history,
+    EngineTransport transport,
+    StoreHealth storeHealth,
+    DecisionLog log) {}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
@@ -0,0 +1,120 @@
+package org.baykeel.gateway.call;
+
+import java.util.List;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+
+/**
+ * What a process believes: the newest configuration, the engines, whether it stops. The version of
+ * the configuration never goes back within one life of the process.
+ */
+public final class GatewayState {
+  private static final long STORE_DISTURBED_NANOS = 5_000_000_000L;
+  private static final long STORE_LOST_NANOS = 3_500_000_000L;
+
+  private final EventLoop eventLoop;
+  private final StoreHealth storeHealth;
+  private final EngineDirectory engines;
+  private final DecisionLog log;
+  private GatewayConfiguration configuration;
+  private boolean enginesKnown;
+  private boolean stopping;
+
+  public GatewayState(
+      EventLoop eventLoop, StoreHealth storeHealth, EngineDirectory engines, DecisionLog log) {
+    this.eventLoop = eventLoop;
+    this.storeHealth = storeHealth;
+    this.engines = engines;
+    this.log = log;
+  }
+
+  /** The configuration in force, or null if none is known yet. */
+  public GatewayConfiguration configuration() {
+    return configuration;
+  }
+
+  /** Adopts a configuration if it is newer than the one in force. */
+  public void offer(GatewayConfiguration offered) {
+    if (configuration != null && offered.version() <= configuration.version()) {
+      log.write(
+          GatewayEvent.CONFIGURATION_IGNORED,
+          "version",
+          offered.version(),
+          "in_force",
+          configuration.version());
+      return;
+    }
+    configuration = offered;
+    log.write(
+        GatewayEvent.CONFIGURATION_IN_FORCE,
+        "version",
+        offered.version(),
+        "routes",
+        offered.routeCount());
+  }
+
+  /** Adopts the whole list of engines. */
+  public void replaceEngines(List<EngineRecord> records) {
+    enginesKnown = true;
+    engines.replaceAll(records, storeDisturbed(), eventLoop.nanoTime());
+    log.write(GatewayEvent.ENGINES_CHANGED, "listed", records.size(), "known", engines.size());
+  }
+
+  /** Adopts an engine's new record. */
+  public void putEngine(EngineRecord record) {
+    engines.put(record);
+    log.write(
+        GatewayEvent.ENGINES_CHANGED,
+        "engine",
+        record.id(),
+        "draining",
+        record.draining(),
+        "known",
+        engines.size());
+  }
+
+  /** An engine's entry is gone. */
+  public void removeEngine(String id) {
+    engines.remove(id, storeDisturbed(), eventLoop.nanoTime());
+    log.write(
+        GatewayEvent.ENGINES_CHANGED,
+        "engine",
+        id,
+        "removed",
+        true,
+        "disturbed",
+        storeDisturbed(),
+        "known",
+        engines.size());
+  }
+
+  /** Whether the store failed towards this process shortly before. */
+  public boolean storeDisturbed() {
+    return storeHealth.nanosSinceFailure(eventLoop.nanoTime()) < STORE_DISTURBED_NANOS;
+  }
+
+  /** Whether the configuration in force is known to be recent. */
+  public boolean current() {
+    return storeHealth.nanosSinceAnswer(eventLoop.nanoTime()) < STORE_LOST_NANOS;
+  }
+
+  /** Begins to stop: not ready from now on. */
+  public void stop() {
+    stopping = true;
+  }
+
+  /** Whether the process is stopping. */
+  public boolean stopping() {
+    return stopping;
+  }
+
+  /** Whether new callers should come here. */
+  public boolean ready() {
+    return configuration != null && enginesKnown && !stopping && current();
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/package-info.java
@@ -0,0 +1,2 @@
+/** One request from its arrival to its final answer: attempts, deadlines, resumption, refusal. */
+package org.baykeel.gateway.call;
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -0,0 +1,95 @@
+package org.baykeel.gateway.directory;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The engines by service. An engine whose entry vanishes while the store is disturbed stays usable
+ * for a grace period, since the store removes entries of live engines during its own outages; one
+ * that vanishes in calm times, or that drains, gets no new work at once.
+ */
+public final class EngineDirectory {
+  /** How long an engine whose entry vanished around an outage may still be used. */
+  static final long LAPSE_GRACE_NANOS = 4_000_000_000L;
+
+  private final Map<String, Engine> byId = new HashMap<>();
+  private final Map<String, List<Engine>> byService = new HashMap<>();
+  private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
+
+  /** Adopts the whole list of engines. */
+  public void replaceAll(List<EngineRecord> records, boolean storeDisturbed, long nowNanos) {
+    Set<String> present = new HashSet<>();
+    for (EngineRecord record : records) {
+      present.add(record.id());
+      put(record);
+    }
+    for (String id : new ArrayList<>(byId.keySet())) {
+      if (!present.contains(id)) {
+        remove(id, storeDisturbed, nowNanos);
+      }
+    }
+  }
+
+  /** Adds an engine or adopts its new record. */
+  public void put(EngineRecord record) {
+    lapsedUntilNanos.remove(record.id());
+    Engine known = byId.get(record.id());
+    if (known != null) {
+      known.update(record);
+      return;
+    }
+    Engine engine = new Engine(record);
+    byId.put(record.id(), engine);
+    byService.computeIfAbsent(record.service(), service -> new ArrayList<>()).add(engine);
+  }
+
+  /**
+   * An engine's entry is gone.
+   *
+   * @param storeDisturbed whether the store failed shortly before, so that the engine may be well
+   */
+  public void remove(String id, boolean storeDisturbed, long nowNanos) {
+    Engine engine = byId.get(id);
+    if (engine == null || lapsedUntilNanos.containsKey(id)) {
+      return;
+    }
+    if (storeDisturbed && !engine.record().draining()) {
+      lapsedUntilNanos.put(id, nowNanos + LAPSE_GRACE_NANOS);
+      return;
+    }
+    drop(engine);
+  }
+
+  /** Drops engines whose grace period is over. */
+  public void expireLapsed(long nowNanos) {
+    if (lapsedUntilNanos.isEmpty()) {
+      return;
+    }
+    for (Map.Entry<String, Long> lapsed : new ArrayList<>(lapsedUntilNanos.entrySet())) {
+      if (nowNanos - lapsed.getValue() >= 0) {
+        lapsedUntilNanos.remove(lapsed.getKey());
+        drop(byId.get(lapsed.getKey()));
+      }
+    }
+  }
+
+  private void drop(Engine engine) {
+    engine.markRemoved();
+    byId.remove(engine.record().id());
+    byService.get(engine.record().service()).remove(engine);
+  }
+
+  /** The engines of a service, draining ones among them. */
+  public List<Engine> ofService(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  /** How many engines are known. */
+  public int size() {
+    return byId.size();
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/package-info.java
@@ -0,0 +1,2 @@
+/** The engines that can serve, and what this process has learnt about each by using it. */
+package org.baykeel.gateway.directory;
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/KeptTurnCodec.java
@@ -0,0 +1,77 @@
+package org.baykeel.gateway.history;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** A kept turn as one or more values of bounded size, the first of which tells their number. */
+final class KeptTurnCodec {
+  private static final byte FORMAT = 1;
+
+  private KeptTurnCodec() {}
+
+  static List<byte[]> encode(KeptTurn turn, int maxValueBytes) {
+    byte[] body = body(turn);
+    int room = maxValueBytes - 2;
+    int pieces = Math.max(1, (body.length + room - 1) / room);
+    List<byte[]> values = new ArrayList<>(pieces);
+    for (int i = 0; i < pieces; i++) {
+      byte[] part = Arrays.copyOfRange(body, i * room, Math.min(body.length, (i + 1) * room));
+      byte[] value = new byte[part.length + 2];
+      value[0] = FORMAT;
+      value[1] = (byte) pieces;
+      System.arraycopy(part, 0, value, 2, part.length);
+      values.add(value);
+    }
+    return values;
+  }
+
+  static int pieces(byte[] firstValue) {
+    if (firstValue.length < 2 || firstValue[0] != FORMAT) {
+      throw new IllegalArgumentException("not a kept turn: " + firstValue.length + " bytes");
+    }
+    return firstValue[1] & 0xFF;
+  }
+
+  static KeptTurn decode(String id, List<byte[]> values) {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    for (byte[] value : values) {
+      body.write(value, 2, value.length - 2);
+    }
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body.toByteArray()))) {
+      List<String> ancestors = new ArrayList<>();
+      int count = in.readUnsignedShort();
+      for (int i = 0; i < count; i++) {
+        ancestors.add(in.readUTF());
+      }
+      byte[] input = in.readNBytes(in.readInt());
+      byte[] output = in.readNBytes(in.readInt());
+      return new KeptTurn(id, ancestors, input, output);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static byte[] body(KeptTurn turn) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(turn.bytes() + 256);
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      out.writeShort(turn.ancestors().size());
+      for (String ancestor : turn.ancestors()) {
+        out.writeUTF(ancestor);
+      }
+      out.writeInt(turn.input().length);
+      out.write(turn.input());
+      out.writeInt(turn.output().length);
+      out.write(turn.output());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
@@ -0,0 +1,235 @@
+package org.baykeel.gateway.history;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.scheduling.StableHash;
+import org.baykeel.gateway.storage.DurableStore;
+import org.baykeel.gateway.storage.RangeRead;
+import org.baykeel.gateway.storage.ReadOutcome;
+import org.baykeel.gateway.storage.RowAddress;
+import org.baykeel.gateway.storage.StoredRow;
+import org.baykeel.gateway.storage.Transaction;
+import org.baykeel.gateway.storage.TransactionOutcome;
+
+/**
+ * Keeps turns and finds them again.
+ *
+ * <p>Invariant: a turn is in the store before the end of its answer is sent, so whoever names a
+ * turn that a caller has seen whole finds it at any process. A turn that the store does not have
+ * was never answered whole; a turn that could not be looked up is unavailable, never unknown.
+ */
+public final class TurnHistory {
+  private static final String TABLE = "turn";
+  private static final int PARTITIONS = 512;
+  private static final int MAX_VALUE_BYTES = 44_000;
+  private static final long RETRY_MILLIS = 60;
+  private static final int MAX_READ_TRIES = 4;
+
+  private final DurableStore store;
+  private final EventLoop eventLoop;
+  private final TurnCache cache;
+
+  /** How a search for a turn ended. */
+  public sealed interface Lookup {
+    /** The turn and all it continues, oldest first. */
+    record Found(List<KeptTurn> chain) implements Lookup {}
+
+    /** There is no such turn. */
+    record Absent() implements Lookup {}
+
+    /** The store could not be read. */
+    record Unavailable() implements Lookup {}
+  }
+
+  /**
+   * Creates a history.
+   *
+   * @param cacheBytes inputs and outputs kept in memory
+   */
+  public TurnHistory(DurableStore store, EventLoop eventLoop, long cacheBytes) {
+    this.store = store;
+    this.eventLoop = eventLoop;
+    this.cache = new TurnCache(cacheBytes);
+  }
+
+  /** Whether a turn's whole chain is in memory. */
+  public boolean inMemory(String turnId) {
+    KeptTurn turn = cache.get(turnId);
+    return turn != null && turn.ancestors().stream().allMatch(id -> cache.get(id) != null);
+  }
+
+  /** Finds a turn and all it continues. */
+  public void find(String turnId, Consumer<Lookup> answer) {
+    fetch(turnId, 1, last -> onLast(last, answer));
+  }
+
+  /**
+   * Keeps a turn.
+   *
+   * @param giveUpNanos when to stop trying
+   * @param answer true once the store has it; false if that is not certain
+   */
+  public void keep(KeptTurn turn, long giveUpNanos, Consumer<Boolean> answer) {
+    store.transact(insertion(turn), outcome -> onKept(turn, giveUpNanos, outcome, answer));
+  }
+
+  private Transaction insertion(KeptTurn turn) {
+    List<byte[]> values = KeptTurnCodec.encode(turn, MAX_VALUE_BYTES);
+    List<Transaction.Put> puts = new ArrayList<>(values.size());
+    for (int i = 0; i < values.size(); i++) {
+      puts.add(new Transaction.Put(address(turn.id(), i), values.get(i)));
+    }
+    Transaction.Expectation absent =
+        new Transaction.Expectation(address(turn.id(), 0), Transaction.ABSENT);
+    return new Transaction(List.of(absent), puts, List.of());
+  }
+
+  private void onKept(
+      KeptTurn turn, long giveUpNanos, TransactionOutcome outcome, Consumer<Boolean> answer) {
+    // A conflict means that an earlier copy of this very write was done: identifiers are unique.
+    if (outcome instanceof TransactionOutcome.Applied
+        || outcome instanceof TransactionOutcome.Conflict) {
+      cache.put(turn);
+      answer.accept(true);
+    } else if (eventLoop.nanoTime() - giveUpNanos >= 0) {
+      answer.accept(false);
+    } else {
+      eventLoop.schedule(RETRY_MILLIS, () -> keep(turn, giveUpNanos, answer));
+    }
+  }
+
+  private void onLast(Fetched last, Consumer<Lookup> answer) {
+    if (last.turn() == null) {
+      answer.accept(last.absent() ? new Lookup.Absent() : new Lookup.Unavailable());
+      return;
+    }
+    List<String> missing = new ArrayList<>();
+    for (String ancestor : last.turn().ancestors()) {
+      if (cache.get(ancestor) == null) {
+        missing.add(ancestor);
+      }
+    }
+    if (missing.isEmpty()) {
+      answer.accept(chainOf(last.turn(), Map.of()));
+    } else {
+      fetchAll(last.turn(), missing, answer);
+    }
+  }
+
+  private void fetchAll(KeptTurn last, List<String> missing, Consumer<Lookup> answer) {
+    Map<String, KeptTurn> fetched = new HashMap<>();
+    int[] outstanding = {missing.size()};
+    for (String ancestor : missing) {
+      fetch(
+          ancestor,
+          1,
+          result -> {
+            if (result.turn() != null) {
+              fetched.put(ancestor, result.turn());
+            }
+            outstanding[0]--;
+            if (outstanding[0] == 0) {
+              answer.accept(chainOf(last, fetched));
+            }
+          });
+    }
+  }
+
+  private Lookup chainOf(KeptTurn last, Map<String, KeptTurn> fetched) {
+    List<KeptTurn> chain = new ArrayList<>();
+    for (String ancestor : last.ancestors()) {
+      KeptTurn turn = fetched.containsKey(ancestor) ? fetched.get(ancestor) : cache.get(ancestor);
+      if (turn == null) {
+        return new Lookup.Unavailable();
+      }
+      chain.add(turn);
+    }
+    chain.add(last);
+    return new Lookup.Found(chain);
+  }
+
+  /** A turn, or why there is none. */
+  private record Fetched(KeptTurn turn, boolean absent) {}
+
+  private void fetch(String id, int tries, Consumer<Fetched> answer) {
+    KeptTurn cached = cache.get(id);
+    if (cached != null) {
+      answer.accept(new Fetched(cached, false));
+      return;
+    }
+    RangeRead read = new RangeRead(TABLE, partition(id), key(id, 0), 1);
+    store.read(read, outcome -> onFirstPiece(id, tries, outcome, answer));
+  }
+
+  private void onFirstPiece(String id, int tries, ReadOutcome outcome, Consumer<Fetched> answer) {
+    if (!(outcome instanceof ReadOutcome.Rows rows)) {
+      retryFetch(id, tries, answer);
+      return;
+    }
+    if (rows.rows().isEmpty() || !rows.rows().get(0).address().key().equals(key(id, 0))) {
+      confirmAbsent(id, tries, answer);
+      return;
+    }
+    int pieces = KeptTurnCodec.pieces(rows.rows().get(0).value());
+    if (pieces == 1) {
+      answer.accept(new Fetched(remember(id, rows.rows()), false));
+      return;
+    }
+    RangeRead read = new RangeRead(TABLE, partition(id), key(id, 0), pieces);
+    store.read(read, whole -> onAllPieces(id, tries, pieces, whole, answer));
+  }
+
+  /** A read may be answered from an old state; a condition is always checked against the newest. */
+  private void confirmAbsent(String id, int tries, Consumer<Fetched> answer) {
+    Transaction.Expectation absent =
+        new Transaction.Expectation(address(id, 0), Transaction.ABSENT);
+    store.transact(
+        new Transaction(List.of(absent), List.of(), List.of()),
+        outcome -> {
+          if (outcome instanceof TransactionOutcome.Applied) {
+            answer.accept(new Fetched(null, true));
+          } else {
+            retryFetch(id, tries, answer);
+          }
+        });
+  }
+
+  private void onAllPieces(
+      String id, int tries, int pieces, ReadOutcome outcome, Consumer<Fetched> answer) {
+    if (outcome instanceof ReadOutcome.Rows rows && rows.rows().size() == pieces) {
+      answer.accept(new Fetched(remember(id, rows.rows()), false));
+    } else {
+      retryFetch(id, tries, answer);
+    }
+  }
+
+  private void retryFetch(String id, int tries, Consumer<Fetched> answer) {
+    if (tries >= MAX_READ_TRIES) {
+      answer.accept(new Fetched(null, false));
+    } else {
+      eventLoop.schedule(RETRY_MILLIS, () -> fetch(id, tries + 1, answer));
+    }
+  }
+
+  private KeptTurn remember(String id, List<StoredRow> rows) {
+    KeptTurn turn = KeptTurnCodec.decode(id, rows.stream().map(StoredRow::value).toList());
+    cache.put(turn);
+    return turn;
+  }
+
+  private static RowAddress address(String id, int piece) {
+    return new RowAddress(TABLE, partition(id), key(id, piece));
+  }
+
+  private static String key(String id, int piece) {
+    return id + '.' + (char) ('a' + piece);
+  }
+
+  private static String partition(String id) {
+    return "h" + Math.floorMod(StableHash.of(id), PARTITIONS);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectionFields.java
@@ -0,0 +1,54 @@
+package org.baykeel.gateway.http;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Header fields that belong to one connection and are never passed on. */
+public final class ConnectionFields {
+  private static final Set<String> NAMES =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "expect");
+
+  private ConnectionFields() {}
+
+  /** A copy of the fields without those that belong to the connection they came on. */
+  public static HttpHeaders without(HttpHeaders headers) {
+    Set<String> named = namedByConnection(headers);
+    HttpHeaders copy = new DefaultHttpHeaders(false);
+    for (Map.Entry<String, String> field : headers) {
+      String name = field.getKey().toLowerCase(Locale.ROOT);
+      if (!NAMES.contains(name) && !named.contains(name)) {
+        copy.add(field.getKey(), field.getValue());
+      }
+    }
+    return copy;
+  }
+
+  private static Set<String> namedByConnection(HttpHeaders headers) {
+    if (!headers.contains(HttpHeaderNames.CONNECTION)) {
+      return Set.of();
+    }
+    Set<String> named = new HashSet<>();
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String token : value.split(",")) {
+        named.add(token.trim().toLowerCase(Locale.ROOT));
+      }
+    }
+    return named;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -0,0 +1,206 @@
+package org.baykeel.gateway.http;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.baykeel.gateway.call.AnswerHead;
+import org.baykeel.gateway.call.AnswerTraits;
+import org.baykeel.gateway.call.EngineTransport.Failure;
+
+/**
+ * A connection to an engine. It is used again only after a whole answer to its own request with
+ * nothing behind it; an answer to another request is skipped and ends the connection's use.
+ */
+final class EngineConnection extends ChannelInboundHandlerAdapter {
+  private static final long DEFAULT_IDLE_MILLIS = 1_000;
+  private static final long IDLE_MARGIN_MILLIS = 400;
+
+  private final EngineConnections owner;
+  private final CallTranslator translator;
+  private Channel channel;
+  private PendingExchange current;
+  private ChannelFuture written;
+  private boolean reusable = true;
+  private boolean releasable;
+  private boolean answerBegun;
+  private boolean skipping;
+  private boolean informational;
+  private boolean used;
+  private boolean closedNoted;
+  private long idleMillis = DEFAULT_IDLE_MILLIS;
+  private long idleUntilNanos;
+  private String failure = "closed";
+
+  EngineConnection(EngineConnections owner, CallTranslator translator) {
+    this.owner = owner;
+    this.translator = translator;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    channel = context.channel();
+  }
+
+  boolean usable(long nowNanos) {
+    return channel.isActive() && nowNanos - idleUntilNanos < 0;
+  }
+
+  boolean markClosed() {
+    boolean first = !closedNoted;
+    closedNoted = true;
+    return first;
+  }
+
+  void close() {
+    channel.close();
+  }
+
+  void send(PendingExchange exchange) {
+    current = exchange;
+    exchange.attach(this);
+    answerBegun = false;
+    written = channel.writeAndFlush(exchange.request());
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      if (message instanceof HttpObject object) {
+        read(object);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void read(HttpObject object) {
+    if (object.decoderResult().isFailure()) {
+      failure = "not an answer";
+      close();
+      return;
+    }
+    if (current == null) {
+      // Bytes behind a whole answer belong to no request.
+      releasable = false;
+      close();
+      return;
+    }
+    if (object instanceof HttpResponse response) {
+      readHead(response);
+    }
+    if (object instanceof HttpContent content) {
+      readContent(content);
+    }
+  }
+
+  private void readHead(HttpResponse response) {
+    if (response.status().code() < 200) {
+      informational = true;
+      return;
+    }
+    AnswerTraits traits = translator.traits(response);
+    boolean own = current.requestId().equals(traits.requestId());
+    if (!own && (traits.requestId() != null || used)) {
+      skipping = true;
+      reusable = false;
+      return;
+    }
+    answerBegun = true;
+    boolean framed =
+        HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+    reusable = reusable && framed && HttpUtil.isKeepAlive(response);
+    noteKeepAlive(response.headers().get("Keep-Alive"));
+    current.head(
+        new AnswerHead(
+            response.status().code(), ConnectionFields.without(response.headers()), traits));
+  }
+
+  private void noteKeepAlive(String keepAlive) {
+    if (keepAlive == null) {
+      return;
+    }
+    int at = keepAlive.indexOf("timeout=");
+    if (at < 0) {
+      return;
+    }
+    int end = at + "timeout=".length();
+    long seconds = 0;
+    while (end < keepAlive.length() && Character.isDigit(keepAlive.charAt(end))) {
+      seconds = seconds * 10 + Character.digit(keepAlive.charAt(end++), 10);
+    }
+    idleMillis = Math.max(0, seconds * 1_000 - IDLE_MARGIN_MILLIS);
+  }
+
+  private void readContent(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    if (informational) {
+      informational = !last;
+      return;
+    }
+    if (skipping) {
+      skipping = !last;
+      return;
+    }
+    if (!answerBegun) {
+      return;
+    }
+    int length = content.content().readableBytes();
+    if (length > 0) {
+      byte[] bytes = new byte[length];
+      content.content().readBytes(bytes);
+      current.body(bytes);
+    }
+    if (last && current != null) {
+      completeAnswer();
+    }
+  }
+
+  private void completeAnswer() {
+    PendingExchange whole = current;
+    current = null;
+    used = true;
+    // An answer that came before the whole request was written leaves the rest of it due.
+    releasable = reusable && written.isDone() && channel.isActive() && !whole.cancelled();
+    if (!releasable) {
+      close();
+    }
+    whole.complete();
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (releasable) {
+      releasable = false;
+      idleUntilNanos = System.nanoTime() + idleMillis * 1_000_000;
+      owner.release(this);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    owner.closed(this);
+    if (current != null) {
+      PendingExchange broken = current;
+      current = null;
+      broken.fail(Failure.BROKEN, failure);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    failure = String.valueOf(cause.getMessage());
+    if (current != null) {
+      PendingExchange broken = current;
+      current = null;
+      broken.fail(Failure.BROKEN, failure);
+    }
+    close();
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpCaller.java
@@ -0,0 +1,194 @@
+package org.baykeel.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Makes HTTP calls to one address over kept connections, one call at a time on each. */
+public final class HttpCaller {
+  private static final int CONNECT_TIMEOUT_MILLIS = 400;
+  private static final int MAX_ANSWER_BYTES = 16 << 20;
+  private static final int MAX_IDLE = 8;
+  private static final long MAX_IDLE_NANOS = 5_000_000_000L;
+
+  /** How a call ended. */
+  public sealed interface Reply {
+    /** A whole answer. */
+    @SuppressWarnings("ArrayRecordComponent")
+    record Answered(int status, byte[] body) implements Reply {}
+
+    /** Not one byte of the call left this process. */
+    record NotSent(String reason) implements Reply {}
+
+    /** No whole answer; what the call asked for may have been done. */
+    record Lost(String reason) implements Reply {}
+  }
+
+  private final EventLoopGroup group;
+  private final InetSocketAddress address;
+  private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+
+  public HttpCaller(EventLoopGroup group, InetSocketAddress address) {
+    this.group = group;
+    this.address = address;
+  }
+
+  /**
+   * Makes a call.
+   *
+   * @param body the body, or null for none
+   * @param timeoutMillis when the call counts as lost and its connection is closed
+   */
+  @SuppressWarnings("ParameterNumber")
+  public void call(
+      HttpMethod method, String uri, byte[] body, long timeoutMillis, Consumer<Reply> answer) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            method,
+            uri,
+            body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
+    request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ':' + address.getPort());
+    if (body != null) {
+      request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+      HttpUtil.setContentLength(request, body.length);
+    }
+    Connection connection = takeIdle();
+    if (connection != null) {
+      connection.send(request, timeoutMillis, answer);
+    } else {
+      connect(request, timeoutMillis, answer);
+    }
+  }
+
+  private Connection takeIdle() {
+    long now = System.nanoTime();
+    Connection candidate;
+    while ((candidate = idle.pollLast()) != null) {
+      if (candidate.channel.isActive() && now - candidate.idleSinceNanos < MAX_IDLE_NANOS) {
+        return candidate;
+      }
+      candidate.channel.close();
+    }
+    return null;
+  }
+
+  private void connect(FullHttpRequest request, long timeoutMillis, Consumer<Reply> answer) {
+    Connection connection = new Connection();
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                    .addLast(connection);
+              }
+            })
+        .connect(address)
+        .addListener(
+            future -> {
+              if (future.isSuccess()) {
+                connection.send(request, timeoutMillis, answer);
+              } else {
+                request.release();
+                answer.accept(new Reply.NotSent(String.valueOf(future.cause().getMessage())));
+              }
+            });
+  }
+
+  /** One kept connection. */
+  private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private Channel channel;
+    private Consumer<Reply> waiting;
+    private Future<?> timeout;
+    private long idleSinceNanos;
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+      channel = context.channel();
+    }
+
+    void send(FullHttpRequest request, long timeoutMillis, Consumer<Reply> answer) {
+      waiting = answer;
+      timeout =
+          channel
+              .eventLoop()
+              .schedule(() -> lose("time-out"), timeoutMillis, TimeUnit.MILLISECONDS);
+      channel.writeAndFlush(request);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      if (response.decoderResult().isFailure() || waiting == null) {
+        lose("not an answer");
+        return;
+      }
+      byte[] body = new byte[response.content().readableBytes()];
+      response.content().readBytes(body);
+      Consumer<Reply> answer = takeWaiting();
+      if (HttpUtil.isKeepAlive(response) && idle.size() < MAX_IDLE) {
+        idleSinceNanos = System.nanoTime();
+        idle.addLast(this);
+      } else {
+        channel.close();
+      }
+      answer.accept(new Reply.Answered(response.status().code(), body));
+    }
+
+    private Consumer<Reply> takeWaiting() {
+      Consumer<Reply> answer = waiting;
+      waiting = null;
+      if (timeout != null) {
+        timeout.cancel(false);
+      }
+      return answer;
+    }
+
+    private void lose(String reason) {
+      idle.remove(this);
+      channel.close();
+      Consumer<Reply> answer = takeWaiting();
+      if (answer != null) {
+        answer.accept(new Reply.Lost(reason));
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      lose("closed");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      lose(String.valueOf(cause.getMessage()));
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -0,0 +1,339 @@
+package org.baykeel.gateway.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import org.baykeel.core.error.BaykeelException;
+import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.call.AnswerHead;
+import org.baykeel.gateway.call.CallAttributes;
+import org.baykeel.gateway.call.CallCoordinator;
+import org.baykeel.gateway.call.CallRequest;
+import org.baykeel.gateway.call.CallResponder;
+import org.baykeel.gateway.call.ClientCall;
+import org.baykeel.gateway.call.GatewayState;
+import org.baykeel.gateway.call.Refusal;
+import org.baykeel.gateway.configuration.RequestLimits;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+
+/** A caller's connection: reads one request at a time and writes its answer. */
+final class IngressConnection extends ChannelInboundHandlerAdapter implements CallResponder {
+  private static final int MAX_QUEUED_OBJECTS = 32;
+  private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
+  private static final int REQUEST_HEADER_FIELDS_TOO_LARGE = 431;
+
+  private final IngressServer server;
+  private final CallCoordinator coordinator;
+  private final CallTranslator translator;
+  private final GatewayState state;
+  private final DecisionLog log;
+  private final ArrayDeque<HttpObject> queued = new ArrayDeque<>();
+  private ChannelHandlerContext context;
+  private HttpRequest head;
+  private CallAttributes attributes;
+  private ByteArrayOutputStream body;
+  private ClientCall call;
+  private boolean answering;
+  private boolean keepAlive = true;
+  private boolean discarding;
+  private long lastActivityNanos = System.nanoTime();
+
+  IngressConnection(
+      IngressServer server,
+      CallCoordinator coordinator,
+      CallTranslator translator,
+      GatewayState state,
+      DecisionLog log) {
+    this.server = server;
+    this.coordinator = coordinator;
+    this.translator = translator;
+    this.state = state;
+    this.log = log;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext handlerContext) {
+    context = handlerContext;
+  }
+
+  boolean active() {
+    return answering || head != null;
+  }
+
+  void close() {
+    context.close();
+  }
+
+  void closeIfStalled(long now, RequestLimits limits) {
+    if (answering) {
+      return;
+    }
+    long quietMillis = (now - lastActivityNanos) / 1_000_000;
+    if (quietMillis > (head != null ? limits.headerTimeoutMillis() : limits.idleTimeoutMillis())) {
+      context.close();
+    }
+  }
+
+  // Reading.
+
+  @Override
+  public void channelRead(ChannelHandlerContext handlerContext, Object message) {
+    lastActivityNanos = System.nanoTime();
+    if (discarding || !(message instanceof HttpObject object)) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    if (answering) {
+      queued.add(object);
+      if (queued.size() > MAX_QUEUED_OBJECTS) {
+        context.channel().config().setAutoRead(false);
+      }
+      return;
+    }
+    read(object);
+  }
+
+  private void read(HttpObject object) {
+    try {
+      if (object.decoderResult().isFailure()) {
+        refuseMalformed(object.decoderResult().cause());
+        return;
+      }
+      if (object instanceof HttpRequest request) {
+        beginRequest(request);
+      }
+      if (object instanceof HttpContent content && !discarding && head != null) {
+        addContent(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(object);
+    }
+  }
+
+  private void beginRequest(HttpRequest request) {
+    head = request;
+    body = new ByteArrayOutputStream();
+    keepAlive = HttpUtil.isKeepAlive(request);
+    attributes = null;
+    if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+      refuseAndClose(ErrorKind.INVALID_REQUEST, "host");
+      return;
+    }
+    String encoding = request.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
+    if (encoding != null && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding.trim())) {
+      refuseAndClose(ErrorKind.INVALID_REQUEST, "transfer encoding");
+      return;
+    }
+    if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
+      refuseAndClose(ErrorKind.TOO_LARGE, "body");
+      return;
+    }
+    if (HttpUtil.is100ContinueExpected(request)) {
+      context.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
+  private void addContent(HttpContent content) {
+    int length = content.content().readableBytes();
+    if (body.size() + length > server.limits().maxBodyBytes()) {
+      refuseAndClose(ErrorKind.TOO_LARGE, "body");
+      return;
+    }
+    byte[] bytes = new byte[length];
+    content.content().readBytes(bytes);
+    body.writeBytes(bytes);
+    if (content instanceof LastHttpContent) {
+      startCall();
+    }
+  }
+
+  private void startCall() {
+    HttpRequest request = head;
+    try {
+      attributes = translator.attributes(request.headers());
+    } catch (BaykeelException e) {
+      refuseAndClose(e.kind(), e.getMessage());
+      return;
+    }
+    answering = true;
+    CallRequest callRequest =
+        new CallRequest(
+            request.method().name(),
+            request.uri(),
+            request.headers().get(HttpHeaderNames.HOST),
+            request.headers(),
+            body.toByteArray(),
+            attributes,
+            System.nanoTime());
+    body = null;
+    ClientCall started = coordinator.accept(callRequest, this);
+    if (answering) {
+      call = started;
+    }
+  }
+
+  private void refuseMalformed(Throwable cause) {
+    head = null;
+    if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
+      discarding = true;
+      log.write(GatewayEvent.BAD_REQUEST, "status", REQUEST_HEADER_FIELDS_TOO_LARGE);
+      writeEmpty(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+      return;
+    }
+    refuseAndClose(ErrorKind.INVALID_REQUEST, String.valueOf(cause.getMessage()));
+  }
+
+  private void writeEmpty(HttpResponseStatus status) {
+    FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+    HttpUtil.setContentLength(response, 0);
+    HttpUtil.setKeepAlive(response, false);
+    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void refuseAndClose(ErrorKind kind, String detail) {
+    log.write(GatewayEvent.BAD_REQUEST, "status", kind.httpStatus(), "detail", detail);
+    discarding = true;
+    keepAlive = false;
+    refuse(Refusal.of(kind, detail));
+  }
+
+  // Writing.
+
+  @Override
+  public void refuse(Refusal refusal) {
+    byte[] text = (refusal.kind().summary() + "\n").getBytes(StandardCharsets.UTF_8);
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(refusal.kind().httpStatus()),
+            Unpooled.wrappedBuffer(text));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+    translator.describeRefusal(response.headers(), refusal, attributes);
+    writeWhole(response);
+  }
+
+  @Override
+  public void answer(AnswerHead answerHead, byte[] bytes) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(answerHead.status()),
+            Unpooled.wrappedBuffer(bytes));
+    response.headers().add(answerHead.headers());
+    writeWhole(response);
+  }
+
+  private void writeWhole(FullHttpResponse response) {
+    HttpUtil.setContentLength(response, response.content().readableBytes());
+    boolean keep = prepareConnection(response.headers());
+    context.write(response);
+    finishAnswer(keep);
+  }
+
+  @Override
+  public void begin(AnswerHead answerHead) {
+    HttpResponse response =
+        new DefaultHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answerHead.status()));
+    response.headers().add(answerHead.headers());
+    HttpUtil.setTransferEncodingChunked(response, true);
+    keepAlive = prepareConnection(response.headers());
+    context.write(response);
+  }
+
+  @Override
+  public void event(byte[] bytes) {
+    context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    if (context.channel().unsafe().outboundBuffer() != null
+        && context.channel().unsafe().outboundBuffer().totalPendingWriteBytes()
+            > MAX_UNWRITTEN_BYTES) {
+      context.close();
+    }
+  }
+
+  @Override
+  public void end() {
+    context.write(LastHttpContent.EMPTY_LAST_CONTENT);
+    finishAnswer(keepAlive);
+  }
+
+  @Override
+  public void abort() {
+    answering = false;
+    call = null;
+    discarding = true;
+    context.close();
+  }
+
+  private boolean prepareConnection(HttpHeaders headers) {
+    boolean keep = keepAlive && state.ready();
+    if (!keep) {
+      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    return keep;
+  }
+
+  private void finishAnswer(boolean keep) {
+    answering = false;
+    call = null;
+    head = null;
+    lastActivityNanos = System.nanoTime();
+    if (!keep) {
+      discarding = true;
+      context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
+    context.flush();
+    while (!answering && !queued.isEmpty()) {
+      read(queued.poll());
+    }
+    if (!answering && !context.channel().config().isAutoRead()) {
+      context.channel().config().setAutoRead(true);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext handlerContext) {
+    server.closed(this);
+    queued.forEach(ReferenceCountUtil::release);
+    queued.clear();
+    ClientCall left = call;
+    call = null;
+    answering = false;
+    if (left != null) {
+      left.callerLeft();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+    if (!(cause instanceof java.io.IOException)) {
+      log.write(GatewayEvent.FAULT, "where", "caller connection", "error", cause.toString());
+    }
+    context.close();
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -0,0 +1,124 @@
+package org.baykeel.gateway.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.baykeel.gateway.call.CallCoordinator;
+import org.baykeel.gateway.call.GatewayState;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.configuration.RequestLimits;
+import org.baykeel.gateway.telemetry.DecisionLog;
+
+/** Accepts callers' connections and closes those that rest or stall for too long. */
+public final class IngressServer {
+  private static final long SWEEP_MILLIS = 500;
+  private static final int BACKLOG = 1_024;
+  private static final int MAX_CHUNK_BYTES = 65_536;
+
+  /** The decoder counts the request line by itself; a limit applies to both together. */
+  private static final int LIMIT_SLACK_BYTES = 512;
+
+  private final CallCoordinator coordinator;
+  private final CallTranslator translator;
+  private final GatewayState state;
+  private final DecisionLog log;
+  private final Set<IngressConnection> connections = new LinkedHashSet<>();
+  private Channel listener;
+
+  public IngressServer(
+      CallCoordinator coordinator, CallTranslator translator, GatewayState state, DecisionLog log) {
+    this.coordinator = coordinator;
+    this.translator = translator;
+    this.state = state;
+    this.log = log;
+  }
+
+  /** Binds and listens; fails with an exception if the address cannot be bound. */
+  public void listen(EventLoopGroup group, InetSocketAddress address) {
+    listener =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    accept(channel);
+                  }
+                })
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+    group
+        .next()
+        .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void accept(SocketChannel channel) {
+    int headerBytes = limits().maxHeaderBytes() + LIMIT_SLACK_BYTES;
+    HttpDecoderConfig config =
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(headerBytes)
+            .setMaxHeaderSize(headerBytes)
+            .setMaxChunkSize(MAX_CHUNK_BYTES);
+    IngressConnection connection = new IngressConnection(this, coordinator, translator, state, log);
+    connections.add(connection);
+    channel
+        .pipeline()
+        .addLast(new StrictRequestDecoder(config))
+        .addLast(new HttpResponseEncoder())
+        .addLast(connection);
+  }
+
+  RequestLimits limits() {
+    GatewayConfiguration configuration = state.configuration();
+    return configuration == null ? RequestLimits.DEFAULT : configuration.limits();
+  }
+
+  void closed(IngressConnection connection) {
+    connections.remove(connection);
+  }
+
+  private void sweep() {
+    long now = System.nanoTime();
+    RequestLimits limits = limits();
+    for (IngressConnection connection : new ArrayList<>(connections)) {
+      connection.closeIfStalled(now, limits);
+    }
+  }
+
+  /** Requests that are under way. */
+  public int activeCalls() {
+    int active = 0;
+    for (IngressConnection connection : connections) {
+      if (connection.active()) {
+        active++;
+      }
+    }
+    return active;
+  }
+
+  /** Closes connections between two requests, and stops accepting. */
+  public void closeIdle() {
+    listener.close();
+    for (IngressConnection connection : new ArrayList<>(connections)) {
+      if (!connection.active()) {
+        connection.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -0,0 +1,120 @@
+package org.baykeel.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.baykeel.gateway.call.EngineRequest;
+import org.baykeel.gateway.call.EngineTransport;
+import org.baykeel.gateway.directory.Engine;
+
+/** Sends requests to engines over kept connections, one request at a time on each. */
+public final class NettyEngineTransport implements EngineTransport {
+  private static final int CONNECT_TIMEOUT_MILLIS = 300;
+  private static final long SWEEP_MILLIS = 500;
+  private static final int MAX_CONNECTIONS_PER_ENGINE = 24;
+
+  private final EventLoopGroup group;
+  private final CallTranslator translator;
+  private final Map<String, EngineConnections> byEngine = new HashMap<>();
+
+  public NettyEngineTransport(EventLoopGroup group, CallTranslator translator) {
+    this.group = group;
+    this.translator = translator;
+    group
+        .next()
+        .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public Exchange send(Engine engine, EngineRequest request, Listener listener) {
+    EngineConnections connections =
+        byEngine.computeIfAbsent(engine.record().id(), id -> new EngineConnections(engine));
+    PendingExchange exchange =
+        new PendingExchange(
+            request.source().attributes().requestId(), encode(request, engine), listener);
+    EngineConnection idle = connections.takeIdle(System.nanoTime());
+    if (idle != null) {
+      idle.send(exchange);
+    } else if (connections.open() >= MAX_CONNECTIONS_PER_ENGINE) {
+      // The listener must not be called before its owner holds the exchange.
+      group.next().execute(() -> exchange.fail(Failure.NOT_SENT, "connection limit"));
+    } else {
+      connect(engine, connections, exchange);
+    }
+    return exchange;
+  }
+
+  private FullHttpRequest encode(EngineRequest request, Engine engine) {
+    FullHttpRequest encoded =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(request.source().method()),
+            request.source().target(),
+            Unpooled.wrappedBuffer(request.body()));
+    encoded.headers().set(translator.engineHeaders(request, engine));
+    if (request.body().length > 0 || !request.source().method().equals("GET")) {
+      HttpUtil.setContentLength(encoded, request.body().length);
+    }
+    return encoded;
+  }
+
+  private void connect(Engine engine, EngineConnections connections, PendingExchange exchange) {
+    EngineConnection connection = new EngineConnection(connections, translator);
+    connections.opened();
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpResponseDecoder())
+                    .addLast(new HttpRequestEncoder())
+                    .addLast(connection);
+              }
+            })
+        .connect(engine.record().host(), engine.record().port())
+        .addListener(
+            future -> {
+              if (!future.isSuccess()) {
+                connections.closed(connection);
+                exchange.fail(Failure.NOT_SENT, "connect " + future.cause().getMessage());
+              } else if (exchange.cancelled()) {
+                connection.close();
+              } else {
+                connection.send(exchange);
+              }
+            });
+  }
+
+  private void sweep() {
+    long now = System.nanoTime();
+    Iterator<EngineConnections> all = byEngine.values().iterator();
+    while (all.hasNext()) {
+      EngineConnections connections = all.next();
+      connections.closeExpired(now);
+      if (connections.open() == 0 && connections.engine().removed()) {
+        all.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
@@ -0,0 +1,73 @@
+package org.baykeel.gateway.http;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import org.baykeel.gateway.call.AnswerHead;
+import org.baykeel.gateway.call.EngineTransport;
+
+/** A request on its way to one engine, and who hears of the answer. */
+final class PendingExchange implements EngineTransport.Exchange {
+  private final String requestId;
+  private final FullHttpRequest request;
+  private final EngineTransport.Listener listener;
+  private EngineConnection connection;
+  private boolean cancelled;
+  private boolean ended;
+
+  PendingExchange(String requestId, FullHttpRequest request, EngineTransport.Listener listener) {
+    this.requestId = requestId;
+    this.request = request;
+    this.listener = listener;
+  }
+
+  String requestId() {
+    return requestId;
+  }
+
+  FullHttpRequest request() {
+    return request;
+  }
+
+  void attach(EngineConnection carrier) {
+    connection = carrier;
+  }
+
+  boolean cancelled() {
+    return cancelled;
+  }
+
+  @Override
+  public void cancel() {
+    cancelled = true;
+    if (connection != null && !ended) {
+      connection.close();
+    }
+  }
+
+  void head(AnswerHead head) {
+    if (!cancelled) {
+      listener.onHead(head);
+    }
+  }
+
+  void body(byte[] bytes) {
+    if (!cancelled) {
+      listener.onBody(bytes);
+    }
+  }
+
+  void complete() {
+    if (!ended && !cancelled) {
+      ended = true;
+      listener.onComplete();
+    }
+    ended = true;
+  }
+
+  void fail(EngineTransport.Failure failure, String detail) {
+    if (!ended && !cancelled) {
+      ended = true;
+      listener.onFailure(failure, detail);
+    }
+    ended = true;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ReadinessServer.java
@@ -0,0 +1,81 @@
+package org.baykeel.gateway.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+
+/** Answers 200 to any request while the process is ready for callers, 503 otherwise. */
+public final class ReadinessServer {
+  private static final int MAX_REQUEST_BYTES = 16_384;
+
+  private final BooleanSupplier ready;
+
+  public ReadinessServer(BooleanSupplier ready) {
+    this.ready = ready;
+  }
+
+  /** Binds and listens. */
+  public void listen(EventLoopGroup group, InetSocketAddress address) {
+    new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+                    .addLast(new Handler());
+              }
+            })
+        .bind(address)
+        .syncUninterruptibly();
+  }
+
+  /** Answers one connection. */
+  private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      boolean isReady = ready.getAsBoolean();
+      byte[] text = (isReady ? "ready\n" : "not ready\n").getBytes(StandardCharsets.US_ASCII);
+      FullHttpResponse response =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1,
+              isReady ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+              Unpooled.wrappedBuffer(text));
+      HttpUtil.setContentLength(response, text.length);
+      boolean keep = HttpUtil.isKeepAlive(request);
+      HttpUtil.setKeepAlive(response, keep);
+      var future = context.writeAndFlush(response);
+      if (!keep) {
+        future.addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP/1.1 over Netty: callers' connections, connections to engines, and simple outgoing calls. */
+package org.baykeel.gateway.http;
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Time and timers, injected so that tests and simulations drive them. */
+package org.baykeel.gateway.runtime;
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/BackendChooser.java
@@ -0,0 +1,70 @@
+package org.baykeel.gateway.scheduling;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.baykeel.gateway.configuration.Backend;
+import org.baykeel.gateway.configuration.Route;
+
+/**
+ * Splits a route's requests among its services by weight. Requests with a key (a session, an
+ * object) always go to the same part; the others take smooth weighted round robin, which keeps the
+ * shares exact over any run of requests.
+ */
+public final class BackendChooser {
+  private final Map<String, long[]> creditByRoute = new HashMap<>();
+
+  /**
+   * The service for a request.
+   *
+   * @param key what the request must stay together with, or null
+   */
+  public String choose(Route route, String key) {
+    List<Backend> backends = route.backends();
+    if (backends.size() == 1) {
+      return backends.get(0).service();
+    }
+    int total = totalWeight(backends);
+    if (total <= 0) {
+      return backends.get(0).service();
+    }
+    return key == null ? byRoundRobin(route, total) : byKey(backends, total, key);
+  }
+
+  private static String byKey(List<Backend> backends, int total, String key) {
+    int point = Math.floorMod(StableHash.of(key), total);
+    for (Backend backend : backends) {
+      point -= backend.weight();
+      if (point < 0) {
+        return backend.service();
+      }
+    }
+    return backends.get(0).service();
+  }
+
+  private String byRoundRobin(Route route, int total) {
+    List<Backend> backends = route.backends();
+    long[] credit = creditByRoute.get(route.name());
+    if (credit == null || credit.length != backends.size()) {
+      credit = new long[backends.size()];
+      creditByRoute.put(route.name(), credit);
+    }
+    int best = -1;
+    for (int i = 0; i < credit.length; i++) {
+      credit[i] += backends.get(i).weight();
+      if (backends.get(i).weight() > 0 && (best < 0 || credit[i] > credit[best])) {
+        best = i;
+      }
+    }
+    credit[best] -= total;
+    return backends.get(best).service();
+  }
+
+  private static int totalWeight(List<Backend> backends) {
+    int total = 0;
+    for (Backend backend : backends) {
+      total += backend.weight();
+    }
+    return total;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableWatcher.java
@@ -0,0 +1,119 @@
+package org.baykeel.gateway.storage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+
+/**
+ * Keeps a process's copy of a table current: reads it whole once, then follows the feed. Versions
+ * never go back: an answer older than what is known is dropped and asked for again, since a store
+ * that has just recovered may answer reads from an old state.
+ */
+public final class TableWatcher {
+  private static final int PAGE_ROWS = 500;
+  private static final long FIRST_RETRY_MILLIS = 50;
+  private static final long LONGEST_RETRY_MILLIS = 400;
+
+  /** Receives the table's state. */
+  public interface Listener {
+    /** The whole table as of one version. */
+    void onSnapshot(List<StoredRow> rows);
+
+    /** Rows that changed since the last call. */
+    void onChanges(List<StoredRow> rows);
+  }
+
+  private final String table;
+  private final DurableStore store;
+  private final int waitMillis;
+  private final BiConsumer<Runnable, Long> scheduler;
+  private final Listener listener;
+  private final List<StoredRow> pages = new ArrayList<>();
+  private long knownVersion;
+  private long firstPageVersion;
+  private boolean hasSnapshot;
+  private long retryMillis = FIRST_RETRY_MILLIS;
+
+  /**
+   * Creates a watcher.
+   *
+   * @param waitMillis how long one question to the feed may wait; also bounds how late a lost path
+   *     to the store is noticed
+   * @param scheduler runs a task after a delay in milliseconds on the event loop
+   */
+  public TableWatcher(
+      String table,
+      DurableStore store,
+      int waitMillis,
+      BiConsumer<Runnable, Long> scheduler,
+      Listener listener) {
+    this.table = table;
+    this.store = store;
+    this.waitMillis = waitMillis;
+    this.scheduler = scheduler;
+    this.listener = listener;
+  }
+
+  /** Begins to read. */
+  public void start() {
+    readFrom(null);
+  }
+
+  /** Whether the table has been read whole. */
+  public boolean hasSnapshot() {
+    return hasSnapshot;
+  }
+
+  private void readFrom(String fromKey) {
+    if (fromKey == null) {
+      pages.clear();
+    }
+    store.read(new RangeRead(table, "", fromKey, PAGE_ROWS), this::onPage);
+  }
+
+  private void onPage(ReadOutcome outcome) {
+    if (!(outcome instanceof ReadOutcome.Rows page) || page.version() < knownVersion) {
+      retryLater(() -> readFrom(null));
+      return;
+    }
+    if (pages.isEmpty()) {
+      firstPageVersion = page.version();
+    }
+    pages.addAll(page.rows());
+    if (page.more()) {
+      String lastKey = page.rows().get(page.rows().size() - 1).address().key();
+      readFrom(lastKey + '\0');
+      return;
+    }
+    retryMillis = FIRST_RETRY_MILLIS;
+    knownVersion = Math.max(knownVersion, firstPageVersion);
+    hasSnapshot = true;
+    listener.onSnapshot(List.copyOf(pages));
+    pages.clear();
+    follow();
+  }
+
+  private void follow() {
+    store.watch(table, knownVersion, waitMillis, this::onFeed);
+  }
+
+  private void onFeed(ReadOutcome outcome) {
+    if (outcome instanceof ReadOutcome.Rows changes) {
+      retryMillis = FIRST_RETRY_MILLIS;
+      knownVersion = Math.max(knownVersion, changes.version());
+      if (!changes.rows().isEmpty()) {
+        listener.onChanges(changes.rows());
+      }
+      follow();
+    } else if (outcome instanceof ReadOutcome.HistoryGone) {
+      readFrom(null);
+    } else {
+      retryLater(this::follow);
+    }
+  }
+
+  private void retryLater(Runnable task) {
+    scheduler.accept(task, retryMillis);
+    retryMillis = Math.min(LONGEST_RETRY_MILLIS, retryMillis * 2);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -0,0 +1,33 @@
+package org.baykeel.gateway.telemetry;
+
+/** The closed list of numbered events of the gateway; docs/EVENTS.md lists them. */
+public enum GatewayEvent {
+  GATEWAY_STARTED(300),
+  GATEWAY_READY(301),
+  GATEWAY_STOPPING(302),
+  GATEWAY_STOPPED(303),
+  SETTINGS_RELOADED(304),
+  CONFIGURATION_IN_FORCE(310),
+  CONFIGURATION_IGNORED(311),
+  ENGINES_CHANGED(312),
+  STORE_LOST(320),
+  STORE_REGAINED(321),
+  CALL_ENDED(330),
+  CALL_REFUSED(331),
+  ATTEMPT_ENDED(332),
+  STREAM_RESUMED(333),
+  BAD_REQUEST(334),
+  LINES_DROPPED(340),
+  FAULT(399);
+
+  private final int number;
+
+  GatewayEvent(int number) {
+    this.number = number;
+  }
+
+  /** The number of the event; never reused. */
+  public int number() {
+    return number;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/LineWriter.java
@@ -0,0 +1,107 @@
+package org.baykeel.gateway.telemetry;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes lines of {@code key=value} pairs from a thread of its own. When its queue is full, lines
+ * are dropped and counted; the count is written once there is room.
+ */
+public final class LineWriter implements DecisionLog, AutoCloseable {
+  private static final int QUEUE_LINES = 2_048;
+  private static final long FLUSH_MILLIS = 250;
+  private static final long IDLE_MILLIS = 1_000;
+
+  private final String node;
+  private final OutputStream out;
+  private final ArrayBlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+  private final AtomicLong dropped = new AtomicLong();
+  private final Thread thread;
+  private volatile boolean closed;
+
+  public LineWriter(String node, OutputStream out) {
+    this.node = node;
+    this.out = out;
+    this.thread = new Thread(this::run, "log");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  @Override
+  public void write(GatewayEvent event, Object... fields) {
+    if (!queue.offer(format(event, fields))) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  private String format(GatewayEvent event, Object... fields) {
+    StringBuilder line = new StringBuilder(160);
+    line.append("t=").append(System.currentTimeMillis());
+    line.append(" event=").append(event.number()).append(" name=").append(event.name());
+    line.append(" node=").append(node);
+    for (int i = 0; i + 1 < fields.length; i += 2) {
+      line.append(' ').append(fields[i]).append('=');
+      appendValue(line, String.valueOf(fields[i + 1]));
+    }
+    return line.append('\n').toString();
+  }
+
+  private static void appendValue(StringBuilder line, String value) {
+    boolean plain = !value.isEmpty() && value.indexOf(' ') < 0 && value.indexOf('"') < 0;
+    if (plain && value.indexOf('\n') < 0) {
+      line.append(value);
+    } else {
+      line.append('"').append(value.replace('"', '\'').replace('\n', ' ')).append('"');
+    }
+  }
+
+  private void run() {
+    StringBuilder batch = new StringBuilder();
+    try {
+      while (!closed || !queue.isEmpty()) {
+        String first = queue.poll(IDLE_MILLIS, TimeUnit.MILLISECONDS);
+        if (first != null) {
+          batch.append(first);
+        }
+        drainInto(batch);
+        if (batch.length() > 0) {
+          out.write(batch.toString().getBytes(StandardCharsets.UTF_8));
+          out.flush();
+          batch.setLength(0);
+        }
+        if (!closed) {
+          Thread.sleep(FLUSH_MILLIS);
+        }
+      }
+    } catch (IOException | InterruptedException e) {
+      // Nobody reads the log any more; requests go on without it.
+      closed = true;
+    }
+  }
+
+  private void drainInto(StringBuilder batch) {
+    String line;
+    while ((line = queue.poll()) != null) {
+      batch.append(line);
+    }
+    long lost = dropped.getAndSet(0);
+    if (lost > 0) {
+      batch.append(format(GatewayEvent.LINES_DROPPED, "count", lost));
+    }
+  }
+
+  /** Writes what is queued and ends the thread. */
+  @Override
+  public void close() {
+    closed = true;
+    try {
+      thread.join(IDLE_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Structured lines about decisions, and counters. */
+package org.baykeel.gateway.telemetry;
