--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -126,8 +126,7 @@
   void passesOnEventsAndTheEnd() {
     call("/once/");
     transport.last().stream().event(1).event(2).complete();
-    assertEquals(
-        List.of("begin", "id: 1 data: d1", "id: 2 data: d2", "end"), responder.heard());
+    assertEquals(List.of("begin", "id: 1 data: d1", "id: 2 data: d2", "end"), responder.heard());
   }
 
   @Test
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
@@ -133,8 +133,7 @@
   }
 
   @Override
-  public void watch(
-      String table, long afterVersion, int waitMillis, Consumer<ReadOutcome> answer) {
+  public void watch(String table, long afterVersion, int waitMillis, Consumer<ReadOutcome> answer) {
     throw new UnsupportedOperationException("tests of the watcher script their own answers");
   }
 
