--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
@@ -14,7 +14,7 @@
  * the configuration never goes back within one life of the process.
  */
 public final class GatewayState {
-  private static final long STORE_DISTURBED_NANOS = 5_000_000_000L;
+  private static final long STORE_DISTURBED_NANOS = 3_000_000_000L;
   private static final long STORE_LOST_NANOS = 3_500_000_000L;
 
   private final EventLoop eventLoop;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -13,13 +13,21 @@
  * that vanishes in calm times, or that drains, gets no new work at once.
  */
 public final class EngineDirectory {
-  /** How long an engine whose entry vanished around an outage may still be used. */
-  static final long LAPSE_GRACE_NANOS = 4_000_000_000L;
-
+  private final long lapseGraceNanos;
   private final Map<String, Engine> byId = new HashMap<>();
   private final Map<String, List<Engine>> byService = new HashMap<>();
   private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
 
+  /**
+   * Creates a directory.
+   *
+   * @param lapseGraceNanos how long an engine whose entry vanished around an outage may still be
+   *     used; well under the time after which a leaving engine must get no work
+   */
+  public EngineDirectory(long lapseGraceNanos) {
+    this.lapseGraceNanos = lapseGraceNanos;
+  }
+
   /** Adopts the whole list of engines. */
   public void replaceAll(List<EngineRecord> records, boolean storeDisturbed, long nowNanos) {
     Set<String> present = new HashSet<>();
@@ -58,7 +66,7 @@
       return;
     }
     if (storeDisturbed && !engine.record().draining()) {
-      lapsedUntilNanos.put(id, nowNanos + LAPSE_GRACE_NANOS);
+      lapsedUntilNanos.put(id, nowNanos + lapseGraceNanos);
       return;
     }
     drop(engine);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -41,7 +41,7 @@
   private final TestingTransport transport = new TestingTransport();
   private final TestingResponder responder = new TestingResponder();
   private final StoreHealth storeHealth = new StoreHealth();
-  private final EngineDirectory engines = new EngineDirectory();
+  private final EngineDirectory engines = new EngineDirectory(1_500_000_000L);
   private final GatewayState state =
       new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
   private GatewayContext context;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/directory/TestEngineDirectory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/directory/TestEngineDirectory.java
@@ -6,7 +6,9 @@
 import org.junit.jupiter.api.Test;
 
 class TestEngineDirectory {
-  private final EngineDirectory directory = new EngineDirectory();
+  private static final long GRACE_NANOS = 1_500_000_000L;
+
+  private final EngineDirectory directory = new EngineDirectory(GRACE_NANOS);
 
   private static EngineRecord engine(String id, boolean draining) {
     return new EngineRecord(id, "s", "10.0.0.1", 80, "z", 4, draining);
@@ -24,7 +26,7 @@
     directory.put(engine("a", false));
     directory.replaceAll(List.of(), true, 0);
     assertEquals(1, directory.ofService("s").size());
-    directory.expireLapsed(EngineDirectory.LAPSE_GRACE_NANOS);
+    directory.expireLapsed(GRACE_NANOS);
     assertEquals(0, directory.ofService("s").size());
   }
 
@@ -33,7 +35,7 @@
     directory.put(engine("a", false));
     directory.remove("a", true, 0);
     directory.put(engine("a", false));
-    directory.expireLapsed(EngineDirectory.LAPSE_GRACE_NANOS);
+    directory.expireLapsed(GRACE_NANOS);
     assertEquals(1, directory.ofService("s").size());
   }
 
