--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
@@ -64,11 +64,6 @@
     return reservation;
   }
 
-  /** Whether the next grant might be refused because the budget is nearly spent. */
-  boolean nearlySpent(int tokens) {
-    return rowSeen && row.grantedTokens() + 2L * tokens > budgetTokens;
-  }
-
   boolean idleSince(long nanos) {
     return openReservations == 0 && waiting.isEmpty() && !asking && lastUsedNanos - nanos < 0;
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
@@ -33,11 +33,6 @@
     return account(program).reserve(budgetTokens, turnTokens, giveUpNanos, onDecided);
   }
 
-  /** Whether a turn's grant might be refused, so that it must not be sent before the decision. */
-  public boolean nearlySpent(String program, int turnTokens) {
-    return account(program).nearlySpent(turnTokens);
-  }
-
   /** Forgets programs that have not been heard of for a while. Their rows stay in the store. */
   public void forgetIdle() {
     long since = eventLoop.nanoTime() - FORGET_NANOS;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -36,6 +36,7 @@
   private static final long KEEP_PATIENCE_MILLIS = 1_500;
   private static final long NOT_READY_RETRY_MILLIS = 250;
   private static final long BUSY_RETRY_MILLIS = 150;
+  private static final long OVERLOADED_RETRY_MILLIS = 400;
   private static final long STORE_RETRY_MILLIS = 800;
   private static final long FULL_PENALTY_MILLIS = 30;
 
@@ -128,6 +129,12 @@
       refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "kept turn without store");
       return false;
     }
+    boolean mostUrgent = route.priority() == 0;
+    if (attributes().beginsProgram()
+        && !context.congestion().admits(mostUrgent, eventLoop.nanoTime())) {
+      refuse(ErrorKind.OVERLOADED, OVERLOADED_RETRY_MILLIS, "engines keep work waiting");
+      return false;
+    }
     if (!attributes().budgeted()) {
       relay.open();
       return true;
@@ -197,13 +204,10 @@
   private void onReadyToSend(byte[] body) {
     engineBody = body;
     boolean undecided = reservation != null && reservation.grant() == Grant.PENDING;
-    if (undecided
-        && context
-            .budgets()
-            .nearlySpent(attributes().programId(), attributes().maxOutputTokens())) {
-      return;
+    // Only a program's first turn is surely affordable; others are sent once that is known.
+    if (!undecided || attributes().beginsProgram()) {
+      dispatch();
     }
-    dispatch();
   }
 
   private void onGrantDecided() {
@@ -244,8 +248,7 @@
   private void dispatch() {
     long now = eventLoop.nanoTime();
     EngineSelector.Criteria criteria =
-        new EngineSelector.Criteria(
-            service, attributes().prompt(), affinityKey(), attributes().sessionId());
+        new EngineSelector.Criteria(service, attributes().prompt(), engineHomeKey());
     Engine engine =
         sends >= MAX_SENDS ? null : context.selector().select(criteria, triedEngines, now);
     if (engine == null) {
@@ -259,20 +262,21 @@
     attempt = new Attempt(engine, now);
     engine.requestStarted();
     long remaining = Math.max(1, (deadlineNanos - now) / 1_000_000);
-    int priority = Math.min(9, route.priority());
     Attempt sent = attempt;
     sent.exchange =
         context
             .transport()
             .send(
                 engine,
-                new EngineRequest(request, engineBody, remaining, relay.lastEventId(), priority),
+                new EngineRequest(request, engineBody, remaining, relay.lastEventId()),
                 sent);
     armProgressTimer();
   }
 
-  private String affinityKey() {
-    return route.kind() == RouteKind.STREAMING ? null : attributes().affinityKey();
+  private String engineHomeKey() {
+    return route.kind() == RouteKind.STREAMING
+        ? attributes().programId()
+        : attributes().affinityKey();
   }
 
   private void onNoEngine() {
@@ -331,6 +335,7 @@
     private EngineTransport.Exchange exchange;
     private AnswerHead head;
     private ByteArrayOutputStream body;
+    private long lastEventNanos;
     private boolean closed;
 
     Attempt(Engine engine, long startedNanos) {
@@ -387,16 +392,27 @@
       if (closed) {
         return;
       }
+      noteGap();
       if (firstEventNanos == 0) {
         firstEventNanos = eventLoop.nanoTime();
         engine.cachedPrefixes().add(attributes().prompt());
-        engine.observeLatency((firstEventNanos - startedNanos) / 1e6 / expectedMillis);
+        double firstMillis = (firstEventNanos - startedNanos) / 1e6;
+        engine.observeWait(firstMillis - expectedMillis, firstEventNanos);
+        context.congestion().observeWait(firstMillis - expectedMillis, firstEventNanos);
       }
       if (relay.event(event)) {
         noteEventsPassed(1);
       }
     }
 
+    private void noteGap() {
+      long now = eventLoop.nanoTime();
+      if (lastEventNanos != 0) {
+        engine.observeGap((now - lastEventNanos) / 1e6);
+      }
+      lastEventNanos = now;
+    }
+
     @Override
     public void onComplete() {
       if (closed) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineRequest.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineRequest.java
@@ -7,8 +7,7 @@
  * @param body the body for the engine, which for a continued turn holds the whole chain
  * @param remainingMillis how long the caller still waits
  * @param lastEventId the last event that the caller has; {@link CallAttributes#ABSENT} if none
- * @param priority the rank at the engine; 0 is the most urgent
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record EngineRequest(
-    CallRequest source, byte[] body, long remainingMillis, long lastEventId, int priority) {}
+    CallRequest source, byte[] body, long remainingMillis, long lastEventId) {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
@@ -4,6 +4,7 @@
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.BackendChooser;
+import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.telemetry.DecisionLog;
@@ -15,6 +16,7 @@
  * @param state the configuration in force and the engines
  * @param selector picks engines
  * @param backendChooser splits routes among services
+ * @param congestion decides whether new programs may begin
  * @param budgets token budgets of programs
  * @param history kept turns
  * @param transport the way to engines
@@ -26,6 +28,7 @@
     GatewayState state,
     EngineSelector selector,
     BackendChooser backendChooser,
+    CongestionMonitor congestion,
     ProgramBudgets budgets,
     TurnHistory history,
     EngineTransport transport,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/CachedPrefixes.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/CachedPrefixes.java
@@ -28,6 +28,11 @@
     }
   }
 
+  /** Whether the engine is believed to keep a part. */
+  public boolean contains(String partId) {
+    return parts.containsKey(partId);
+  }
+
   /** Forgets everything, for an engine whose memory is no longer known. */
   public void clear() {
     parts.clear();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -2,7 +2,16 @@
 
 /** An engine and this process's own view of it. Used only from the event loop. */
 public final class Engine {
-  private static final double LATENCY_SMOOTHING = 0.3;
+  private static final double WAIT_SMOOTHING = 0.2;
+  private static final double GAP_SMOOTHING = 0.08;
+  private static final double LONGEST_GAP_MILLIS = 1_000;
+
+  /** After this time without an observation a wait no longer says anything. */
+  private static final long WAIT_STALE_NANOS = 1_500_000_000L;
+
+  /** The gap between events of an engine that was not observed yet. */
+  private static final double DEFAULT_GAP_MILLIS = 35;
+
   private static final long FIRST_PENALTY_MILLIS = 250;
   private static final long LONGEST_PENALTY_MILLIS = 4_000;
 
@@ -10,7 +19,9 @@
   private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
   private boolean removed;
   private int inFlight;
-  private double slowness = 1.0;
+  private double waitMillis;
+  private long waitObservedNanos;
+  private double gapMillis = DEFAULT_GAP_MILLIS;
   private long avoidUntilNanos;
   private long penaltyMillis = FIRST_PENALTY_MILLIS;
   private boolean penalized;
@@ -59,17 +70,30 @@
   }
 
   /**
-   * Notes how long an answer took against what was predicted.
+   * Notes how long a request waited before its first event, beyond what its prompt explains.
    *
-   * @param ratio measured time divided by predicted time
+   * @param millis the wait; negative values count as none
    */
-  public void observeLatency(double ratio) {
-    slowness += LATENCY_SMOOTHING * (Math.min(ratio, 20.0) - slowness);
+  public void observeWait(double millis, long nowNanos) {
+    double before = waitMillis(nowNanos);
+    waitMillis = before + WAIT_SMOOTHING * (Math.max(0, millis) - before);
+    waitObservedNanos = nowNanos;
+  }
+
+  /** The smoothed wait; fades out after a while without observations. */
+  public double waitMillis(long nowNanos) {
+    long age = nowNanos - waitObservedNanos;
+    return age >= WAIT_STALE_NANOS ? 0 : waitMillis * (1.0 - (double) age / WAIT_STALE_NANOS);
+  }
+
+  /** Notes the time between two events of a stream. */
+  public void observeGap(double millis) {
+    gapMillis += GAP_SMOOTHING * (Math.min(millis, LONGEST_GAP_MILLIS) - gapMillis);
   }
 
-  /** Smoothed ratio of measured to predicted time; 1 is as predicted. */
-  public double slowness() {
-    return slowness;
+  /** The smoothed time between two events of a stream. */
+  public double gapMillis() {
+    return gapMillis;
   }
 
   /** Notes a failure: the engine is avoided for a time that doubles until it serves again. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -7,19 +7,25 @@
 import org.baykeel.gateway.directory.PromptPart;
 
 /**
- * Picks the engine at which a request is predicted to end first: reading what the engine does not
- * keep, waiting behind this process's other requests, the way to another zone, all times how slow
- * the engine has been of late.
+ * Picks the engine at which a request is predicted to end first: its wait, reading what the engine
+ * does not keep, the events of an ordinary answer at the engine's present pace, the way to another
+ * zone.
+ *
+ * <p>Every request has a home among the engines, the same at each process: a program's turns find
+ * what they share there even when they arrive through different processes.
  */
 public final class EngineSelector {
   /** Prompt tokens that an engine is assumed to read in a millisecond. */
   private static final double PREFILL_TOKENS_PER_MILLI = 250.0;
 
-  private static final double MILLIS_PER_REQUEST_IN_FLIGHT = 3.0;
+  /** Time to the first event of a prompt that is cached whole. */
+  private static final double CACHED_FIRST_EVENT_MILLIS = 8.0;
+
+  private static final double EVENTS_PER_ANSWER = 11.0;
+  private static final double MILLIS_PER_REQUEST_IN_FLIGHT = 2.0;
   private static final double OTHER_ZONE_MILLIS = 4.0;
-  private static final double BASE_MILLIS = 60.0;
   private static final double AVOIDED_MILLIS = 100_000.0;
-  private static final double AFFINITY_MILLIS = 15.0;
+  private static final double HOME_BONUS_MILLIS = 15.0;
 
   private final EngineDirectory directory;
   private final String ownZone;
@@ -29,9 +35,14 @@
     this.ownZone = ownZone;
   }
 
-  /** What the choice depends on. */
-  public record Criteria(
-      String service, List<PromptPart> prompt, String affinityKey, String spreadKey) {}
+  /**
+   * What the choice depends on.
+   *
+   * @param service the service that is to run the request
+   * @param prompt the parts of its prompt, or none
+   * @param homeKey what the request belongs together with, or null
+   */
+  public record Criteria(String service, List<PromptPart> prompt, String homeKey) {}
 
   /**
    * The best engine that is not excluded.
@@ -43,13 +54,14 @@
     Engine best = null;
     double bestMillis = 0;
     Engine home = home(criteria, excluded);
+    boolean keptSomewhere = keptSomewhere(criteria);
     for (Engine engine : directory.ofService(criteria.service())) {
-      if (engine.record().draining() || excluded.contains(engine.record().id())) {
+      if (!takesWork(engine, excluded)) {
         continue;
       }
       double millis = predictedMillis(engine, criteria, nowNanos);
       if (engine == home) {
-        millis -= AFFINITY_MILLIS;
+        millis -= keptSomewhere ? HOME_BONUS_MILLIS : assumedAtHomeMillis(engine, criteria);
       }
       if (best == null || millis < bestMillis) {
         best = engine;
@@ -59,38 +71,67 @@
     return best;
   }
 
-  /** The time in which an engine is expected to begin its answer, in milliseconds. */
+  /** The time in which an idle engine is expected to begin its answer, in milliseconds. */
   public static double expectedFirstEventMillis(Engine engine, List<PromptPart> prompt) {
-    return 8.0 + engine.cachedPrefixes().uncachedTokens(prompt) / PREFILL_TOKENS_PER_MILLI;
+    return CACHED_FIRST_EVENT_MILLIS
+        + engine.cachedPrefixes().uncachedTokens(prompt) / PREFILL_TOKENS_PER_MILLI;
+  }
+
+  private static boolean takesWork(Engine engine, Set<String> excluded) {
+    return !engine.record().draining() && !excluded.contains(engine.record().id());
   }
 
   private double predictedMillis(Engine engine, Criteria criteria, long nowNanos) {
-    double millis = BASE_MILLIS;
-    millis += engine.cachedPrefixes().uncachedTokens(criteria.prompt()) / PREFILL_TOKENS_PER_MILLI;
-    millis += engine.inFlight() * MILLIS_PER_REQUEST_IN_FLIGHT;
-    millis *= Math.max(1.0, engine.slowness());
+    double millis = engine.inFlight() * MILLIS_PER_REQUEST_IN_FLIGHT;
+    if (!criteria.prompt().isEmpty()) {
+      millis += expectedFirstEventMillis(engine, criteria.prompt());
+      millis += engine.waitMillis(nowNanos);
+      millis += engine.gapMillis() * EVENTS_PER_ANSWER;
+    }
     if (!engine.record().zone().equals(ownZone)) {
       millis += OTHER_ZONE_MILLIS;
     }
     if (engine.avoided(nowNanos)) {
       millis += AVOIDED_MILLIS;
     }
-    String spreadKey = criteria.spreadKey();
-    int spread = StableHash.of(engine.record().id(), spreadKey == null ? "" : spreadKey);
-    return millis + (spread & 0xFF) / 256.0;
+    return millis;
+  }
+
+  /** Whether an engine is known to keep more of the prompt than parts that all prompts share. */
+  private boolean keptSomewhere(Criteria criteria) {
+    List<PromptPart> prompt = criteria.prompt();
+    if (prompt.size() <= 2) {
+      return true;
+    }
+    String partBeforeLast = prompt.get(prompt.size() - 2).id();
+    for (Engine engine : directory.ofService(criteria.service())) {
+      if (engine.cachedPrefixes().contains(partBeforeLast)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** What another process's turns are assumed to have left at the home: all but the last part. */
+  private static double assumedAtHomeMillis(Engine home, Criteria criteria) {
+    List<PromptPart> prompt = criteria.prompt();
+    int last = prompt.get(prompt.size() - 1).tokens();
+    int uncached = home.cachedPrefixes().uncachedTokens(prompt);
+    return HOME_BONUS_MILLIS + Math.max(0, uncached - last) / PREFILL_TOKENS_PER_MILLI;
   }
 
+  /** Rendezvous hashing: the engine with the highest rank for the key. */
   private Engine home(Criteria criteria, Set<String> excluded) {
-    if (criteria.affinityKey() == null) {
+    if (criteria.homeKey() == null) {
       return null;
     }
     Engine home = null;
     int highest = 0;
     for (Engine engine : directory.ofService(criteria.service())) {
-      if (engine.record().draining() || excluded.contains(engine.record().id())) {
+      if (!takesWork(engine, excluded)) {
         continue;
       }
-      int rank = StableHash.of(engine.record().id(), criteria.affinityKey());
+      int rank = StableHash.of(engine.record().id(), criteria.homeKey());
       if (home == null || rank > highest) {
         home = engine;
         highest = rank;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.budget.GrantIds;
 import org.baykeel.gateway.budget.ProgramBudgets;
@@ -21,6 +22,7 @@
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.scheduling.BackendChooser;
+import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.testing.TestingEventLoop;
@@ -44,6 +46,7 @@
   private final EngineDirectory engines = new EngineDirectory(1_500_000_000L);
   private final GatewayState state =
       new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
+  private final CongestionMonitor congestion = new CongestionMonitor(new Random(1));
   private GatewayContext context;
 
   @BeforeEach
@@ -58,6 +61,7 @@
             state,
             new EngineSelector(engines, "z"),
             new BackendChooser(),
+            congestion,
             new ProgramBudgets(store, eventLoop, new GrantIds(1)),
             new TurnHistory(store, eventLoop, 1 << 20),
             transport,
@@ -297,6 +301,45 @@
     assertEquals(0, transport.count());
   }
 
+  @Test
+  void aNewProgramIsSentAwayWhileEnginesKeepWorkWaiting() {
+    congest();
+    call("/once/", "r", null, "p", 10_000);
+    assertEquals(ErrorKind.OVERLOADED, responder.refusal().kind());
+    assertTrue(responder.refusal().retryAfterMillis() > 0);
+    assertEquals(0, transport.count());
+  }
+
+  @Test
+  void aProgramThatRunsGoesOnWhileEnginesKeepWorkWaiting() {
+    call("/kept/", "t1", null, "p", 10_000);
+    eventLoop.advance(10);
+    transport.last().stream().event(1).complete();
+    eventLoop.advance(10);
+    congest();
+    call("/kept/", "t2", "t1", "p", 10_000);
+    eventLoop.advance(20);
+    assertEquals(2, transport.count());
+  }
+
+  private void congest() {
+    for (int i = 0; i < 100; i++) {
+      congestion.observeWait(2_000, eventLoop.nanoTime());
+    }
+  }
+
+  @Test
+  void aContinuedTurnIsSentOnlyOnceItsGrantIsKnown() {
+    call("/kept/", "t1", null, "p", 10_000);
+    eventLoop.advance(10);
+    transport.last().stream().event(1).complete();
+    eventLoop.advance(10);
+    call("/kept/", "t2", "t1", "other", 10_000);
+    assertEquals(1, transport.count());
+    eventLoop.advance(10);
+    assertEquals(2, transport.count());
+  }
+
   @Test
   void aKeptTurnEndsOnlyAfterTheStoreHasIt() {
     call("/kept/", "t1", null, null, -1);
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestEngineSelector.java
@@ -0,0 +1,92 @@
+package org.baykeel.gateway.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import java.util.Set;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.directory.PromptPart;
+import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
+import org.junit.jupiter.api.Test;
+
+class TestEngineSelector {
+  private static final List<PromptPart> LONG_PROMPT =
+      List.of(
+          new PromptPart("shared", 12_000),
+          new PromptPart("turn1", 1_500),
+          new PromptPart("turn2", 1_500));
+
+  private final EngineDirectory directory = new EngineDirectory(1);
+  private final EngineSelector selector = new EngineSelector(directory, "z");
+
+  private void engines(int count) {
+    for (int i = 0; i < count; i++) {
+      directory.put(new EngineRecord("e" + i, "s", "10.0.0." + i, 80, "z", 8, false));
+    }
+  }
+
+  private Engine select(List<PromptPart> prompt, String program) {
+    return selector.select(new Criteria("s", prompt, program), Set.of(), 0);
+  }
+
+  private Engine engine(String id) {
+    return directory.ofService("s").stream()
+        .filter(engine -> engine.record().id().equals(id))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  @Test
+  void aLineOfTurnsStaysWhereItsPromptIsKept() {
+    engines(4);
+    engine("e2").cachedPrefixes().add(LONG_PROMPT);
+    assertEquals("e2", select(LONG_PROMPT, "any").record().id());
+  }
+
+  @Test
+  void anotherProcessFindsTheHomeOfAProgramItNeverSaw() {
+    engines(6);
+    EngineDirectory elsewhere = new EngineDirectory(1);
+    for (Engine engine : directory.ofService("s")) {
+      elsewhere.put(engine.record());
+    }
+    EngineSelector other = new EngineSelector(elsewhere, "other zone");
+    for (int i = 0; i < 20; i++) {
+      String program = "p" + i;
+      String home = select(LONG_PROMPT, program).record().id();
+      Criteria criteria = new Criteria("s", LONG_PROMPT, program);
+      assertEquals(home, other.select(criteria, Set.of(), 0).record().id());
+    }
+  }
+
+  @Test
+  void aSlowEngineIsLeftEvenByWhatItKeeps() {
+    engines(2);
+    engine("e0").cachedPrefixes().add(LONG_PROMPT);
+    for (int i = 0; i < 100; i++) {
+      engine("e0").observeGap(200);
+    }
+    assertEquals("e1", select(LONG_PROMPT, null).record().id());
+  }
+
+  @Test
+  void drainingAndExcludedEnginesGetNothing() {
+    engines(1);
+    directory.put(new EngineRecord("d", "s", "10.0.0.9", 80, "z", 8, true));
+    Criteria criteria = new Criteria("s", List.of(), null);
+    assertNull(selector.select(criteria, Set.of("e0"), 0));
+  }
+
+  @Test
+  void anEngineThatFailedIsUsedOnlyIfNoOtherIsLeft() {
+    engines(2);
+    engine("e0").failed(0);
+    assertEquals("e1", select(LONG_PROMPT, null).record().id());
+    engine("e1").failed(0);
+    assertNotEquals(null, select(LONG_PROMPT, null));
+  }
+}
