--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
@@ -35,6 +35,7 @@
   private BudgetRow row = BudgetRow.NONE;
   private long rowVersion = Transaction.ABSENT;
   private boolean rowSeen;
+  private boolean openedHere;
   private boolean asking;
   private BudgetRow unknownRow;
   private int openReservations;
@@ -64,6 +65,15 @@
     return reservation;
   }
 
+  boolean known() {
+    return rowSeen;
+  }
+
+  /** Whether this process made the program's first grant of all. */
+  boolean openedHere() {
+    return openedHere;
+  }
+
   boolean idleSince(long nanos) {
     return openReservations == 0 && waiting.isEmpty() && !asking && lastUsedNanos - nanos < 0;
   }
@@ -132,6 +142,7 @@
   }
 
   private void adoptOwnGrant(BudgetRow granted, long version) {
+    openedHere |= rowVersion == Transaction.ABSENT;
     allowance += granted.grantedTokens() - row.grantedTokens();
     adopt(granted, version);
     serveFromAllowance();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
@@ -33,6 +33,12 @@
     return account(program).reserve(budgetTokens, turnTokens, giveUpNanos, onDecided);
   }
 
+  /** Whether this process has learnt of the program from the store. */
+  public boolean knows(String program) {
+    ProgramAccount account = accounts.get(program);
+    return account != null && account.known();
+  }
+
   /** Forgets programs that have not been heard of for a while. Their rows stay in the store. */
   public void forgetIdle() {
     long since = eventLoop.nanoTime() - FORGET_NANOS;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/Reservation.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/Reservation.java
@@ -45,6 +45,11 @@
     grant = decision;
   }
 
+  /** Whether the program was unknown to the store before this process's first grant. */
+  public boolean programOpenedHere() {
+    return account.openedHere();
+  }
+
   /** Notes tokens that were handed to the caller. */
   public void use(int handedTokens) {
     usedTokens += handedTokens;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
@@ -33,23 +33,10 @@
   /** Stands for a number that the request does not carry. */
   public static final int ABSENT = -1;
 
-  private static final int FIRST_TURN_PARTS = 2;
-
   public CallAttributes {
     prompt = List.copyOf(prompt);
   }
 
-  /**
-   * Whether the request seems to be the first turn of a program: it continues nothing, and its
-   * prompt holds no more than a shared part and its own.
-   */
-  public boolean beginsProgram() {
-    return programId != null
-        && previousTurn == null
-        && lastEventId == ABSENT
-        && prompt.size() <= FIRST_TURN_PARTS;
-  }
-
   /** Whether the request is a turn of a program with a token budget. */
   public boolean budgeted() {
     return programId != null && tokenBudget != ABSENT && maxOutputTokens > 0;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -13,6 +13,7 @@
 import org.baykeel.gateway.configuration.RouteKind;
 import org.baykeel.gateway.configuration.ServiceProfile;
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.history.KeptTurn;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
 import org.baykeel.gateway.runtime.EventLoop;
@@ -59,7 +60,11 @@
   private long lastProgressNanos;
   private long firstEventNanos;
   private int sends;
+  private String lastEngine = "none";
+  private int uncachedTokens;
   private int runs;
+  private boolean programKnown;
+  private boolean congested;
   private boolean streamComplete;
   private boolean over;
 
@@ -129,12 +134,6 @@
       refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "kept turn without store");
       return false;
     }
-    boolean mostUrgent = route.priority() == 0;
-    if (attributes().beginsProgram()
-        && !context.congestion().admits(mostUrgent, eventLoop.nanoTime())) {
-      refuse(ErrorKind.OVERLOADED, OVERLOADED_RETRY_MILLIS, "engines keep work waiting");
-      return false;
-    }
     if (!attributes().budgeted()) {
       relay.open();
       return true;
@@ -143,6 +142,8 @@
   }
 
   private boolean budgetAdmits() {
+    programKnown = context.budgets().knows(attributes().programId());
+    congested = !context.congestion().admits(route.priority() == 0, eventLoop.nanoTime());
     long giveUp = eventLoop.nanoTime() + GRANT_PATIENCE_MILLIS * 1_000_000;
     reservation =
         context
@@ -204,8 +205,8 @@
   private void onReadyToSend(byte[] body) {
     engineBody = body;
     boolean undecided = reservation != null && reservation.grant() == Grant.PENDING;
-    // Only a program's first turn is surely affordable; others are sent once that is known.
-    if (!undecided || attributes().beginsProgram()) {
+    // A program that is new here is most likely new altogether, and surely affordable then.
+    if (!undecided || !programKnown && !congested) {
       dispatch();
     }
   }
@@ -229,6 +230,8 @@
     }
     if (streamComplete) {
       finishStream();
+    } else if (congested && !programKnown && reservation.programOpenedHere() && sends == 0) {
+      refuse(ErrorKind.OVERLOADED, OVERLOADED_RETRY_MILLIS, "engines keep work waiting");
     } else if (engineBody != null && sends == 0) {
       dispatch();
     }
@@ -257,6 +260,8 @@
     }
     sends++;
     runs++;
+    lastEngine = engine.record().id();
+    uncachedTokens = engine.cachedPrefixes().uncachedTokens(attributes().prompt());
     triedEngines.add(engine.record().id());
     lastProgressNanos = now;
     attempt = new Attempt(engine, now);
@@ -336,6 +341,7 @@
     private AnswerHead head;
     private ByteArrayOutputStream body;
     private long lastEventNanos;
+    private int events;
     private boolean closed;
 
     Attempt(Engine engine, long startedNanos) {
@@ -393,6 +399,7 @@
         return;
       }
       noteGap();
+      events++;
       if (firstEventNanos == 0) {
         firstEventNanos = eventLoop.nanoTime();
         engine.cachedPrefixes().add(attributes().prompt());
@@ -427,6 +434,7 @@
         return;
       }
       engine.succeeded();
+      engine.cachedPrefixes().extend(attributes().prompt(), events * tokensPerEvent);
       close("complete");
       streamComplete = true;
       if (reservation == null || reservation.grant() == Grant.GRANTED) {
@@ -605,6 +613,10 @@
     logEnd(status, outcome);
   }
 
+  private int promptTokens() {
+    return attributes().prompt().stream().mapToInt(PromptPart::tokens).sum();
+  }
+
   private void logEnd(int status, String outcome) {
     long now = eventLoop.nanoTime();
     long received = request.receivedNanos();
@@ -630,6 +642,12 @@
             firstEventNanos == 0 ? -1 : (firstEventNanos - received) / 1_000_000,
             "sends",
             sends,
+            "engine",
+            lastEngine,
+            "prompt",
+            promptTokens(),
+            "unread",
+            uncachedTokens,
             "runs",
             runs,
             "events",
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/CachedPrefixes.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/CachedPrefixes.java
@@ -11,12 +11,12 @@
 public final class CachedPrefixes {
   private static final int MAX_PARTS = 2_048;
 
-  private final LinkedHashMap<String, Boolean> parts =
+  private final LinkedHashMap<String, Integer> keptTokens =
       new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
           return size() > MAX_PARTS;
         }
       };
@@ -24,31 +24,33 @@
   /** Notes that the engine has read these parts. */
   public void add(List<PromptPart> prompt) {
     for (PromptPart part : prompt) {
-      parts.put(part.id(), Boolean.TRUE);
+      keptTokens.merge(part.id(), part.tokens(), Math::max);
     }
   }
 
-  /** Whether the engine is believed to keep a part. */
-  public boolean contains(String partId) {
-    return parts.containsKey(partId);
+  /** Notes that the engine has generated tokens behind a prompt; they extend its last part. */
+  public void extend(List<PromptPart> prompt, int generatedTokens) {
+    if (!prompt.isEmpty()) {
+      PromptPart last = prompt.get(prompt.size() - 1);
+      keptTokens.merge(last.id(), last.tokens() + generatedTokens, Math::max);
+    }
   }
 
-  /** Forgets everything, for an engine whose memory is no longer known. */
-  public void clear() {
-    parts.clear();
+  /** Whether the engine is believed to keep anything of a part. */
+  public boolean contains(String partId) {
+    return keptTokens.containsKey(partId);
   }
 
   /**
-   * Tokens of the prompt that the engine would have to read; a part counts only with all before.
+   * Tokens of the prompt that the engine would have to read. A part grows from turn to turn under
+   * the same identifier, so what is kept of it may be less than its length; behind a gap nothing
+   * counts as kept.
    */
   public int uncachedTokens(List<PromptPart> prompt) {
     int uncached = 0;
-    boolean contiguous = true;
     for (PromptPart part : prompt) {
-      contiguous = contiguous && parts.containsKey(part.id());
-      if (!contiguous) {
-        uncached += part.tokens();
-      }
+      int kept = uncached > 0 ? 0 : keptTokens.getOrDefault(part.id(), 0);
+      uncached += Math.max(0, part.tokens() - kept);
     }
     return uncached;
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -21,11 +21,26 @@
   /** Time to the first event of a prompt that is cached whole. */
   private static final double CACHED_FIRST_EVENT_MILLIS = 8.0;
 
+  /** Tokens by which a prompt typically grows from turn to turn. */
+  private static final int TYPICAL_NEW_TOKENS = 1_500;
+
+  /**
+   * What reading counts for in a choice, as a multiple of its own time: while an engine reads, all
+   * that run there stand still.
+   */
+  private static final double READING_WEIGHT = 2.5;
+
+  /** What an observed wait counts for; it is noisy and may be over when the request arrives. */
+  private static final double WAIT_WEIGHT = 0.5;
+
+  /** An engine counts as slow from this multiple of the usual time between events. */
+  private static final double SLOW_PACE = 1.6;
+
   private static final double EVENTS_PER_ANSWER = 11.0;
   private static final double MILLIS_PER_REQUEST_IN_FLIGHT = 2.0;
   private static final double OTHER_ZONE_MILLIS = 4.0;
   private static final double AVOIDED_MILLIS = 100_000.0;
-  private static final double HOME_BONUS_MILLIS = 15.0;
+  private static final double HOME_BONUS_MILLIS = 60.0;
 
   private final EngineDirectory directory;
   private final String ownZone;
@@ -55,11 +70,12 @@
     double bestMillis = 0;
     Engine home = home(criteria, excluded);
     boolean keptSomewhere = keptSomewhere(criteria);
+    double usualGapMillis = usualGapMillis(criteria.service());
     for (Engine engine : directory.ofService(criteria.service())) {
       if (!takesWork(engine, excluded)) {
         continue;
       }
-      double millis = predictedMillis(engine, criteria, nowNanos);
+      double millis = predictedMillis(engine, criteria, usualGapMillis, nowNanos);
       if (engine == home) {
         millis -= keptSomewhere ? HOME_BONUS_MILLIS : assumedAtHomeMillis(engine, criteria);
       }
@@ -81,12 +97,21 @@
     return !engine.record().draining() && !excluded.contains(engine.record().id());
   }
 
-  private double predictedMillis(Engine engine, Criteria criteria, long nowNanos) {
+  /** The median time between events over the engines of a service. */
+  private double usualGapMillis(String service) {
+    double[] gaps =
+        directory.ofService(service).stream().mapToDouble(Engine::gapMillis).sorted().toArray();
+    return gaps.length == 0 ? 0 : gaps[(gaps.length - 1) / 2];
+  }
+
+  private double predictedMillis(
+      Engine engine, Criteria criteria, double usualGapMillis, long nowNanos) {
     double millis = engine.inFlight() * MILLIS_PER_REQUEST_IN_FLIGHT;
     if (!criteria.prompt().isEmpty()) {
-      millis += expectedFirstEventMillis(engine, criteria.prompt());
-      millis += engine.waitMillis(nowNanos);
-      millis += engine.gapMillis() * EVENTS_PER_ANSWER;
+      millis += readingMillis(engine.cachedPrefixes().uncachedTokens(criteria.prompt()));
+      millis += engine.waitMillis(nowNanos) * WAIT_WEIGHT;
+      double excessGap = engine.gapMillis() - usualGapMillis * SLOW_PACE;
+      millis += Math.max(0, excessGap) * EVENTS_PER_ANSWER;
     }
     if (!engine.record().zone().equals(ownZone)) {
       millis += OTHER_ZONE_MILLIS;
@@ -97,27 +122,29 @@
     return millis;
   }
 
-  /** Whether an engine is known to keep more of the prompt than parts that all prompts share. */
+  /** Whether an engine is known here to keep something of the prompt's own, last part. */
   private boolean keptSomewhere(Criteria criteria) {
     List<PromptPart> prompt = criteria.prompt();
-    if (prompt.size() <= 2) {
+    if (prompt.isEmpty()) {
       return true;
     }
-    String partBeforeLast = prompt.get(prompt.size() - 2).id();
+    String ownPart = prompt.get(prompt.size() - 1).id();
     for (Engine engine : directory.ofService(criteria.service())) {
-      if (engine.cachedPrefixes().contains(partBeforeLast)) {
+      if (engine.cachedPrefixes().contains(ownPart)) {
         return true;
       }
     }
     return false;
   }
 
-  /** What another process's turns are assumed to have left at the home: all but the last part. */
+  /** What earlier turns through other processes are assumed to have left at the home. */
   private static double assumedAtHomeMillis(Engine home, Criteria criteria) {
-    List<PromptPart> prompt = criteria.prompt();
-    int last = prompt.get(prompt.size() - 1).tokens();
-    int uncached = home.cachedPrefixes().uncachedTokens(prompt);
-    return HOME_BONUS_MILLIS + Math.max(0, uncached - last) / PREFILL_TOKENS_PER_MILLI;
+    int uncached = home.cachedPrefixes().uncachedTokens(criteria.prompt());
+    return HOME_BONUS_MILLIS + readingMillis(Math.max(0, uncached - TYPICAL_NEW_TOKENS));
+  }
+
+  private static double readingMillis(int tokens) {
+    return tokens * READING_WEIGHT / PREFILL_TOKENS_PER_MILLI;
   }
 
   /** Rendezvous hashing: the engine with the highest rank for the key. */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -305,6 +305,7 @@
   void aNewProgramIsSentAwayWhileEnginesKeepWorkWaiting() {
     congest();
     call("/once/", "r", null, "p", 10_000);
+    eventLoop.advance(10);
     assertEquals(ErrorKind.OVERLOADED, responder.refusal().kind());
     assertTrue(responder.refusal().retryAfterMillis() > 0);
     assertEquals(0, transport.count());
@@ -329,15 +330,29 @@
   }
 
   @Test
-  void aContinuedTurnIsSentOnlyOnceItsGrantIsKnown() {
-    call("/kept/", "t1", null, "p", 10_000);
-    eventLoop.advance(10);
-    transport.last().stream().event(1).complete();
+  void aProgramThatBeganElsewhereGoesOnWhileEnginesKeepWorkWaiting() {
+    ProgramBudgets elsewhere = new ProgramBudgets(store, eventLoop, new GrantIds(900));
+    elsewhere.reserve("p", 10_000, 500, Long.MAX_VALUE, () -> {});
     eventLoop.advance(10);
-    call("/kept/", "t2", "t1", "other", 10_000);
+    congest();
+    call("/once/", "r", null, "p", 10_000);
+    eventLoop.advance(20);
     assertEquals(1, transport.count());
-    eventLoop.advance(10);
-    assertEquals(2, transport.count());
+  }
+
+  @Test
+  void aTurnOfAKnownProgramIsSentOnlyOnceItsGrantIsKnown() {
+    for (int i = 1; i <= 5; i++) {
+      call("/once/", "t" + i, null, "p", 10_000);
+      int sentAtOnce = transport.count();
+      eventLoop.advance(10);
+      transport.last().stream();
+      for (int event = 1; event <= 20; event++) {
+        transport.last().event(event);
+      }
+      transport.last().complete();
+      assertEquals(i == 5 ? 4 : i, sentAtOnce, "turn " + i);
+    }
   }
 
   @Test
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -0,0 +1,172 @@
+package org.baykeel.gateway.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.baykeel.gateway.call.AnswerHead;
+import org.baykeel.gateway.call.CallRequest;
+import org.baykeel.gateway.call.EngineRequest;
+import org.baykeel.gateway.call.EngineTransport;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.testing.ScriptedEngine;
+import org.baykeel.gateway.testing.ScriptedEngine.After;
+import org.baykeel.gateway.testing.ScriptedEngine.Answer;
+import org.baykeel.gateway.testing.TestingTranslator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TestEngineConnection {
+  private static final String OWN = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody";
+  private static final String FOREIGN =
+      "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong";
+  private static final String SECOND = OWN.replace("r1", "r2");
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final NettyEngineTransport transport =
+      new NettyEngineTransport(group, new TestingTranslator());
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  private Engine engineAt(int port) {
+    EngineDirectory directory = new EngineDirectory(1);
+    directory.put(new EngineRecord("e", "s", "127.0.0.1", port, "z", 4, false));
+    return directory.ofService("s").get(0);
+  }
+
+  /** Sends a request and returns how it ended: the body, or the failure. */
+  private String ask(Engine engine, String id) throws Exception {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("Host", "h");
+    headers.set(TestingTranslator.ID, id);
+    CallRequest source =
+        new CallRequest(
+            "POST", "/x", "h", headers, new byte[3], TestingTranslator.attributesOf(id), 0);
+    CompletableFuture<String> end = new CompletableFuture<>();
+    EngineTransport.Listener listener =
+        new EngineTransport.Listener() {
+          private final StringBuilder body = new StringBuilder();
+
+          @Override
+          public void onHead(AnswerHead head) {
+            body.append(head.status()).append(' ');
+          }
+
+          @Override
+          public void onBody(byte[] bytes) {
+            body.append(new String(bytes, StandardCharsets.US_ASCII));
+          }
+
+          @Override
+          public void onComplete() {
+            end.complete(body.toString());
+          }
+
+          @Override
+          public void onFailure(EngineTransport.Failure failure, String detail) {
+            end.complete(failure.name());
+          }
+        };
+    group
+        .next()
+        .execute(
+            () -> transport.send(engine, new EngineRequest(source, new byte[3], 1, -1), listener));
+    String result = end.get(5, TimeUnit.SECONDS);
+    // The connection is given back after the read that completed the answer.
+    group.next().submit(() -> {}).get();
+    return result;
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "whole, HTTP/1.1 200 OK|X-Id: r1|Content-Length: 4||body, KEEP, 200 body",
+    "chunked, HTTP/1.1 200 OK|X-Id: r1|Transfer-Encoding: chunked||4|body|0||, KEEP, 200 body",
+    "cut in its length, HTTP/1.1 200 OK|X-Id: r1|Content-Length: 9||body, CLOSE, BROKEN",
+    "cut in its chunks, HTTP/1.1 200 OK|X-Id: r1|Transfer-Encoding: chunked||4|body|, CLOSE, BROKEN",
+    "ends with its connection, HTTP/1.1 200 OK|X-Id: r1||body, CLOSE, 200 body",
+    "without length and reset, HTTP/1.1 200 OK|X-Id: r1||body, RESET, BROKEN",
+    "no answer, '', CLOSE, BROKEN",
+    "not an answer, GARBAGE||, CLOSE, BROKEN",
+    "after an interim answer, HTTP/1.1 100 Continue||HTTP/1.1 200 OK|X-Id: r1|Content-Length: 2||ok, KEEP, 200 ok",
+    "after another's answer, HTTP/1.1 200 OK|X-Id: zz|Content-Length: 2||noHTTP/1.1 200 OK|X-Id: r1|Content-Length: 2||ok, KEEP, 200 ok",
+    "only another's answer, HTTP/1.1 200 OK|X-Id: zz|Content-Length: 2||no, CLOSE, BROKEN",
+  })
+  void anAnswerIsWholeOrBroken(String name, String bytes, After after, String outcome)
+      throws Exception {
+    String wire = bytes.replace("|", "\r\n");
+    try (ScriptedEngine engine = new ScriptedEngine(new Answer(wire, after))) {
+      assertEquals(outcome, ask(engineAt(engine.port()), "r1"));
+    }
+  }
+
+  @Test
+  void aConnectionServesAgainAfterAWholeAnswer() throws Exception {
+    try (ScriptedEngine engine =
+        new ScriptedEngine(new Answer(OWN, After.KEEP), new Answer(SECOND, After.KEEP))) {
+      Engine target = engineAt(engine.port());
+      ask(target, "r1");
+      assertEquals("200 body", ask(target, "r2"));
+      assertEquals(1, engine.connections());
+    }
+  }
+
+  @Test
+  void bytesBehindAWholeAnswerBelongToNobody() throws Exception {
+    try (ScriptedEngine engine =
+        new ScriptedEngine(new Answer(OWN + FOREIGN, After.KEEP), new Answer(SECOND, After.KEEP))) {
+      Engine target = engineAt(engine.port());
+      assertEquals("200 body", ask(target, "r1"));
+      assertEquals("200 body", ask(target, "r2"));
+    }
+  }
+
+  @Test
+  void aLateAnswerInTheNextOnesPlaceIsSkipped() throws Exception {
+    try (ScriptedEngine engine =
+        new ScriptedEngine(
+            new Answer(OWN, After.KEEP),
+            new Answer(OWN + SECOND, After.KEEP),
+            new Answer(OWN.replace("r1", "r3"), After.KEEP))) {
+      Engine target = engineAt(engine.port());
+      ask(target, "r1");
+      assertEquals("200 body", ask(target, "r2"));
+      assertEquals("200 body", ask(target, "r3"));
+      assertEquals(2, engine.connections(), "a connection with a stray answer is not used again");
+    }
+  }
+
+  @Test
+  void aConnectionThatTheEngineWantsClosedIsNotUsedAgain() throws Exception {
+    String closing = OWN.replace("X-Id", "Connection: close\r\nX-Id");
+    try (ScriptedEngine engine =
+        new ScriptedEngine(new Answer(closing, After.KEEP), new Answer(SECOND, After.KEEP))) {
+      Engine target = engineAt(engine.port());
+      ask(target, "r1");
+      ask(target, "r2");
+      assertEquals(2, engine.connections());
+    }
+  }
+
+  @Test
+  void aRefusedConnectionMeansThatNothingWasSent() throws Exception {
+    int port;
+    try (ScriptedEngine engine = new ScriptedEngine(new Answer(OWN, After.KEEP))) {
+      port = engine.port();
+    }
+    assertEquals("NOT_SENT", ask(engineAt(port), "r1"));
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestEngineSelector.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestEngineSelector.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Set;
+import org.baykeel.gateway.directory.CachedPrefixes;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
@@ -73,6 +74,17 @@
     assertEquals("e1", select(LONG_PROMPT, null).record().id());
   }
 
+  @Test
+  void aPartThatHasGrownIsKeptOnlyAsFarAsItWasRead() {
+    engines(1);
+    CachedPrefixes kept = engine("e0").cachedPrefixes();
+    kept.add(List.of(new PromptPart("shared", 12_000), new PromptPart("own", 1_000)));
+    kept.extend(List.of(new PromptPart("own", 1_000)), 200);
+    List<PromptPart> grown =
+        List.of(new PromptPart("shared", 12_000), new PromptPart("own", 3_000));
+    assertEquals(1_800, kept.uncachedTokens(grown));
+  }
+
   @Test
   void drainingAndExcludedEnginesGetNothing() {
     engines(1);
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
@@ -0,0 +1,125 @@
+package org.baykeel.gateway.testing;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An engine on loopback that answers each request with scripted bytes. */
+public final class ScriptedEngine implements AutoCloseable {
+  /** How a connection goes on after an answer. */
+  public enum After {
+    KEEP,
+    CLOSE,
+    RESET
+  }
+
+  /** The bytes of one answer. */
+  public record Answer(String bytes, After after) {}
+
+  private final ServerSocket listener;
+  private final List<Answer> answers;
+  private final AtomicInteger next = new AtomicInteger();
+  private final AtomicInteger connections = new AtomicInteger();
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private final List<String> requests = new CopyOnWriteArrayList<>();
+
+  public ScriptedEngine(Answer... answers) throws IOException {
+    this.answers = List.of(answers);
+    this.listener = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+    start(this::accept);
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "scripted-engine");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  public int port() {
+    return listener.getLocalPort();
+  }
+
+  /** How many connections were opened. */
+  public int connections() {
+    return connections.get();
+  }
+
+  /** The heads of the requests, in order of arrival. */
+  public List<String> requests() {
+    return requests;
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = listener.accept();
+        sockets.add(socket);
+        connections.incrementAndGet();
+        start(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // Closed by the test.
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      while (true) {
+        String head = readHead(socket.getInputStream());
+        if (head == null) {
+          return;
+        }
+        requests.add(head);
+        Answer answer = answers.get(Math.min(next.getAndIncrement(), answers.size() - 1));
+        socket.getOutputStream().write(answer.bytes().getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().flush();
+        if (answer.after() == After.RESET) {
+          Thread.sleep(100);
+          socket.setSoLinger(true, 0);
+          return;
+        }
+        if (answer.after() == After.CLOSE) {
+          return;
+        }
+      }
+    } catch (IOException | InterruptedException e) {
+      // The connection is over.
+    }
+  }
+
+  /** Reads to the end of a request's head and of the body that its length announces. */
+  private static String readHead(InputStream in) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    while (true) {
+      int octet = in.read();
+      if (octet < 0) {
+        return null;
+      }
+      bytes.write(octet);
+      String head = bytes.toString(StandardCharsets.US_ASCII);
+      if (head.endsWith("\r\n\r\n")) {
+        java.util.regex.Matcher length =
+            java.util.regex.Pattern.compile("(?i)content-length: (\\d+)").matcher(head);
+        if (length.find()) {
+          in.readNBytes(Integer.parseInt(length.group(1)));
+        }
+        return head;
+      }
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTranslator.java
@@ -0,0 +1,51 @@
+package org.baykeel.gateway.testing;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
+import org.baykeel.core.error.BaykeelException;
+import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.call.AnswerTraits;
+import org.baykeel.gateway.call.CallAttributes;
+import org.baykeel.gateway.call.EngineRequest;
+import org.baykeel.gateway.call.Refusal;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.http.CallTranslator;
+import org.baykeel.gateway.http.ConnectionFields;
+
+/** Header fields of a made-up deployment. */
+public final class TestingTranslator implements CallTranslator {
+  public static final String ID = "X-Id";
+
+  /** Attributes of a request that carries nothing but its identifier. */
+  public static CallAttributes attributesOf(String id) {
+    return new CallAttributes(id, -1, null, null, -1, -1, List.of(), null, -1, null);
+  }
+
+  @Override
+  public CallAttributes attributes(HttpHeaders callerHeaders) {
+    if (callerHeaders.get(ID) == null) {
+      throw new BaykeelException(ErrorKind.INVALID_REQUEST, "no identifier");
+    }
+    return attributesOf(callerHeaders.get(ID));
+  }
+
+  @Override
+  public HttpHeaders engineHeaders(EngineRequest request, Engine engine) {
+    return ConnectionFields.without(request.source().headers());
+  }
+
+  @Override
+  public AnswerTraits traits(HttpResponse response) {
+    HttpHeaders headers = response.headers();
+    return new AnswerTraits(
+        headers.get(ID), headers.contains("X-Not-Run"), headers.contains("X-Signed"), false);
+  }
+
+  @Override
+  public void describeRefusal(HttpHeaders headers, Refusal refusal, CallAttributes attributes) {
+    if (refusal.retryAfterMillis() > 0) {
+      headers.set("Retry-After", refusal.retryAfterMillis() / 1_000.0);
+    }
+  }
+}
