A turn runs while it waits for the store; the log's writer ends at once on a stop

Ruled out: grants without the store (two processes could each hand out a turn beyond the budget).

Change: if engines have time to spare the turn is sent, and its events wait for the store until the caller's deadline; with busy engines it is refused as before. Turns are kept until the deadline in place of 1.5 s. The log thread is woken by close, so that the process does not end while it writes.

Conclusion: nothing is said before it is certain, and nothing is refused that can still be served.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -33,8 +33,8 @@
   private static final long FIRST_PROGRESS_MILLIS = 1_000;
   private static final long NEXT_PROGRESS_MILLIS = 600;
   private static final long SAFE_PROGRESS_MILLIS = 400;
-  private static final long GRANT_PATIENCE_MILLIS = 700;
-  private static final long KEEP_PATIENCE_MILLIS = 1_500;
+  private static final long LOOKUP_PATIENCE_MILLIS = 1_000;
+  private static final double SPARE_WAIT_MILLIS = 100;
   private static final long NOT_READY_RETRY_MILLIS = 250;
   private static final long BUSY_RETRY_MILLIS = 150;
   private static final long OVERLOADED_RETRY_MILLIS = 400;
@@ -130,7 +130,7 @@
     if (route.kind() != RouteKind.STREAMING) {
       return true;
     }
-    if (route.retained() && !context.storeHealth().reachable()) {
+    if (route.retained() && mustNotWaitForStore()) {
       refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "kept turn without store");
       return false;
     }
@@ -144,7 +144,6 @@
   private boolean budgetAdmits() {
     programKnown = context.budgets().knows(attributes().programId());
     congested = !context.congestion().admits(route.priority() == 0, eventLoop.nanoTime());
-    long giveUp = eventLoop.nanoTime() + GRANT_PATIENCE_MILLIS * 1_000_000;
     reservation =
         context
             .budgets()
@@ -152,13 +151,13 @@
                 attributes().programId(),
                 attributes().tokenBudget(),
                 attributes().maxOutputTokens(),
-                giveUp,
+                deadlineNanos,
                 this::onGrantDecided);
     if (reservation.grant() == Grant.EXHAUSTED) {
       refuse(ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
       return false;
     }
-    if (reservation.grant() == Grant.PENDING && !context.storeHealth().reachable()) {
+    if (reservation.grant() == Grant.PENDING && mustNotWaitForStore()) {
       refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "no grant without store");
       return false;
     }
@@ -168,12 +167,22 @@
     return true;
   }
 
+  /**
+   * While the store is away, a turn runs and its events wait for the store; that is worth an
+   * engine's time only if engines have time to spare.
+   */
+  private boolean mustNotWaitForStore() {
+    return !context.storeHealth().reachable()
+        && context.congestion().waitMillis(eventLoop.nanoTime()) > SPARE_WAIT_MILLIS;
+  }
+
   private void findHistory() {
     if (!route.retained() || attributes().previousTurn() == null) {
       onReadyToSend(request.body());
       return;
     }
-    context.history().find(attributes().previousTurn(), this::onHistory);
+    long giveUp = eventLoop.nanoTime() + LOOKUP_PATIENCE_MILLIS * 1_000_000;
+    context.history().find(attributes().previousTurn(), giveUp, this::onHistory);
   }
 
   private void onHistory(Lookup lookup) {
@@ -206,7 +215,8 @@
     engineBody = body;
     boolean undecided = reservation != null && reservation.grant() == Grant.PENDING;
     // A program that is new here is most likely new altogether, and surely affordable then.
-    if (!undecided || !programKnown && !congested) {
+    boolean likelyGranted = !programKnown || !context.storeHealth().reachable();
+    if (!undecided || likelyGranted && !congested) {
       dispatch();
     }
   }
@@ -533,8 +543,7 @@
     }
     KeptTurn turn =
         new KeptTurn(attributes().requestId(), ancestors, request.body(), relay.output());
-    long patience = eventLoop.nanoTime() + KEEP_PATIENCE_MILLIS * 1_000_000;
-    context.history().keep(turn, Math.min(patience, deadlineNanos), this::onTurnKept);
+    context.history().keep(turn, deadlineNanos, this::onTurnKept);
   }
 
   private void onTurnKept(boolean kept) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -1,6 +1,6 @@
 package org.baykeel.gateway.telemetry;
 
-/** The closed list of numbered events of the gateway; docs/EVENTS.md lists them. */
+/** The closed list of numbered events of the gateway; docs/GATEWAY-EVENTS.md lists them. */
 public enum GatewayEvent {
   GATEWAY_STARTED(300),
   GATEWAY_READY(301),
@@ -15,7 +15,6 @@
   CALL_ENDED(330),
   CALL_REFUSED(331),
   ATTEMPT_ENDED(332),
-  STREAM_RESUMED(333),
   BAD_REQUEST(334),
   LINES_DROPPED(340),
   FAULT(399);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/LineWriter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/LineWriter.java
@@ -61,25 +61,34 @@
 
   private void run() {
     StringBuilder batch = new StringBuilder();
-    try {
-      while (!closed || !queue.isEmpty()) {
-        String first = queue.poll(IDLE_MILLIS, TimeUnit.MILLISECONDS);
+    while (!closed || !queue.isEmpty()) {
+      try {
+        String first = closed ? null : queue.poll(IDLE_MILLIS, TimeUnit.MILLISECONDS);
         if (first != null) {
           batch.append(first);
-        }
-        drainInto(batch);
-        if (batch.length() > 0) {
-          out.write(batch.toString().getBytes(StandardCharsets.UTF_8));
-          out.flush();
-          batch.setLength(0);
-        }
-        if (!closed) {
           Thread.sleep(FLUSH_MILLIS);
         }
+      } catch (InterruptedException e) {
+        // Woken by close: what is queued is written below, then the thread ends.
+      }
+      drainInto(batch);
+      if (!writeOut(batch)) {
+        return;
+      }
+    }
+  }
+
+  private boolean writeOut(StringBuilder batch) {
+    try {
+      if (batch.length() > 0) {
+        out.write(batch.toString().getBytes(StandardCharsets.UTF_8));
+        out.flush();
+        batch.setLength(0);
       }
-    } catch (IOException | InterruptedException e) {
+      return true;
+    } catch (IOException e) {
       // Nobody reads the log any more; requests go on without it.
-      closed = true;
+      return false;
     }
   }
 
@@ -98,6 +107,7 @@
   @Override
   public void close() {
     closed = true;
+    thread.interrupt();
     try {
       thread.join(IDLE_MILLIS);
     } catch (InterruptedException e) {
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestLineWriter.java
@@ -0,0 +1,66 @@
+package org.baykeel.gateway.telemetry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class TestLineWriter {
+  private static final int FLOOD = 200_000;
+
+  @Test
+  void writesStructuredLines() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    LineWriter writer = new LineWriter("n1", out);
+    writer.write(GatewayEvent.CALL_ENDED, "id", "r1", "detail", "two words");
+    writer.close();
+    String line = out.toString(StandardCharsets.UTF_8);
+    assertTrue(
+        line.contains(" event=330 name=CALL_ENDED node=n1 id=r1 detail=\"two words\"\n"), line);
+  }
+
+  @Test
+  void aFloodBehindAStuckReaderNeitherBlocksNorGrows() throws Exception {
+    CountDownLatch stuck = new CountDownLatch(1);
+    ByteArrayOutputStream written = new ByteArrayOutputStream();
+    OutputStream slow =
+        new OutputStream() {
+          @Override
+          public void write(int octet) {
+            written.write(octet);
+          }
+
+          @Override
+          public void write(byte[] bytes, int from, int length) {
+            await(stuck);
+            written.write(bytes, from, length);
+          }
+        };
+    LineWriter writer = new LineWriter("n1", slow);
+    long start = System.nanoTime();
+    for (int i = 0; i < FLOOD; i++) {
+      writer.write(GatewayEvent.CALL_ENDED, "id", i);
+    }
+    long millis = (System.nanoTime() - start) / 1_000_000;
+    assertTrue(millis < 10_000, millis + " ms");
+    stuck.countDown();
+    writer.close();
+    String text = written.toString(StandardCharsets.UTF_8);
+    assertTrue(text.contains("LINES_DROPPED"), "drops are counted");
+    assertTrue(text.lines().count() < FLOOD / 10, text.lines().count() + " lines");
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      assertEquals(true, latch.await(30, TimeUnit.SECONDS));
+    } catch (InterruptedException e) {
+      // The writer is closed while its reader is stuck.
+      Thread.currentThread().interrupt();
+    }
+  }
+}
