--- a/baykeel-cli/src/main/java/org/baykeel/cli/BaykeelCommand.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/BaykeelCommand.java
@@ -15,6 +15,7 @@
   static {
     COMMANDS.put("node", NodeCommand::new);
     COMMANDS.put("check-settings", CheckSettingsCommand::new);
+    COMMANDS.put("explain", ExplainCommand::new);
     COMMANDS.put("plan", PlanCommand::new);
     COMMANDS.put("confirm", ConfirmCommand::new);
     COMMANDS.put("status", () -> new ShowCommand("/operator/status"));
--- a/baykeel-cli/src/main/java/org/baykeel/cli/CheckSettingsCommand.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/CheckSettingsCommand.java
@@ -2,15 +2,35 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import org.baykeel.platform.PlatformSettings;
 import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
 
-/** Checks a node's settings file. */
+/** Checks the settings file of a node, or of the process on the users' platform. */
 final class CheckSettingsCommand implements Command {
   @Argument(metaVar = "FILE", required = true, usage = "settings file of a node")
   private Path file;
 
+  @Option(name = "--platform", usage = "the file is that of the process on the users' platform")
+  private boolean platform;
+
   @Override
   public int run() throws IOException {
+    return platform ? checkPlatform() : checkNode();
+  }
+
+  private int checkPlatform() {
+    try {
+      PlatformSettings.read(file);
+    } catch (PlatformSettings.InvalidSettingsException e) {
+      System.err.println(file.getFileName() + ": " + e.getMessage());
+      return ExitCode.INVALID_FILE;
+    }
+    System.out.println(file.getFileName() + ": ok");
+    return ExitCode.OK;
+  }
+
+  private int checkNode() throws IOException {
     if (SettingsFiles.readNode(file) == null) {
       return ExitCode.INVALID_FILE;
     }
--- a/baykeel-cli/src/test/java/org/baykeel/cli/TestArchitecture.java
+++ b/baykeel-cli/src/test/java/org/baykeel/cli/TestArchitecture.java
@@ -2,6 +2,7 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.junit.AnalyzeClasses;
@@ -19,6 +20,10 @@
           .definedBy("org.baykeel.protocol..")
           .layer("core")
           .definedBy("org.baykeel.core..")
+          .layer("gateway")
+          .definedBy("org.baykeel.gateway..")
+          .layer("platform")
+          .definedBy("org.baykeel.platform..")
           .layer("node")
           .definedBy("org.baykeel.node..")
           .layer("emulator")
@@ -33,13 +38,40 @@
           .mayOnlyBeAccessedByLayers("cli")
           .whereLayer("emulator")
           .mayOnlyBeAccessedByLayers("bench", "cli")
+          .whereLayer("platform")
+          .mayOnlyBeAccessedByLayers("cli")
+          .whereLayer("gateway")
+          .mayOnlyBeAccessedByLayers("platform")
           .whereLayer("node")
           .mayOnlyBeAccessedByLayers("emulator", "bench", "cli")
           .whereLayer("core")
-          .mayOnlyBeAccessedByLayers("node", "emulator", "bench", "cli")
+          .mayOnlyBeAccessedByLayers("gateway", "platform", "node", "emulator", "bench", "cli")
           .whereLayer("protocol")
           .mayOnlyBeAccessedByLayers("core");
 
+  @ArchTest
+  static final ArchRule GATEWAY_DECISIONS_HAVE_NO_SOCKET_OR_CLOCK =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              "org.baykeel.gateway.call..",
+              "org.baykeel.gateway.budget..",
+              "org.baykeel.gateway.history..",
+              "org.baykeel.gateway.directory..",
+              "org.baykeel.gateway.scheduling..",
+              "org.baykeel.gateway.storage..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("io.netty.channel..", "java.net..", "java.nio.channels..")
+          .orShould()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(System.class, "currentTimeMillis");
+
+  @ArchTest
+  static final ArchRule GATEWAY_PACKAGES_HAVE_NO_CYCLES =
+      slices().matching("org.baykeel.gateway.(*)..").should().beFreeOfCycles();
+
   @ArchTest
   static final ArchRule CORE_HAS_NO_THREAD_SOCKET_OR_CLOCK =
       noClasses()
--- /dev/null
+++ b/baykeel-cli/src/test/java/org/baykeel/cli/TestLogStory.java
@@ -0,0 +1,38 @@
+package org.baykeel.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class TestLogStory {
+  private static final String LOST = "t=1000 event=320 name=STORE_LOST node=n1";
+  private static final String END =
+      "t=2500 event=331 name=CALL_REFUSED node=n1 id=r1 program=p1 status=503";
+  private static final String RETRY =
+      "t=2600 event=330 name=CALL_ENDED node=n2 id=r2 program=p1 status=200";
+
+  @Test
+  void aRequestsLinesComeWithWhatItsNodeLearntThen() {
+    Stream<String> log =
+        Stream.of(
+            RETRY,
+            "  17.3 n1 " + END,
+            LOST,
+            "t=9000 event=321 name=STORE_REGAINED node=n1",
+            "t=1000 event=320 name=STORE_LOST node=n2",
+            "not a line of the log");
+    assertEquals(List.of(LOST, END), LogStory.of("r1", log));
+  }
+
+  @Test
+  void aProgramsLinesComeFromAllNodes() {
+    assertEquals(List.of(END, RETRY), LogStory.of("p1", Stream.of(RETRY, END)));
+  }
+
+  @Test
+  void aPartOfAnIdentifierIsNotIt() {
+    assertEquals(List.of(), LogStory.of("r", Stream.of(END)));
+  }
+}
