A call split into attempt, record and call; counters and latency histograms on /metrics

Cause: ClientCall had 665 lines and three jobs; there were no figures to watch.

Change: EngineAttempt reads one answer and notes what it shows of the engine; CallRecord tells log and metrics; GatewayMetrics counts in plain numbers (HdrHistogram) and renders Prometheus text on the readiness address; the metrics library loads only when asked.

Conclusion: ClientCall is down to 512 lines; admission is the next part to take out of it.

--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -0,0 +1,111 @@
+package org.baykeel.gateway.call;
+
+import java.util.List;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.PromptPart;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+
+/** What the log and the metrics tell of one call. */
+final class CallRecord {
+  private final CallRequest request;
+  private final DecisionLog log;
+  private final GatewayMetrics metrics;
+  private final EventLoop eventLoop;
+  private String lastEngine = "none";
+  private int unreadTokens;
+
+  /**
+   * How a call ended.
+   *
+   * @param route its route, or null
+   * @param status the status that the caller got; 0 if its stream was cut
+   * @param outcome one phrase
+   * @param firstEventNanos when its first event came; 0 if none did
+   * @param sends engines that it was sent to
+   * @param runs engines that may have run it
+   * @param events events that the caller got
+   */
+  record End(
+      Route route,
+      int status,
+      String outcome,
+      long firstEventNanos,
+      int sends,
+      int runs,
+      int events) {
+    boolean success() {
+      return status >= 200 && status < 300;
+    }
+  }
+
+  CallRecord(CallRequest request, DecisionLog log, GatewayMetrics metrics, EventLoop eventLoop) {
+    this.request = request;
+    this.log = log;
+    this.metrics = metrics;
+    this.eventLoop = eventLoop;
+  }
+
+  void sentTo(Engine engine, List<PromptPart> prompt) {
+    lastEngine = engine.record().id();
+    unreadTokens = engine.cachedPrefixes().uncachedTokens(prompt);
+  }
+
+  void attemptEnded(EngineAttempt attempt, String outcome, int eventsPassed) {
+    metrics.attemptFailed();
+    log.write(
+        GatewayEvent.ATTEMPT_ENDED,
+        "id",
+        request.attributes().requestId(),
+        "engine",
+        attempt.engine().record().id(),
+        "outcome",
+        outcome,
+        "ms",
+        (eventLoop.nanoTime() - attempt.startedNanos()) / 1_000_000,
+        "events",
+        eventsPassed);
+  }
+
+  void callEnded(End end) {
+    CallAttributes attributes = request.attributes();
+    long received = request.receivedNanos();
+    long millis = (eventLoop.nanoTime() - received) / 1_000_000;
+    long firstMillis =
+        end.firstEventNanos() == 0 ? -1 : (end.firstEventNanos() - received) / 1_000_000;
+    metrics.callEnded(end.status(), millis, firstMillis);
+    log.write(
+        end.success() ? GatewayEvent.CALL_ENDED : GatewayEvent.CALL_REFUSED,
+        "id",
+        attributes.requestId(),
+        "route",
+        end.route() == null ? "none" : end.route().name(),
+        "program",
+        attributes.programId(),
+        "session",
+        attributes.sessionId(),
+        "status",
+        end.status(),
+        "outcome",
+        end.outcome(),
+        "ms",
+        millis,
+        "first_ms",
+        firstMillis,
+        "sends",
+        end.sends(),
+        "engine",
+        lastEngine,
+        "prompt",
+        attributes.prompt().stream().mapToInt(PromptPart::tokens).sum(),
+        "unread",
+        unreadTokens,
+        "runs",
+        end.runs(),
+        "events",
+        end.events());
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -13,12 +13,10 @@
 import org.baykeel.gateway.configuration.RouteKind;
 import org.baykeel.gateway.configuration.ServiceProfile;
 import org.baykeel.gateway.directory.Engine;
-import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.history.KeptTurn;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
-import org.baykeel.gateway.telemetry.GatewayEvent;
 
 /**
  * One request from its arrival to its final answer.
@@ -28,7 +26,7 @@
  * given only while that is true; no event reaches the caller before its tokens are granted; a kept
  * turn ends only after the store has it.
  */
-public final class ClientCall {
+public final class ClientCall implements EngineAttempt.Owner {
   private static final int MAX_SENDS = 6;
   private static final long FIRST_PROGRESS_MILLIS = 1_000;
   private static final long NEXT_PROGRESS_MILLIS = 600;
@@ -45,6 +43,7 @@
   private final CallRequest request;
   private final CallResponder responder;
   private final EventLoop eventLoop;
+  private final CallRecord record;
   private final Set<String> triedEngines = new HashSet<>();
   private Route route;
   private String service;
@@ -53,15 +52,13 @@
   private byte[] engineBody;
   private List<String> ancestors = List.of();
   private Reservation reservation;
-  private Attempt attempt;
+  private EngineAttempt attempt;
   private EventLoop.Timer deadlineTimer;
   private EventLoop.Timer progressTimer;
   private long deadlineNanos;
   private long lastProgressNanos;
   private long firstEventNanos;
   private int sends;
-  private String lastEngine = "none";
-  private int uncachedTokens;
   private int runs;
   private boolean programKnown;
   private boolean congested;
@@ -73,6 +70,7 @@
     this.request = request;
     this.responder = responder;
     this.eventLoop = context.eventLoop();
+    this.record = new CallRecord(request, context.log(), context.metrics(), eventLoop);
   }
 
   void start() {
@@ -270,21 +268,16 @@
     }
     sends++;
     runs++;
-    lastEngine = engine.record().id();
-    uncachedTokens = engine.cachedPrefixes().uncachedTokens(attributes().prompt());
+    record.sentTo(engine, attributes().prompt());
     triedEngines.add(engine.record().id());
     lastProgressNanos = now;
-    attempt = new Attempt(engine, now);
-    engine.requestStarted();
+    attempt =
+        new EngineAttempt(
+            engine, attributes().prompt(), tokensPerEvent, eventLoop, context.congestion(), this);
     long remaining = Math.max(1, (deadlineNanos - now) / 1_000_000);
-    Attempt sent = attempt;
-    sent.exchange =
-        context
-            .transport()
-            .send(
-                engine,
-                new EngineRequest(request, engineBody, remaining, relay.lastEventId()),
-                sent);
+    attempt.send(
+        context.transport(),
+        new EngineRequest(request, engineBody, remaining, relay.lastEventId()));
     armProgressTimer();
   }
 
@@ -326,10 +319,9 @@
     long allowedNanos = progressMillis() * 1_000_000;
     long quietNanos = eventLoop.nanoTime() - lastProgressNanos;
     if (quietNanos >= allowedNanos && attempt != null && mayRunAgain()) {
-      Attempt silent = attempt;
-      silent.exchange.cancel();
-      silent.close("silent");
-      silent.engine.failed(eventLoop.nanoTime());
+      attempt.engine().failed(eventLoop.nanoTime());
+      attempt.cancel();
+      endAttempt("silent");
       dispatch();
     }
     if (!over) {
@@ -341,190 +333,85 @@
     return route.repeatable() && runs < route.attempts();
   }
 
-  /** One send to one engine. */
-  private final class Attempt implements EngineTransport.Listener {
-    private final Engine engine;
-    private final long startedNanos;
-    private final EventStreamParser parser = new EventStreamParser();
-    private final double expectedMillis;
-    private EngineTransport.Exchange exchange;
-    private AnswerHead head;
-    private ByteArrayOutputStream body;
-    private long lastEventNanos;
-    private int events;
-    private boolean closed;
-
-    Attempt(Engine engine, long startedNanos) {
-      this.engine = engine;
-      this.startedNanos = startedNanos;
-      this.expectedMillis = EngineSelector.expectedFirstEventMillis(engine, attributes().prompt());
-    }
-
-    @Override
-    public void onHead(AnswerHead answerHead) {
-      if (closed) {
-        return;
-      }
-      head = answerHead;
-      lastProgressNanos = eventLoop.nanoTime();
-      AnswerTraits traits = head.traits();
-      if (head.status() == 421 || traits.notExecuted()) {
-        onNotExecuted();
-      } else if (head.success() && !traits.signed()) {
-        exchange.cancel();
-        onBroken("success without signature");
-      } else if (head.success() && traits.eventStream()) {
-        relay.head(head);
-      } else {
-        body = new ByteArrayOutputStream();
-      }
-    }
-
-    private void onNotExecuted() {
-      runs--;
-      close("not_executed_" + head.status());
-      if (head.status() == 421) {
-        engine.failed(eventLoop.nanoTime());
-      } else {
-        engine.full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
-      }
+  // What the attempt tells.
+
+  @Override
+  public void onAttemptProgress() {
+    lastProgressNanos = eventLoop.nanoTime();
+  }
+
+  @Override
+  public void onStreamHead(AnswerHead head) {
+    relay.head(head);
+  }
+
+  @Override
+  public void onStreamEvent(StreamEvent event) {
+    if (firstEventNanos == 0) {
+      firstEventNanos = eventLoop.nanoTime();
+    }
+    if (relay.event(event)) {
+      noteEventsPassed(1);
+    }
+  }
+
+  @Override
+  public void onStreamComplete() {
+    endAttempt("complete");
+    streamComplete = true;
+    if (reservation == null || reservation.grant() == Grant.GRANTED) {
+      finishStream();
+    }
+  }
+
+  @Override
+  public void onNotRun(String outcome) {
+    runs--;
+    endAttempt(outcome);
+    dispatch();
+  }
+
+  @Override
+  public void onBroken(String detail) {
+    attempt.engine().failed(eventLoop.nanoTime());
+    endAttempt("broken " + detail);
+    if (mayRunAgain()) {
       dispatch();
+    } else if (relay.begun()) {
+      abort(detail);
+    } else {
+      refuse(route.repeatable() ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN, 0, detail);
     }
+  }
 
-    @Override
-    public void onBody(byte[] bytes) {
-      if (closed) {
-        return;
-      }
-      lastProgressNanos = eventLoop.nanoTime();
-      if (body != null) {
-        body.writeBytes(bytes);
-      } else {
-        parser.add(bytes, this::onEvent);
-      }
-    }
-
-    private void onEvent(StreamEvent event) {
-      if (closed) {
-        return;
-      }
-      noteGap();
-      events++;
-      if (firstEventNanos == 0) {
-        firstEventNanos = eventLoop.nanoTime();
-        engine.cachedPrefixes().add(attributes().prompt());
-        double firstMillis = (firstEventNanos - startedNanos) / 1e6;
-        engine.observeWait(firstMillis - expectedMillis, firstEventNanos);
-        context.congestion().observeWait(firstMillis - expectedMillis, firstEventNanos);
-      }
-      if (relay.event(event)) {
-        noteEventsPassed(1);
-      }
-    }
-
-    private void noteGap() {
-      long now = eventLoop.nanoTime();
-      if (lastEventNanos != 0) {
-        engine.observeGap((now - lastEventNanos) / 1e6);
-      }
-      lastEventNanos = now;
-    }
-
-    @Override
-    public void onComplete() {
-      if (closed) {
-        return;
-      }
-      if (body == null && parser.midEvent()) {
-        onBroken("ended within an event");
-        return;
-      }
-      if (body != null) {
-        onWholeAnswer();
-        return;
-      }
-      engine.succeeded();
-      engine.cachedPrefixes().extend(attributes().prompt(), events * tokensPerEvent);
-      close("complete");
-      streamComplete = true;
-      if (reservation == null || reservation.grant() == Grant.GRANTED) {
-        finishStream();
-      }
-    }
-
-    private void onWholeAnswer() {
-      boolean engineFailed = head.status() >= 500;
-      if (engineFailed && relay.begun()) {
-        onBroken("status " + head.status());
-        return;
-      }
-      if (engineFailed && mayRunAgain() && sends < 2) {
-        close("status_" + head.status());
-        engine.full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
-        dispatch();
-        return;
-      }
-      if (!engineFailed) {
-        engine.succeeded();
-      }
-      close("complete");
-      if (relay.begun()) {
-        abort("status " + head.status() + " in place of the rest");
-        return;
-      }
-      over = true;
-      responder.answer(head, body.toByteArray());
-      ended(head.status(), "answered");
-    }
-
-    @Override
-    public void onFailure(EngineTransport.Failure failure, String detail) {
-      if (closed) {
-        return;
-      }
-      if (failure == EngineTransport.Failure.NOT_SENT) {
-        runs--;
-        engine.failed(eventLoop.nanoTime());
-        close("not_sent " + detail);
-        dispatch();
-      } else {
-        onBroken(detail);
-      }
-    }
-
-    private void onBroken(String detail) {
-      engine.failed(eventLoop.nanoTime());
-      close("broken " + detail);
-      if (mayRunAgain()) {
-        dispatch();
-      } else if (relay.begun()) {
-        abort(detail);
-      } else {
-        refuse(
-            route.repeatable() ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN, 0, detail);
-      }
-    }
-
-    private void close(String outcome) {
-      closed = true;
-      attempt = null;
-      engine.requestEnded();
-      if (!outcome.equals("complete")) {
-        context
-            .log()
-            .write(
-                GatewayEvent.ATTEMPT_ENDED,
-                "id",
-                attributes().requestId(),
-                "engine",
-                engine.record().id(),
-                "outcome",
-                outcome,
-                "ms",
-                (eventLoop.nanoTime() - startedNanos) / 1_000_000,
-                "events",
-                relay.eventsPassed());
-      }
+  @Override
+  public void onWholeAnswer(AnswerHead head, byte[] body) {
+    if (relay.begun()) {
+      onBroken("status " + head.status() + " in place of the rest");
+      return;
+    }
+    boolean engineFailed = head.status() >= 500;
+    if (engineFailed && mayRunAgain() && sends < 2) {
+      attempt.engine().full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
+      endAttempt("status_" + head.status());
+      dispatch();
+      return;
+    }
+    if (!engineFailed) {
+      attempt.engine().succeeded();
+    }
+    endAttempt("complete");
+    over = true;
+    responder.answer(head, body);
+    ended(head.status(), "answered");
+  }
+
+  private void endAttempt(String outcome) {
+    EngineAttempt ended = attempt;
+    attempt = null;
+    ended.close();
+    if (!outcome.equals("complete")) {
+      record.attemptEnded(ended, outcome, relay.eventsPassed());
     }
   }
 
@@ -589,9 +476,8 @@
 
   private void cancelAttempt(String outcome) {
     if (attempt != null) {
-      Attempt current = attempt;
-      current.exchange.cancel();
-      current.close(outcome);
+      attempt.cancel();
+      endAttempt(outcome);
     }
   }
 
@@ -619,47 +505,8 @@
     if (reservation != null) {
       reservation.close();
     }
-    logEnd(status, outcome);
-  }
-
-  private int promptTokens() {
-    return attributes().prompt().stream().mapToInt(PromptPart::tokens).sum();
-  }
-
-  private void logEnd(int status, String outcome) {
-    long now = eventLoop.nanoTime();
-    long received = request.receivedNanos();
-    context
-        .log()
-        .write(
-            status >= 200 && status < 300 ? GatewayEvent.CALL_ENDED : GatewayEvent.CALL_REFUSED,
-            "id",
-            attributes().requestId(),
-            "route",
-            route == null ? "none" : route.name(),
-            "program",
-            attributes().programId(),
-            "session",
-            attributes().sessionId(),
-            "status",
-            status,
-            "outcome",
-            outcome,
-            "ms",
-            (now - received) / 1_000_000,
-            "first_ms",
-            firstEventNanos == 0 ? -1 : (firstEventNanos - received) / 1_000_000,
-            "sends",
-            sends,
-            "engine",
-            lastEngine,
-            "prompt",
-            promptTokens(),
-            "unread",
-            uncachedTokens,
-            "runs",
-            runs,
-            "events",
-            relay == null ? 0 : relay.eventsPassed());
+    int events = relay == null ? 0 : relay.eventsPassed();
+    record.callEnded(
+        new CallRecord.End(route, status, outcome, firstEventNanos, sends, runs, events));
   }
 }
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -0,0 +1,189 @@
+package org.baykeel.gateway.call;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.PromptPart;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.scheduling.CongestionMonitor;
+
+/**
+ * One send of a request to one engine: reads the answer, tells its owner what it amounts to, and
+ * notes what it shows about the engine. After {@link #close} the owner hears nothing more.
+ */
+final class EngineAttempt implements EngineTransport.Listener {
+  private static final int MISDIRECTED = 421;
+  private static final long FULL_PENALTY_MILLIS = 30;
+
+  /** Hears what became of the attempt; exactly one of the last four ends it. */
+  interface Owner {
+    /** Something arrived. */
+    void onAttemptProgress();
+
+    /** A signed stream begins. */
+    void onStreamHead(AnswerHead head);
+
+    /** A whole event. */
+    void onStreamEvent(StreamEvent event);
+
+    /** The stream is whole. */
+    void onStreamComplete();
+
+    /** The engine did not run the request. */
+    void onNotRun(String outcome);
+
+    /** The engine may have run the request, and there is no whole answer. */
+    void onBroken(String detail);
+
+    /** A whole answer that is not a stream. */
+    void onWholeAnswer(AnswerHead head, byte[] body);
+  }
+
+  private final Engine engine;
+  private final List<PromptPart> prompt;
+  private final int tokensPerEvent;
+  private final EventLoop eventLoop;
+  private final CongestionMonitor congestion;
+  private final Owner owner;
+  private final EventStreamParser parser = new EventStreamParser();
+  private final double expectedMillis;
+  private final long startedNanos;
+  private EngineTransport.Exchange exchange;
+  private AnswerHead head;
+  private ByteArrayOutputStream body;
+  private long lastEventNanos;
+  private int events;
+  private boolean closed;
+
+  EngineAttempt(
+      Engine engine,
+      List<PromptPart> prompt,
+      int tokensPerEvent,
+      EventLoop eventLoop,
+      CongestionMonitor congestion,
+      Owner owner) {
+    this.engine = engine;
+    this.prompt = prompt;
+    this.tokensPerEvent = tokensPerEvent;
+    this.eventLoop = eventLoop;
+    this.congestion = congestion;
+    this.owner = owner;
+    this.expectedMillis = engine.expectedFirstEventMillis(prompt);
+    this.startedNanos = eventLoop.nanoTime();
+  }
+
+  void send(EngineTransport transport, EngineRequest request) {
+    engine.requestStarted();
+    exchange = transport.send(engine, request, this);
+  }
+
+  Engine engine() {
+    return engine;
+  }
+
+  long startedNanos() {
+    return startedNanos;
+  }
+
+  void cancel() {
+    exchange.cancel();
+  }
+
+  void close() {
+    closed = true;
+    engine.requestEnded();
+  }
+
+  @Override
+  public void onHead(AnswerHead answerHead) {
+    if (closed) {
+      return;
+    }
+    head = answerHead;
+    owner.onAttemptProgress();
+    AnswerTraits traits = head.traits();
+    if (head.status() == MISDIRECTED || traits.notExecuted()) {
+      onNotExecuted();
+    } else if (head.success() && !traits.signed()) {
+      exchange.cancel();
+      owner.onBroken("success without signature");
+    } else if (head.success() && traits.eventStream()) {
+      owner.onStreamHead(head);
+    } else {
+      body = new ByteArrayOutputStream();
+    }
+  }
+
+  private void onNotExecuted() {
+    if (head.status() == MISDIRECTED) {
+      engine.failed(eventLoop.nanoTime());
+    } else {
+      engine.full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
+    }
+    owner.onNotRun("not_executed_" + head.status());
+  }
+
+  @Override
+  public void onBody(byte[] bytes) {
+    if (closed) {
+      return;
+    }
+    owner.onAttemptProgress();
+    if (body != null) {
+      body.writeBytes(bytes);
+    } else {
+      parser.add(bytes, this::onEvent);
+    }
+  }
+
+  private void onEvent(StreamEvent event) {
+    if (closed) {
+      return;
+    }
+    long now = eventLoop.nanoTime();
+    if (events == 0) {
+      noteFirstEvent(now);
+    } else {
+      engine.observeGap((now - lastEventNanos) / 1e6);
+    }
+    lastEventNanos = now;
+    events++;
+    owner.onStreamEvent(event);
+  }
+
+  private void noteFirstEvent(long now) {
+    engine.cachedPrefixes().add(prompt);
+    double waitMillis = (now - startedNanos) / 1e6 - expectedMillis;
+    engine.observeWait(waitMillis, now);
+    congestion.observeWait(waitMillis, now);
+  }
+
+  @Override
+  public void onComplete() {
+    if (closed) {
+      return;
+    }
+    if (body != null) {
+      owner.onWholeAnswer(head, body.toByteArray());
+    } else if (parser.midEvent()) {
+      owner.onBroken("ended within an event");
+    } else {
+      engine.succeeded();
+      engine.cachedPrefixes().extend(prompt, events * tokensPerEvent);
+      owner.onStreamComplete();
+    }
+  }
+
+  @Override
+  public void onFailure(EngineTransport.Failure failure, String detail) {
+    if (closed) {
+      return;
+    }
+    if (failure == EngineTransport.Failure.NOT_SENT) {
+      engine.failed(eventLoop.nanoTime());
+      owner.onNotRun("not_sent " + detail);
+    } else {
+      owner.onBroken(detail);
+    }
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
@@ -8,6 +8,7 @@
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
 
 /**
  * What every call works with.
@@ -22,6 +23,7 @@
  * @param transport the way to engines
  * @param storeHealth this process's path to the store
  * @param log takes one line for each decision
+ * @param metrics counts calls
  */
 public record GatewayContext(
     EventLoop eventLoop,
@@ -33,4 +35,5 @@
     TurnHistory history,
     EngineTransport transport,
     StoreHealth storeHealth,
-    DecisionLog log) {}
+    DecisionLog log,
+    GatewayMetrics metrics) {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -1,7 +1,15 @@
 package org.baykeel.gateway.directory;
 
+import java.util.List;
+
 /** An engine and this process's own view of it. Used only from the event loop. */
 public final class Engine {
+  /** Prompt tokens that an engine is assumed to read in a millisecond. */
+  public static final double PREFILL_TOKENS_PER_MILLI = 250.0;
+
+  /** Time to the first event of a prompt that is cached whole. */
+  private static final double CACHED_FIRST_EVENT_MILLIS = 8.0;
+
   private static final double WAIT_SMOOTHING = 0.2;
   private static final double GAP_SMOOTHING = 0.08;
   private static final double LONGEST_GAP_MILLIS = 1_000;
@@ -54,6 +62,12 @@
     return cachedPrefixes;
   }
 
+  /** The time in which it is expected to begin an answer when idle, in milliseconds. */
+  public double expectedFirstEventMillis(List<PromptPart> prompt) {
+    return CACHED_FIRST_EVENT_MILLIS
+        + cachedPrefixes.uncachedTokens(prompt) / PREFILL_TOKENS_PER_MILLI;
+  }
+
   /** Requests that this process has sent to it and that are not over. */
   public int inFlight() {
     return inFlight;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ReadinessServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ReadinessServer.java
@@ -21,15 +21,23 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
 
-/** Answers 200 to any request while the process is ready for callers, 503 otherwise. */
+/**
+ * Answers 200 while the process is ready for callers, 503 otherwise, to any request but one for
+ * {@value #METRICS_PATH}.
+ */
 public final class ReadinessServer {
   private static final int MAX_REQUEST_BYTES = 16_384;
 
+  static final String METRICS_PATH = "/metrics";
+
   private final BooleanSupplier ready;
+  private final GatewayMetrics metrics;
 
-  public ReadinessServer(BooleanSupplier ready) {
+  public ReadinessServer(BooleanSupplier ready, GatewayMetrics metrics) {
     this.ready = ready;
+    this.metrics = metrics;
   }
 
   /** Binds and listens. */
@@ -57,12 +65,15 @@
   private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      boolean askedForMetrics = request.uri().equals(METRICS_PATH);
       boolean isReady = ready.getAsBoolean();
-      byte[] text = (isReady ? "ready\n" : "not ready\n").getBytes(StandardCharsets.US_ASCII);
+      byte[] text = askedForMetrics ? metrics.render() : readiness(isReady);
       FullHttpResponse response =
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1,
-              isReady ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+              isReady || askedForMetrics
+                  ? HttpResponseStatus.OK
+                  : HttpResponseStatus.SERVICE_UNAVAILABLE,
               Unpooled.wrappedBuffer(text));
       HttpUtil.setContentLength(response, text.length);
       boolean keep = HttpUtil.isKeepAlive(request);
@@ -73,6 +84,10 @@
       }
     }
 
+    private static byte[] readiness(boolean isReady) {
+      return (isReady ? "ready\n" : "not ready\n").getBytes(StandardCharsets.US_ASCII);
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       context.close();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -15,12 +15,6 @@
  * what they share there even when they arrive through different processes.
  */
 public final class EngineSelector {
-  /** Prompt tokens that an engine is assumed to read in a millisecond. */
-  private static final double PREFILL_TOKENS_PER_MILLI = 250.0;
-
-  /** Time to the first event of a prompt that is cached whole. */
-  private static final double CACHED_FIRST_EVENT_MILLIS = 8.0;
-
   /** Tokens by which a prompt typically grows from turn to turn. */
   private static final int TYPICAL_NEW_TOKENS = 1_500;
 
@@ -87,12 +81,6 @@
     return best;
   }
 
-  /** The time in which an idle engine is expected to begin its answer, in milliseconds. */
-  public static double expectedFirstEventMillis(Engine engine, List<PromptPart> prompt) {
-    return CACHED_FIRST_EVENT_MILLIS
-        + engine.cachedPrefixes().uncachedTokens(prompt) / PREFILL_TOKENS_PER_MILLI;
-  }
-
   private static boolean takesWork(Engine engine, Set<String> excluded) {
     return !engine.record().draining() && !excluded.contains(engine.record().id());
   }
@@ -144,7 +132,7 @@
   }
 
   private static double readingMillis(int tokens) {
-    return tokens * READING_WEIGHT / PREFILL_TOKENS_PER_MILLI;
+    return tokens * READING_WEIGHT / Engine.PREFILL_TOKENS_PER_MILLI;
   }
 
   /** Rendezvous hashing: the engine with the highest rank for the key. */
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -0,0 +1,108 @@
+package org.baykeel.gateway.telemetry;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot.CounterDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.Labels;
+import io.prometheus.metrics.model.snapshots.MetricSnapshots;
+import io.prometheus.metrics.model.snapshots.Quantile;
+import io.prometheus.metrics.model.snapshots.Quantiles;
+import io.prometheus.metrics.model.snapshots.SummarySnapshot;
+import io.prometheus.metrics.model.snapshots.SummarySnapshot.SummaryDataPointSnapshot;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Counters and latency histograms of the gateway. Counted on the event loop in plain numbers; the
+ * metrics library is loaded only when somebody asks for the figures.
+ */
+public final class GatewayMetrics {
+  private static final long LONGEST_MILLIS = 60_000;
+  private static final int SIGNIFICANT_DIGITS = 2;
+  private static final double[] QUANTILES = {0.5, 0.9, 0.99};
+
+  private final Map<Integer, long[]> callsByStatus = new TreeMap<>();
+  private final Histogram callMillis = new Histogram(LONGEST_MILLIS, SIGNIFICANT_DIGITS);
+  private final Histogram firstEventMillis = new Histogram(LONGEST_MILLIS, SIGNIFICANT_DIGITS);
+  private long failedAttempts;
+
+  /**
+   * Counts a call.
+   *
+   * @param status the status that the caller got; 0 if its stream was cut
+   * @param millis from its last byte to its end
+   * @param firstMillis from its last byte to its first event; negative if there was none
+   */
+  public void callEnded(int status, long millis, long firstMillis) {
+    callsByStatus.computeIfAbsent(status, key -> new long[1])[0]++;
+    callMillis.recordValue(Math.min(LONGEST_MILLIS, Math.max(0, millis)));
+    if (firstMillis >= 0) {
+      firstEventMillis.recordValue(Math.min(LONGEST_MILLIS, firstMillis));
+    }
+  }
+
+  /** Counts a send to an engine that brought no whole answer. */
+  public void attemptFailed() {
+    failedAttempts++;
+  }
+
+  /** All figures in the Prometheus text format. */
+  public byte[] render() {
+    CounterSnapshot.Builder calls =
+        CounterSnapshot.builder()
+            .name("baykeel_gateway_calls")
+            .help("Calls by the status that the caller got; 0 is a stream that was cut");
+    callsByStatus.forEach(
+        (status, count) ->
+            calls.dataPoint(
+                CounterDataPointSnapshot.builder()
+                    .labels(Labels.of("status", String.valueOf(status)))
+                    .value(count[0])
+                    .build()));
+    CounterSnapshot attempts =
+        CounterSnapshot.builder()
+            .name("baykeel_gateway_failed_attempts")
+            .help("Sends to engines without a whole answer")
+            .dataPoint(CounterDataPointSnapshot.builder().value(failedAttempts).build())
+            .build();
+    MetricSnapshots snapshots =
+        MetricSnapshots.of(
+            calls.build(),
+            attempts,
+            summary("baykeel_gateway_call_seconds", "Time of a call", callMillis),
+            summary(
+                "baykeel_gateway_first_event_seconds",
+                "Time to the first event of a stream",
+                firstEventMillis));
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      new PrometheusTextFormatWriter(false).write(out, snapshots);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return out.toByteArray();
+  }
+
+  private static SummarySnapshot summary(String name, String help, Histogram millis) {
+    List<Quantile> quantiles = new ArrayList<>();
+    for (double quantile : QUANTILES) {
+      quantiles.add(new Quantile(quantile, millis.getValueAtPercentile(quantile * 100) / 1e3));
+    }
+    return SummarySnapshot.builder()
+        .name(name)
+        .help(help)
+        .dataPoint(
+            SummaryDataPointSnapshot.builder()
+                .quantiles(Quantiles.of(quantiles))
+                .count(millis.getTotalCount())
+                .sum(millis.getMean() * millis.getTotalCount() / 1e3)
+                .build())
+        .build();
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -25,6 +25,7 @@
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingResponder;
 import org.baykeel.gateway.testing.TestingStore;
@@ -66,7 +67,8 @@
             new TurnHistory(store, eventLoop, 1 << 20),
             transport,
             storeHealth,
-            (event, fields) -> {});
+            (event, fields) -> {},
+            new GatewayMetrics());
     state.offer(
         new GatewayConfiguration(
             1,
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -34,6 +34,7 @@
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.testing.ScriptedEngine;
 import org.baykeel.gateway.testing.ScriptedEngine.After;
 import org.baykeel.gateway.testing.ScriptedEngine.Answer;
@@ -97,7 +98,8 @@
             new TurnHistory(store, eventLoop, 1_000),
             new NettyEngineTransport(group, translator),
             health,
-            (event, fields) -> {});
+            (event, fields) -> {},
+            new GatewayMetrics());
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       port = free.getLocalPort();
     }
