--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -1,7 +1,5 @@
 package org.baykeel.gateway.call;
 
-import java.io.ByteArrayOutputStream;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -188,7 +186,8 @@
       return;
     }
     if (lookup instanceof Lookup.Found found) {
-      adoptChain(found.chain());
+      ancestors = found.ids();
+      onReadyToSend(found.continuedBy(request.body()));
     } else if (lookup instanceof Lookup.Absent) {
       refuse(ErrorKind.UNKNOWN_PROGRAM, 0, "no such turn");
     } else {
@@ -196,19 +195,6 @@
     }
   }
 
-  private void adoptChain(List<KeptTurn> chain) {
-    ByteArrayOutputStream body = new ByteArrayOutputStream();
-    List<String> ids = new ArrayList<>(chain.size());
-    for (KeptTurn turn : chain) {
-      ids.add(turn.id());
-      body.writeBytes(turn.input());
-      body.writeBytes(turn.output());
-    }
-    body.writeBytes(request.body());
-    ancestors = ids;
-    onReadyToSend(body.toByteArray());
-  }
-
   private void onReadyToSend(byte[] body) {
     engineBody = body;
     boolean undecided = reservation != null && reservation.grant() == Grant.PENDING;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.history;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -35,7 +36,24 @@
   /** How a search for a turn ended. */
   public sealed interface Lookup {
     /** The turn and all it continues, oldest first. */
-    record Found(List<KeptTurn> chain) implements Lookup {}
+    record Found(List<KeptTurn> chain) implements Lookup {
+
+      /** The identifiers of the chain, oldest first. */
+      public List<String> ids() {
+        return chain.stream().map(KeptTurn::id).toList();
+      }
+
+      /** What an engine is to read: inputs and outputs of the chain, then the new input. */
+      public byte[] continuedBy(byte[] newInput) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (KeptTurn turn : chain) {
+          body.writeBytes(turn.input());
+          body.writeBytes(turn.output());
+        }
+        body.writeBytes(newInput);
+        return body.toByteArray();
+      }
+    }
 
     /** There is no such turn. */
     record Absent() implements Lookup {}
