Simulation of gateway nodes under seeded faults

Change: three nodes, six programs, four engines and the store's double in virtual time; nodes lose power one by one or all at once, the store refuses, loses answers, writes late, can't be read; engines refuse, break off, fall silent. Checked from outside: tokens handed out against the budget, runs of a turn that may run once, refusals that promise it did not run, events in order and whole, the history an engine gets, and that a node that knows nothing finds every turn answered whole.

Whether the checks notice guards that are taken out is measured next.

--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedEngines.java
@@ -0,0 +1,118 @@
+package org.baykeel.gateway.simulation;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.baykeel.gateway.call.AnswerHead;
+import org.baykeel.gateway.call.AnswerTraits;
+import org.baykeel.gateway.call.EngineRequest;
+import org.baykeel.gateway.call.EngineTransport;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.testing.TestingEventLoop;
+
+/** Engines in virtual time that refuse, break off, fall silent or answer, as a seed decides. */
+final class SimulatedEngines implements EngineTransport {
+  static final int EVENTS = 6;
+
+  private final TestingEventLoop eventLoop;
+  private final Random random;
+  private final Map<String, Integer> runs = new HashMap<>();
+  private final Map<String, String> bodies = new HashMap<>();
+
+  SimulatedEngines(TestingEventLoop eventLoop, Random random) {
+    this.eventLoop = eventLoop;
+    this.random = random;
+  }
+
+  /** How often a request began to run at any engine. */
+  int runs(String requestId) {
+    return runs.getOrDefault(requestId, 0);
+  }
+
+  /** The body with which a request ran last. */
+  String body(String requestId) {
+    return bodies.get(requestId);
+  }
+
+  /** One request at one engine. */
+  private final class Run implements Exchange {
+    private final EngineRequest request;
+    private final Listener listener;
+    private boolean cancelled;
+
+    Run(EngineRequest request, Listener listener) {
+      this.request = request;
+      this.listener = listener;
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+    }
+
+    private void later(long millis, Runnable step) {
+      eventLoop.schedule(
+          millis,
+          () -> {
+            if (!cancelled) {
+              step.run();
+            }
+          });
+    }
+
+    private String id() {
+      return request.source().attributes().requestId();
+    }
+
+    void begin() {
+      int luck = random.nextInt(100);
+      if (luck < 5) {
+        later(2, () -> listener.onFailure(Failure.NOT_SENT, "refused"));
+      } else if (luck < 12) {
+        later(2, () -> listener.onHead(head(503, true)));
+      } else {
+        later(1 + random.nextInt(30), this::run);
+      }
+    }
+
+    private void run() {
+      runs.merge(id(), 1, Integer::sum);
+      bodies.put(id(), new String(request.body(), StandardCharsets.UTF_8));
+      if (random.nextInt(100) < 5) {
+        return;
+      }
+      listener.onHead(head(200, false));
+      event((int) Math.max(0, request.lastEventId()) + 1);
+    }
+
+    private void event(int number) {
+      if (random.nextInt(100) < 2) {
+        later(1, () -> listener.onFailure(Failure.BROKEN, "reset"));
+      } else if (number > EVENTS) {
+        later(1, listener::onComplete);
+      } else {
+        later(
+            1 + random.nextInt(20),
+            () -> {
+              String text = "id: " + number + "\ndata: " + id() + '-' + number + "\n\n";
+              listener.onBody(text.getBytes(StandardCharsets.UTF_8));
+              event(number + 1);
+            });
+      }
+    }
+  }
+
+  private static AnswerHead head(int status, boolean notExecuted) {
+    AnswerTraits traits = new AnswerTraits("r", notExecuted, !notExecuted, !notExecuted);
+    return new AnswerHead(status, new DefaultHttpHeaders(), traits);
+  }
+
+  @Override
+  public Exchange send(Engine engine, EngineRequest request, Listener listener) {
+    Run run = new Run(request, listener);
+    run.begin();
+    return run;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
@@ -0,0 +1,80 @@
+package org.baykeel.gateway.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.baykeel.gateway.budget.GrantIds;
+import org.baykeel.gateway.budget.ProgramBudgets;
+import org.baykeel.gateway.call.CallCoordinator;
+import org.baykeel.gateway.call.CallRequest;
+import org.baykeel.gateway.call.CallResponder;
+import org.baykeel.gateway.call.ClientCall;
+import org.baykeel.gateway.call.GatewayContext;
+import org.baykeel.gateway.call.GatewayState;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.scheduling.BackendChooser;
+import org.baykeel.gateway.scheduling.CongestionMonitor;
+import org.baykeel.gateway.scheduling.EngineSelector;
+import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingStore;
+
+/** One life of one node: everything but the store and the engines is lost with it. */
+final class SimulatedNode {
+  private static final int ENGINES = 4;
+  private static final long CACHE_BYTES = 400;
+
+  private final CallCoordinator coordinator;
+  private final TurnHistory history;
+  private final List<ClientCall> calls = new ArrayList<>();
+
+  SimulatedNode(
+      TestingEventLoop eventLoop,
+      TestingStore store,
+      SimulatedEngines engines,
+      GatewayConfiguration configuration,
+      Random random) {
+    StoreHealth health = new StoreHealth();
+    health.answered(eventLoop.nanoTime());
+    EngineDirectory directory = new EngineDirectory(1);
+    GatewayState state = new GatewayState(eventLoop, health, directory, (event, fields) -> {});
+    List<EngineRecord> records = new ArrayList<>();
+    for (int i = 0; i < ENGINES; i++) {
+      records.add(new EngineRecord("e" + i, "s", "10.0.0." + i, 80, "z", 8, false));
+    }
+    state.replaceEngines(records);
+    state.offer(configuration);
+    history = new TurnHistory(store, eventLoop, CACHE_BYTES);
+    coordinator =
+        new CallCoordinator(
+            new GatewayContext(
+                eventLoop,
+                state,
+                new EngineSelector(directory, "z"),
+                new BackendChooser(),
+                new CongestionMonitor(random),
+                new ProgramBudgets(store, eventLoop, new GrantIds(random.nextLong())),
+                history,
+                engines,
+                health,
+                (event, fields) -> {},
+                new GatewayMetrics()));
+  }
+
+  void accept(CallRequest request, CallResponder responder) {
+    calls.add(coordinator.accept(request, responder));
+  }
+
+  TurnHistory history() {
+    return history;
+  }
+
+  /** The node loses power: its connections to engines are gone, and nobody hears of it again. */
+  void losePower() {
+    calls.forEach(ClientCall::callerLeft);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
@@ -0,0 +1,196 @@
+package org.baykeel.gateway.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicReference;
+import org.baykeel.gateway.configuration.Backend;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.configuration.RequestLimits;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.configuration.ServiceProfile;
+import org.baykeel.gateway.history.KeptTurn;
+import org.baykeel.gateway.history.TurnHistory.Lookup;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.testing.TestingStore.Fault;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Several nodes before faulty engines and a faulty store, in virtual time from a seed: nodes lose
+ * power, one or all at once; the store refuses, loses answers, does writes late, can't be read.
+ */
+class TestGatewaySimulation {
+  private static final int SEEDS = 300;
+  private static final int NODES = 3;
+  private static final int PROGRAMS = 6;
+  private static final int STEPS = 120;
+  private static final long SETTLE_MILLIS = 20_000;
+
+  private static GatewayConfiguration configuration() {
+    return new GatewayConfiguration(
+        1,
+        List.of(route("/kept/", true, false), route("/resumable/", false, true)),
+        List.of(new ServiceProfile("s", 100, SimulatedProgram.TOKENS_PER_EVENT)),
+        RequestLimits.DEFAULT);
+  }
+
+  private static Route route(String prefix, boolean retained, boolean resumable) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        RouteKind.STREAMING,
+        3_000,
+        200,
+        0,
+        List.of(new Backend("s", 1)),
+        2,
+        retained,
+        60_000,
+        true,
+        resumable);
+  }
+
+  /** One schedule. */
+  private static final class Schedule {
+    private final Random random;
+    private final TestingEventLoop eventLoop = new TestingEventLoop();
+    private final TestingStore store = new TestingStore(eventLoop);
+    private final SimulatedEngines engines;
+    private final List<SimulatedNode> nodes = new ArrayList<>();
+    private final List<SimulatedProgram> programs = new ArrayList<>();
+    private final List<Integer> nodeOfProgram = new ArrayList<>();
+
+    Schedule(int seed) {
+      random = new Random(seed);
+      engines = new SimulatedEngines(eventLoop, new Random(seed + 1_000_000));
+      for (int i = 0; i < NODES; i++) {
+        nodes.add(startNode());
+      }
+      for (int i = 0; i < PROGRAMS; i++) {
+        String path = i % 2 == 0 ? "/kept/" : "/resumable/";
+        programs.add(new SimulatedProgram("p" + i, path, 200 + random.nextInt(600)));
+        nodeOfProgram.add(0);
+      }
+    }
+
+    private SimulatedNode startNode() {
+      return new SimulatedNode(
+          eventLoop, store, engines, configuration(), new Random(random.nextLong()));
+    }
+
+    void run() {
+      for (int step = 0; step < STEPS; step++) {
+        disturb();
+        int program = random.nextInt(PROGRAMS);
+        if (random.nextInt(4) == 0) {
+          nodeOfProgram.set(program, random.nextInt(NODES));
+        }
+        programs.get(program).next(nodes.get(nodeOfProgram.get(program)), eventLoop);
+        eventLoop.advance(random.nextInt(200));
+      }
+      store.fault(Fault.NONE);
+      store.failReads(false);
+      eventLoop.advance(SETTLE_MILLIS);
+    }
+
+    private void disturb() {
+      int luck = random.nextInt(100);
+      if (luck < 10) {
+        store.fault(Fault.values()[random.nextInt(Fault.values().length)]);
+      } else if (luck < 14) {
+        store.failReads(random.nextBoolean());
+      } else if (luck < 18) {
+        losePower(random.nextInt(NODES));
+      } else if (luck < 19) {
+        for (int i = 0; i < NODES; i++) {
+          losePower(i);
+        }
+      }
+    }
+
+    private void losePower(int node) {
+      for (int i = 0; i < PROGRAMS; i++) {
+        if (nodeOfProgram.get(i) == node) {
+          programs.get(i).nodeGone();
+        }
+      }
+      nodes.get(node).losePower();
+      nodes.set(node, startNode());
+    }
+
+    void check(String seed) {
+      for (SimulatedProgram program : programs) {
+        assertTrue(
+            program.tokensHanded() <= program.budget() + SimulatedProgram.TURN_TOKENS,
+            seed + ": handed " + program.tokensHanded() + " of " + program.budget());
+        for (SimulatedProgram.Try attempt : program.tries()) {
+          checkTry(seed + " " + attempt.id(), program, attempt);
+        }
+      }
+      checkHistory(seed);
+    }
+
+    private void checkTry(String what, SimulatedProgram program, SimulatedProgram.Try attempt) {
+      boolean kept = program.tries().indexOf(attempt) >= 0 && isKept(program);
+      int runs = engines.runs(attempt.id());
+      assertTrue(runs <= (kept ? 1 : 2), what + " ran " + runs + " times");
+      assertTrue(!attempt.disordered(), what + " got events out of order");
+      if (attempt.ended()) {
+        assertEquals(SimulatedEngines.EVENTS, attempt.events(), what + " ended early");
+      }
+      if (attempt.refusal() != null) {
+        int status = attempt.refusal().kind().httpStatus();
+        if (status == 402 || status == 404 || kept && status == 503) {
+          assertEquals(0, runs, what + " ran though it was answered " + status);
+        }
+        assertTrue(
+            status != 404 || attempt.id().isEmpty(), what + ": a turn that was kept is unknown");
+      }
+      if (kept && runs > 0) {
+        String expected =
+            program.chainText(program.previousOf(attempt)) + SimulatedProgram.input(attempt.id());
+        assertEquals(expected, engines.body(attempt.id()), what + " ran with another history");
+      }
+    }
+
+    private boolean isKept(SimulatedProgram program) {
+      return programs.indexOf(program) % 2 == 0;
+    }
+
+    private void checkHistory(String seed) {
+      SimulatedNode fresh = startNode();
+      for (SimulatedProgram program : programs) {
+        if (!isKept(program) || program.lastWhole() == null) {
+          continue;
+        }
+        AtomicReference<Lookup> found = new AtomicReference<>();
+        long giveUp = eventLoop.nanoTime() + 1_000_000_000L;
+        fresh.history().find(program.lastWhole(), giveUp, found::set);
+        eventLoop.advance(2_000);
+        assertTrue(found.get() instanceof Lookup.Found, seed + ": lost " + program.lastWhole());
+        List<KeptTurn> chain = ((Lookup.Found) found.get()).chain();
+        assertEquals(program.lastWhole(), chain.get(chain.size() - 1).id());
+      }
+    }
+  }
+
+  @Test
+  void promisesHoldUnderFaults() {
+    int whole = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Schedule schedule = new Schedule(seed);
+      schedule.run();
+      schedule.check("seed " + seed);
+      for (SimulatedProgram program : schedule.programs) {
+        whole += (int) program.tries().stream().filter(SimulatedProgram.Try::ended).count();
+      }
+    }
+    assertTrue(whole > SEEDS * 10, "schedules that serve nothing prove nothing: " + whole);
+  }
+}
