A refused request that is still being sent gets its whole answer

Cause: TestCallerContract.overLongHeadersAndBodiesAreRefused failed once in a full run (no bytes of an answer): the node answered 413 and closed the socket with unread bytes, which resets the connection; the caller's writing failed before it read the answer.

Change: LingeringClose ends the output first, reads and drops what still arrives, and closes after 2 s. The new test fails with the plain close (broken pipe) and passes with it.

Left: IngressConnection of the gateway closes plainly after 400, 413 and 431 (docs/MEASUREMENTS.md).

--- a/baykeel-node/src/main/java/org/baykeel/node/http/BodyAggregator.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/http/BodyAggregator.java
@@ -1,7 +1,6 @@
 package org.baykeel.node.http;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -31,6 +30,7 @@
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
     response.headers().set("Baykeel-Execution", ErrorBody.lowerCase(kind.execution()));
-    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    context.writeAndFlush(response);
+    LingeringClose.begin(context.channel());
   }
 }
--- a/baykeel-node/src/main/java/org/baykeel/node/http/ConnectionHandler.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/http/ConnectionHandler.java
@@ -47,7 +47,7 @@
       boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
       ErrorKind kind = tooLong ? ErrorKind.TOO_LARGE : ErrorKind.INVALID_REQUEST;
       exchange.error(kind, kind.summary(), 0);
-      context.close();
+      LingeringClose.begin(context.channel());
       return;
     }
     if (queued.size() >= MAXIMUM_PIPELINED) {
--- /dev/null
+++ b/baykeel-node/src/main/java/org/baykeel/node/http/LingeringClose.java
@@ -0,0 +1,39 @@
+package org.baykeel.node.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Closes a connection whose caller may still be sending. A socket that is closed with unread bytes
+ * resets the connection, and the reset can overtake the answer; so the end of the answer is sent
+ * first, and what still arrives is read and dropped until the caller closes or a time has passed.
+ */
+final class LingeringClose extends ChannelInboundHandlerAdapter {
+  private static final long LINGER_MILLIS = 2_000;
+
+  private LingeringClose() {}
+
+  /** Ends a connection after what was written to it before. */
+  static void begin(Channel channel) {
+    channel.pipeline().addFirst(new LingeringClose());
+    channel
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(
+            written -> {
+              if (channel instanceof DuplexChannel duplex && written.isSuccess()) {
+                duplex.shutdownOutput();
+              }
+            });
+    channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    ReferenceCountUtil.release(message);
+  }
+}
--- /dev/null
+++ b/baykeel-node/src/test/java/org/baykeel/node/http/TestLingeringClose.java
@@ -0,0 +1,63 @@
+package org.baykeel.node.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class TestLingeringClose {
+  private static final int LONG_REQUEST = 16 << 20;
+  private static final int PATIENCE_MILLIS = 20_000;
+
+  /** Answers the first bytes and ends the connection. */
+  private static final class RefusingHandler extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      ReferenceCountUtil.release(message);
+      context.writeAndFlush(Unpooled.wrappedBuffer("refused".getBytes(StandardCharsets.US_ASCII)));
+      LingeringClose.begin(context.channel());
+    }
+  }
+
+  @Test
+  void aCallerThatIsStillSendingGetsTheWholeAnswer() throws Exception {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try {
+      ServerBootstrap server =
+          new ServerBootstrap()
+              .group(group)
+              .channel(NioServerSocketChannel.class)
+              .childHandler(
+                  new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                      channel.pipeline().addLast(new RefusingHandler());
+                    }
+                  });
+      InetSocketAddress address =
+          (InetSocketAddress) server.bind("127.0.0.1", 0).sync().channel().localAddress();
+      try (Socket caller = new Socket("127.0.0.1", address.getPort())) {
+        caller.setSoTimeout(PATIENCE_MILLIS);
+        caller.getOutputStream().write(new byte[LONG_REQUEST]);
+        byte[] answer = caller.getInputStream().readAllBytes();
+        assertEquals("refused", new String(answer, StandardCharsets.US_ASCII));
+      }
+    } finally {
+      group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+  }
+}
