An engine that failed lately gets nothing that may run only once

Change: EngineStanding (trusted, probation, avoided). Episodes of failures double a probation of 2 s up to 8 s; on probation only requests that may be repeated try the engine. What is left: each node still has to lose one request to learn of an episode.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -245,7 +245,8 @@
   private void dispatch() {
     long now = eventLoop.nanoTime();
     EngineSelector.Criteria criteria =
-        new EngineSelector.Criteria(service, attributes().prompt(), engineHomeKey());
+        new EngineSelector.Criteria(
+            service, attributes().prompt(), engineHomeKey(), route.repeatable());
     Engine engine =
         sends >= MAX_SENDS ? null : context.selector().select(criteria, triedEngines, now);
     if (engine == null) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -20,19 +20,14 @@
   /** The gap between events of an engine that was not observed yet. */
   private static final double DEFAULT_GAP_MILLIS = 35;
 
-  private static final long FIRST_PENALTY_MILLIS = 250;
-  private static final long LONGEST_PENALTY_MILLIS = 4_000;
-
   private EngineRecord record;
   private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
+  private final EngineFailures failures = new EngineFailures();
   private boolean removed;
   private int inFlight;
   private double waitMillis;
   private long waitObservedNanos;
   private double gapMillis = DEFAULT_GAP_MILLIS;
-  private long avoidUntilNanos;
-  private long penaltyMillis = FIRST_PENALTY_MILLIS;
-  private boolean penalized;
 
   Engine(EngineRecord record) {
     this.record = record;
@@ -110,27 +105,23 @@
     return gapMillis;
   }
 
-  /** Notes a failure: the engine is avoided for a time that doubles until it serves again. */
+  /** Notes that a request failed there, or that it could not be reached. */
   public void failed(long nowNanos) {
-    avoidUntilNanos = nowNanos + penaltyMillis * 1_000_000;
-    penaltyMillis = Math.min(LONGEST_PENALTY_MILLIS, penaltyMillis * 2);
-    penalized = true;
+    failures.failed(nowNanos);
   }
 
   /** Notes that it said it was full: it is avoided briefly. */
   public void full(long nowNanos, long millis) {
-    avoidUntilNanos = Math.max(avoidUntilNanos, nowNanos + millis * 1_000_000);
-    penalized = true;
+    failures.full(nowNanos, millis);
   }
 
   /** Notes a whole answer. */
   public void succeeded() {
-    penaltyMillis = FIRST_PENALTY_MILLIS;
-    penalized = false;
+    failures.succeeded();
   }
 
-  /** Whether it should be used only if no other engine is left. */
-  public boolean avoided(long nowNanos) {
-    return penalized && nowNanos - avoidUntilNanos < 0;
+  /** How far it is trusted with new work. */
+  public EngineStanding standing(long nowNanos) {
+    return failures.standing(nowNanos);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -186,21 +186,21 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     owner.closed(this);
+    breakCurrent();
+  }
+
+  private void breakCurrent() {
     if (current != null) {
       PendingExchange broken = current;
       current = null;
-      broken.fail(Failure.BROKEN, failure);
+      broken.fail(Failure.BROKEN, failure + (used ? ", kept connection" : ", new connection"));
     }
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     failure = String.valueOf(cause.getMessage());
-    if (current != null) {
-      PendingExchange broken = current;
-      current = null;
-      broken.fail(Failure.BROKEN, failure);
-    }
+    breakCurrent();
     close();
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -33,7 +33,6 @@
   private static final double EVENTS_PER_ANSWER = 11.0;
   private static final double MILLIS_PER_REQUEST_IN_FLIGHT = 2.0;
   private static final double OTHER_ZONE_MILLIS = 4.0;
-  private static final double AVOIDED_MILLIS = 100_000.0;
   private static final double HOME_BONUS_MILLIS = 60.0;
 
   private final EngineDirectory directory;
@@ -50,8 +49,10 @@
    * @param service the service that is to run the request
    * @param prompt the parts of its prompt, or none
    * @param homeKey what the request belongs together with, or null
+   * @param repeatable whether it may be sent to another engine after an unknown outcome
    */
-  public record Criteria(String service, List<PromptPart> prompt, String homeKey) {}
+  public record Criteria(
+      String service, List<PromptPart> prompt, String homeKey, boolean repeatable) {}
 
   /**
    * The best engine that is not excluded.
@@ -104,10 +105,7 @@
     if (!engine.record().zone().equals(ownZone)) {
       millis += OTHER_ZONE_MILLIS;
     }
-    if (engine.avoided(nowNanos)) {
-      millis += AVOIDED_MILLIS;
-    }
-    return millis;
+    return millis + engine.standing(nowNanos).penaltyMillis(criteria.repeatable());
   }
 
   /** Whether an engine is known here to keep something of the prompt's own, last part. */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestEngineSelector.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestEngineSelector.java
@@ -13,6 +13,8 @@
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class TestEngineSelector {
   private static final List<PromptPart> LONG_PROMPT =
@@ -31,7 +33,7 @@
   }
 
   private Engine select(List<PromptPart> prompt, String program) {
-    return selector.select(new Criteria("s", prompt, program), Set.of(), 0);
+    return selector.select(new Criteria("s", prompt, program, true), Set.of(), 0);
   }
 
   private Engine engine(String id) {
@@ -59,7 +61,7 @@
     for (int i = 0; i < 20; i++) {
       String program = "p" + i;
       String home = select(LONG_PROMPT, program).record().id();
-      Criteria criteria = new Criteria("s", LONG_PROMPT, program);
+      Criteria criteria = new Criteria("s", LONG_PROMPT, program, true);
       assertEquals(home, other.select(criteria, Set.of(), 0).record().id());
     }
   }
@@ -89,7 +91,7 @@
   void drainingAndExcludedEnginesGetNothing() {
     engines(1);
     directory.put(new EngineRecord("d", "s", "10.0.0.9", 80, "z", 8, true));
-    Criteria criteria = new Criteria("s", List.of(), null);
+    Criteria criteria = new Criteria("s", List.of(), null, true);
     assertNull(selector.select(criteria, Set.of("e0"), 0));
   }
 
@@ -101,4 +103,41 @@
     engine("e1").failed(0);
     assertNotEquals(null, select(LONG_PROMPT, null));
   }
+
+  @ParameterizedTest(name = "{0} failures, {1} ms after the last, repeatable {2}: {3}")
+  @CsvSource({
+    "1, 100, true, e1",
+    "1, 100, false, e1",
+    "1, 300, true, e0",
+    "1, 300, false, e1",
+    "1, 1900, false, e1",
+    "1, 2100, false, e0",
+    "2, 2100, false, e1",
+    "2, 4100, false, e0",
+    "3, 7900, false, e1",
+    "3, 8100, false, e0",
+    "9, 8100, false, e0",
+  })
+  void anEngineThatFailsByTurnsGetsNothingThatMayRunOnlyOnce(
+      int failures, long laterMillis, boolean repeatable, String expected) {
+    engines(2);
+    engine("e1").requestStarted();
+    long now = 0;
+    for (int i = 0; i < failures; i++) {
+      now += 1_000_000_000L;
+      engine("e0").succeeded();
+      engine("e0").failed(now);
+    }
+    Criteria criteria = new Criteria("s", List.of(), null, repeatable);
+    Engine chosen = selector.select(criteria, Set.of(), now + laterMillis * 1_000_000);
+    assertEquals(expected, chosen.record().id());
+  }
+
+  @Test
+  void anEngineOnProbationIsUsedIfNoOtherTakesWork() {
+    engines(1);
+    engine("e0").failed(0);
+    Criteria criteria = new Criteria("s", List.of(), null, false);
+    assertEquals("e0", selector.select(criteria, Set.of(), 1_000_000_000L).record().id());
+  }
 }
