Sub-agents of a program that is new to a node wait for their grant before they run

Cause: a turn of a program unknown to the node was sent to an engine before its grant was known. Ruled out: the outage of the store (it was over). Change: only the first line of such a program (session and program have one identifier) is sent before its grant. A deployment that names lines otherwise only waits for the store. Test: onlyTheFirstLineOfAnUnknownProgramIsSentBeforeItsGrantIsKnown, failed first.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
@@ -37,6 +37,11 @@
     prompt = List.copyOf(prompt);
   }
 
+  /** Whether the request belongs to the line of turns with which its program began. */
+  public boolean firstLine() {
+    return programId != null && programId.equals(sessionId);
+  }
+
   /** Whether the request is a turn of a program with a token budget. */
   public boolean budgeted() {
     return programId != null && tokenBudget != ABSENT && maxOutputTokens > 0;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -198,8 +198,10 @@
   private void onReadyToSend(byte[] body) {
     engineBody = body;
     boolean undecided = reservation != null && reservation.grant() == Grant.PENDING;
-    // A program that is new here is most likely new altogether, and surely affordable then.
-    boolean likelyGranted = !programKnown || !context.storeHealth().reachable();
+    // The first line of a program that is new here is most likely new altogether, and surely
+    // affordable then. Its sub-agents are not: a program that loops starts one after the other.
+    boolean likelyNew = !programKnown && attributes().firstLine();
+    boolean likelyGranted = likelyNew || !context.storeHealth().reachable();
     if (!undecided || likelyGranted && !congested) {
       dispatch();
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -34,6 +34,8 @@
 import org.baykeel.gateway.testing.TestingTransport.Sent;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class TestClientCall {
   private static final long TIMEOUT_MILLIS = 3_000;
@@ -106,9 +108,14 @@
 
   private ClientCall call(
       String path, String id, String previousTurn, String program, long budget) {
+    return call(path, id, previousTurn, program, program, budget);
+  }
+
+  private ClientCall call(
+      String path, String id, String previousTurn, String program, String session, long budget) {
     CallAttributes attributes =
         new CallAttributes(
-            id, 3_000, program, "session", budget, 500, List.of(), previousTurn, -1, null);
+            id, 3_000, program, session, budget, 500, List.of(), previousTurn, -1, null);
     CallRequest request =
         new CallRequest(
             "POST",
@@ -368,6 +375,15 @@
     assertEquals(1, transport.count());
   }
 
+  @ParameterizedTest(name = "session {0}: {1} sends before the grant is known")
+  @CsvSource({"p, 1", "sub-agent, 0"})
+  void onlyTheFirstLineOfAnUnknownProgramIsSentBeforeItsGrantIsKnown(String session, int sends) {
+    call("/once/", "r", null, "p", session, 10_000);
+    assertEquals(sends, transport.count());
+    eventLoop.advance(100);
+    assertEquals(1, transport.count());
+  }
+
   @Test
   void aTurnOfAKnownProgramIsSentOnlyOnceItsGrantIsKnown() {
     for (int i = 1; i <= 5; i++) {
