Nodes tell each other of suspect engines

Change: two failures in a row make an engine suspect, for 2 s doubling to 8 s; this node tells all others in one datagram (SBE, at most 8 KB a second and 40 KB at once), where it counts 1.5 s doubling to 6 s, and only for requests that may run only once. A node writes its address into the store at its start, reads the others', and announces itself; a planned stop takes its row away. Soft state only: no promise depends on it. Without internalPorts, or if the port is taken, a node serves on by itself. Tests: TestEngineSuspicionGossip, TestDatagramPeerTransport, TestPlatformSettings, TestEngineSelector.

--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
@@ -0,0 +1,72 @@
+package org.baykeel.gateway.datagram;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerTransport;
+
+/** Datagrams over UDP. */
+public final class DatagramPeerTransport implements PeerTransport {
+  private volatile Channel channel;
+
+  /**
+   * Binds and receives. Must not be called on the event loop.
+   *
+   * @param receiver takes what arrives, on the event loop
+   * @return whether the address could be bound
+   */
+  public boolean listen(EventLoopGroup group, PeerAddress address, Receiver receiver) {
+    ChannelFuture bound =
+        new Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel.class)
+            .handler(new Handler(receiver))
+            .bind(new InetSocketAddress(address.host(), address.port()))
+            .awaitUninterruptibly();
+    if (bound.isSuccess()) {
+      channel = bound.channel();
+    }
+    return bound.isSuccess();
+  }
+
+  @Override
+  public void send(PeerAddress receiver, byte[] datagram) {
+    if (channel != null) {
+      channel.writeAndFlush(
+          new DatagramPacket(
+              Unpooled.wrappedBuffer(datagram),
+              new InetSocketAddress(receiver.host(), receiver.port())));
+    }
+  }
+
+  /** Hands datagrams on. */
+  private static final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
+    private final Receiver receiver;
+
+    Handler(Receiver receiver) {
+      this.receiver = receiver;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      byte[] datagram = new byte[packet.content().readableBytes()];
+      packet.content().readBytes(datagram);
+      InetSocketAddress sender = packet.sender();
+      receiver.receive(
+          new PeerAddress(sender.getAddress().getHostAddress(), sender.getPort()), datagram);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      // A datagram that cannot be sent or read is lost, as any datagram may be.
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/package-info.java
@@ -0,0 +1,2 @@
+/** Datagrams between nodes over Netty. */
+package org.baykeel.gateway.datagram;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -23,14 +23,16 @@
   private EngineRecord record;
   private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
   private final EngineFailures failures = new EngineFailures();
+  private final EngineSuspicionListener suspicionListener;
   private boolean removed;
   private int inFlight;
   private double waitMillis;
   private long waitObservedNanos;
   private double gapMillis = DEFAULT_GAP_MILLIS;
 
-  Engine(EngineRecord record) {
+  Engine(EngineRecord record, EngineSuspicionListener suspicionListener) {
     this.record = record;
+    this.suspicionListener = suspicionListener;
   }
 
   /** What it stated last. */
@@ -107,7 +109,18 @@
 
   /** Notes that a request failed there, or that it could not be reached. */
   public void failed(long nowNanos) {
+    boolean suspectBefore = failures.suspectAt(nowNanos);
     failures.failed(nowNanos);
+    if (!suspectBefore && failures.suspectAt(nowNanos)) {
+      suspicionListener.engineSuspected(this);
+    }
+  }
+
+  /** Notes that another node suspects it; returns whether that is new here. */
+  public boolean suspectedElsewhere(long nowNanos) {
+    boolean suspectBefore = failures.suspectAt(nowNanos);
+    failures.suspectedElsewhere(nowNanos);
+    return !suspectBefore;
   }
 
   /** Notes that it said it was full: it is avoided briefly. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -17,6 +17,7 @@
   private final Map<String, Engine> byId = new HashMap<>();
   private final Map<String, List<Engine>> byService = new HashMap<>();
   private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
+  private EngineSuspicionListener suspicionListener = EngineSuspicionListener.NONE;
 
   /**
    * Creates a directory.
@@ -28,6 +29,24 @@
     this.lapseGraceNanos = lapseGraceNanos;
   }
 
+  /**
+   * Sets who hears when an engine becomes suspect here.
+   *
+   * @param listener hears of all engines, also of those known before
+   */
+  public void onSuspicion(EngineSuspicionListener listener) {
+    suspicionListener = listener;
+  }
+
+  /**
+   * The engine with an identifier.
+   *
+   * @return the engine, or null if it is not known
+   */
+  public Engine find(EngineId id) {
+    return byId.get(id.value());
+  }
+
   /** Adopts the whole list of engines. */
   public void replaceAll(List<EngineRecord> records, boolean storeDisturbed, long nowNanos) {
     Set<String> present = new HashSet<>();
@@ -50,7 +69,7 @@
       known.update(record);
       return;
     }
-    Engine engine = new Engine(record);
+    Engine engine = new Engine(record, suspected -> suspicionListener.engineSuspected(suspected));
     byId.put(record.id(), engine);
     byService.computeIfAbsent(record.service(), service -> new ArrayList<>()).add(engine);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineFailures.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineFailures.java
@@ -3,41 +3,61 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The recent failures of one engine. Failures close to each other are one episode; an engine that
- * goes down and up by turns has one episode after the other, and each doubles its probation.
+ * The recent failures of one engine. One that fails now and then is on probation; one that fails
+ * twice in a row is suspect, for longer each time it happens again.
  */
 final class EngineFailures {
   private static final long FIRST_PENALTY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
   private static final long LONGEST_PENALTY_NANOS = TimeUnit.SECONDS.toNanos(4);
-  private static final long EPISODE_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-  private static final long FIRST_PROBATION_NANOS = TimeUnit.SECONDS.toNanos(2);
-  private static final int MAX_PROBATION_DOUBLINGS = 2;
+  private static final long PROBATION_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final int FAILURES_UNTIL_SUSPECT = 2;
+  private static final long FIRST_SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final int MAX_SUSPICION_DOUBLINGS = 2;
 
-  /** After this time without a failure the next one counts as the first. */
+  /** How long the first suspicion of another node counts here. */
+  private static final long FIRST_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  /** After this time without a suspicion the next one counts as the first. */
   private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(12);
 
   private long avoidUntilNanos;
   private long penaltyNanos = FIRST_PENALTY_NANOS;
   private boolean penalized;
+  private boolean everFailed;
   private long lastFailureNanos;
-  private int episodes;
+  private int consecutiveFailures;
+  private boolean everSuspect;
+  private long suspectUntilNanos;
+  private int suspicions;
 
   /** Notes a failure: the engine is avoided for a time that doubles until it serves again. */
   void failed(long nowNanos) {
     avoidUntilNanos = nowNanos + penaltyNanos;
     penaltyNanos = Math.min(LONGEST_PENALTY_NANOS, penaltyNanos * 2);
     penalized = true;
-    noteEpisode(nowNanos);
+    everFailed = true;
+    lastFailureNanos = nowNanos;
+    consecutiveFailures++;
+    if (consecutiveFailures >= FAILURES_UNTIL_SUSPECT) {
+      suspect(nowNanos, FIRST_SUSPICION_NANOS, consecutiveFailures == FAILURES_UNTIL_SUSPECT);
+    }
+  }
+
+  /** Notes that another node suspects the engine. */
+  void suspectedElsewhere(long nowNanos) {
+    suspect(nowNanos, FIRST_REPORT_NANOS, !suspectAt(nowNanos));
   }
 
-  private void noteEpisode(long nowNanos) {
-    long sinceLast = nowNanos - lastFailureNanos;
-    if (episodes == 0 || sinceLast > FORGET_NANOS) {
-      episodes = 1;
-    } else if (sinceLast > EPISODE_GAP_NANOS) {
-      episodes++;
+  private void suspect(long nowNanos, long firstNanos, boolean again) {
+    if (!everSuspect || nowNanos - suspectUntilNanos > FORGET_NANOS) {
+      suspicions = 1;
+      suspectUntilNanos = nowNanos;
+    } else if (again) {
+      suspicions++;
     }
-    lastFailureNanos = nowNanos;
+    everSuspect = true;
+    int doublings = Math.min(suspicions - 1, MAX_SUSPICION_DOUBLINGS);
+    suspectUntilNanos = Math.max(suspectUntilNanos, nowNanos + (firstNanos << doublings));
   }
 
   /** Notes that the engine said it was full: it is avoided briefly. */
@@ -46,24 +66,25 @@
     penalized = true;
   }
 
-  /** Notes a whole answer: the engine is no longer avoided; its probation goes on. */
+  /** Notes a whole answer: the engine is no longer avoided; what it did before still counts. */
   void succeeded() {
     penaltyNanos = FIRST_PENALTY_NANOS;
     penalized = false;
+    consecutiveFailures = 0;
+  }
+
+  boolean suspectAt(long nowNanos) {
+    return everSuspect && nowNanos - suspectUntilNanos < 0;
   }
 
   EngineStanding standing(long nowNanos) {
     if (penalized && nowNanos - avoidUntilNanos < 0) {
       return EngineStanding.AVOIDED;
     }
-    return onProbation(nowNanos) ? EngineStanding.PROBATION : EngineStanding.TRUSTED;
-  }
-
-  private boolean onProbation(long nowNanos) {
-    if (episodes == 0) {
-      return false;
+    if (suspectAt(nowNanos)) {
+      return EngineStanding.SUSPECT;
     }
-    int doublings = Math.min(episodes - 1, MAX_PROBATION_DOUBLINGS);
-    return nowNanos - lastFailureNanos < FIRST_PROBATION_NANOS << doublings;
+    boolean failedLately = everFailed && nowNanos - lastFailureNanos < PROBATION_NANOS;
+    return failedLately ? EngineStanding.PROBATION : EngineStanding.TRUSTED;
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineStanding.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineStanding.java
@@ -11,13 +11,24 @@
   },
 
   /**
-   * It failed lately and may fail again. Requests that may be repeated try it; one that may run
-   * only once would be lost there, so it goes elsewhere while another engine takes work.
+   * A request failed there lately, others did not: a request that may run only once waits rather.
    */
   PROBATION {
     @Override
     public double penaltyMillis(boolean repeatable) {
-      return repeatable ? 0 : ONCE_ONLY_PENALTY_MILLIS;
+      return repeatable ? 0 : PROBATION_PENALTY_MILLIS;
+    }
+  },
+
+  /**
+   * It is probably down, or goes down and up by turns. Requests that may be repeated try it; one
+   * that may run only once would be lost there, so it goes elsewhere while another engine takes
+   * work.
+   */
+  SUSPECT {
+    @Override
+    public double penaltyMillis(boolean repeatable) {
+      return repeatable ? 0 : SUSPECT_PENALTY_MILLIS;
     }
   },
 
@@ -29,8 +40,10 @@
     }
   };
 
+  private static final double PROBATION_PENALTY_MILLIS = 100;
+
   /** More than any wait that is worth its while. */
-  private static final double ONCE_ONLY_PENALTY_MILLIS = 20_000;
+  private static final double SUSPECT_PENALTY_MILLIS = 20_000;
 
   private static final double LAST_RESORT_PENALTY_MILLIS = 100_000;
 
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineSuspicionListener.java
@@ -0,0 +1,15 @@
+package org.baykeel.gateway.directory;
+
+/** Hears when this process begins to suspect an engine because of its own requests. */
+@FunctionalInterface
+public interface EngineSuspicionListener {
+  /** A listener that does nothing. */
+  EngineSuspicionListener NONE = engine -> {};
+
+  /**
+   * Requests failed in a row at an engine that was not suspect until then.
+   *
+   * @param engine the engine
+   */
+  void engineSuspected(Engine engine);
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineSuspicionGossip.java
@@ -0,0 +1,97 @@
+package org.baykeel.gateway.peer;
+
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineSuspicionListener;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+
+/**
+ * Tells the other nodes when an engine becomes suspect, so that not every node loses requests
+ * there. The word of another node counts for a short time, and only for requests that may run only
+ * once: a node that alone can't reach an engine takes no more than that from the rest.
+ */
+public final class EngineSuspicionGossip implements EngineSuspicionListener {
+  /** Bytes that a datagram takes on a link beyond its content: UDP, IP and Ethernet. */
+  private static final int OVERHEAD_BYTES = 46;
+
+  private static final double BYTES_PER_NANO = 8_192 / 1e9;
+  private static final double MAX_SAVED_BYTES = 40_960;
+
+  private final EngineDirectory engines;
+  private final PeerDirectory peers;
+  private final PeerTransport transport;
+  private final PeerMessageCodec codec;
+  private final EventLoop eventLoop;
+  private final DecisionLog log;
+  private double savedBytes = MAX_SAVED_BYTES;
+  private long savedAtNanos;
+
+  /** Creates a gossip that has to be told of suspicions and given datagrams. */
+  public EngineSuspicionGossip(
+      EngineDirectory engines,
+      PeerDirectory peers,
+      PeerTransport transport,
+      PeerMessageCodec codec,
+      EventLoop eventLoop,
+      DecisionLog log) {
+    this.engines = engines;
+    this.peers = peers;
+    this.transport = transport;
+    this.codec = codec;
+    this.eventLoop = eventLoop;
+    this.log = log;
+    this.savedAtNanos = eventLoop.nanoTime();
+  }
+
+  @Override
+  public void engineSuspected(Engine engine) {
+    EngineId id = new EngineId(engine.record().id());
+    byte[] notice = codec.encode(new PeerMessage.EngineSuspicion(id));
+    long bytes = (long) (notice.length + OVERHEAD_BYTES) * peers.peers().size();
+    if (takeBytes(bytes)) {
+      peers.peers().forEach(peer -> transport.send(peer, notice));
+    }
+  }
+
+  private boolean takeBytes(long bytes) {
+    long now = eventLoop.nanoTime();
+    savedBytes = Math.min(MAX_SAVED_BYTES, savedBytes + (now - savedAtNanos) * BYTES_PER_NANO);
+    savedAtNanos = now;
+    if (savedBytes < bytes) {
+      return false;
+    }
+    savedBytes -= bytes;
+    return true;
+  }
+
+  /**
+   * Takes what another node has sent.
+   *
+   * @param sender where it came from
+   * @param datagram its bytes
+   */
+  public void receive(PeerAddress sender, byte[] datagram) {
+    codec
+        .decode(datagram)
+        .ifPresent(
+            message -> {
+              peers.heardFrom(sender);
+              if (message instanceof PeerMessage.EngineSuspicion suspicion) {
+                onSuspicionElsewhere(sender, suspicion.engineId());
+              }
+            });
+  }
+
+  private void onSuspicionElsewhere(PeerAddress sender, EngineId engineId) {
+    Engine engine = engines.find(engineId);
+    if (engine == null) {
+      return;
+    }
+    if (engine.suspectedElsewhere(eventLoop.nanoTime())) {
+      log.write(GatewayEvent.ENGINE_REPORTED, "engine", engineId.value(), "peer", sender);
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/datagram/TestDatagramPeerTransport.java
@@ -0,0 +1,67 @@
+package org.baykeel.gateway.datagram;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class TestDatagramPeerTransport {
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final int PATIENCE_SECONDS = 20;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  private static PeerAddress freeAddress() throws IOException {
+    try (DatagramSocket socket =
+        new DatagramSocket(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0))) {
+      return new PeerAddress(LOOPBACK, socket.getLocalPort());
+    }
+  }
+
+  @Test
+  void aDatagramArrivesWithItsSender() throws Exception {
+    PeerAddress senderAddress = freeAddress();
+    PeerAddress receiverAddress = freeAddress();
+    CompletableFuture<String> received = new CompletableFuture<>();
+    DatagramPeerTransport sender = new DatagramPeerTransport();
+    assertTrue(sender.listen(group, senderAddress, (from, datagram) -> {}));
+    assertTrue(
+        new DatagramPeerTransport()
+            .listen(
+                group,
+                receiverAddress,
+                (from, datagram) ->
+                    received.complete(
+                        from + " " + new String(datagram, StandardCharsets.US_ASCII))));
+    sender.send(receiverAddress, "hello".getBytes(StandardCharsets.US_ASCII));
+    assertEquals(senderAddress + " hello", received.get(PATIENCE_SECONDS, TimeUnit.SECONDS));
+  }
+
+  @Test
+  void aTakenPortIsReportedAndSendingDoesNothing() throws Exception {
+    PeerAddress address = freeAddress();
+    assertTrue(new DatagramPeerTransport().listen(group, address, (from, datagram) -> {}));
+    DatagramPeerTransport second = new DatagramPeerTransport();
+    assertFalse(second.listen(group, address, (from, datagram) -> {}));
+    second.send(address, new byte[1]);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineSuspicionGossip.java
@@ -0,0 +1,211 @@
+package org.baykeel.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.directory.EngineStanding;
+import org.baykeel.gateway.storage.RowAddress;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingPeerNetwork;
+import org.baykeel.gateway.testing.TestingStore;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class TestEngineSuspicionGossip {
+  private static final EngineId ENGINE = new EngineId("e1");
+
+  private final TestingEventLoop eventLoop = new TestingEventLoop();
+  private final TestingStore store = new TestingStore(eventLoop);
+  private final TestingPeerNetwork network = new TestingPeerNetwork(eventLoop);
+
+  /** One node's view of the engines and of the other nodes. */
+  private final class Node {
+    private final PeerAddress address;
+    private final EngineDirectory engines = new EngineDirectory(1);
+    private final PeerDirectory peers;
+
+    Node(String name, int port) {
+      address = new PeerAddress("10.0.0.1", port);
+      PeerMessageCodec codec = new PeerMessageCodec();
+      PeerTransport transport = network.transportOf(address);
+      peers =
+          new PeerDirectory(
+              name, address, store, eventLoop, transport, codec, (event, fields) -> {});
+      EngineSuspicionGossip gossip =
+          new EngineSuspicionGossip(
+              engines, peers, transport, codec, eventLoop, (event, fields) -> {});
+      engines.put(new EngineRecord(ENGINE.value(), "s", "10.0.0.9", 80, "z", 4, false));
+      engines.onSuspicion(gossip);
+      network.attach(address, gossip::receive);
+    }
+
+    Engine engine() {
+      return engines.find(ENGINE);
+    }
+
+    void failTwice() {
+      engine().failed(eventLoop.nanoTime());
+      engine().failed(eventLoop.nanoTime());
+    }
+
+    EngineStanding standing() {
+      return engine().standing(eventLoop.nanoTime());
+    }
+  }
+
+  private Node started(String name, int port) {
+    Node node = new Node(name, port);
+    node.peers.join();
+    return node;
+  }
+
+  @ParameterizedTest(name = "{0} ms after another node saw the failure: {1}")
+  @CsvSource({"1, TRUSTED", "3, SUSPECT", "1400, SUSPECT", "1600, TRUSTED"})
+  void othersLearnOfAFailureAndForgetIt(long millis, EngineStanding expected) {
+    Node first = started("first", 1);
+    Node second = started("second", 2);
+    eventLoop.advance(2_000);
+    first.failTwice();
+    eventLoop.advance(millis);
+    assertEquals(expected, second.standing());
+  }
+
+  @Test
+  void aSingleFailureIsNoNews() {
+    Node first = started("first", 1);
+    Node second = started("second", 2);
+    eventLoop.advance(2_000);
+    first.engine().failed(eventLoop.nanoTime());
+    first.engine().succeeded();
+    first.engine().failed(eventLoop.nanoTime());
+    eventLoop.advance(10);
+    assertEquals(EngineStanding.TRUSTED, second.standing());
+  }
+
+  @ParameterizedTest(name = "reported {0} times, {1} ms after the last report: {2}")
+  @CsvSource({
+    "1, 1600, TRUSTED",
+    "2, 2900, SUSPECT",
+    "2, 3100, TRUSTED",
+    "3, 5900, SUSPECT",
+    "3, 6100, TRUSTED",
+  })
+  void anEngineThatOthersSuspectAgainIsDistrustedLonger(
+      int reports, long millis, EngineStanding expected) {
+    Node second = started("second", 2);
+    eventLoop.advance(2_000);
+    byte[] report = new PeerMessageCodec().encode(new PeerMessage.EngineSuspicion(ENGINE));
+    PeerTransport others = network.transportOf(new PeerAddress("10.0.0.1", 1));
+    for (int i = 0; i < reports; i++) {
+      eventLoop.advance(7_000);
+      others.send(second.address, report);
+      others.send(second.address, report);
+    }
+    eventLoop.advance(millis);
+    assertEquals(expected, second.standing());
+  }
+
+  @Test
+  void aNodeThatStartsLaterIsToldToo() {
+    Node first = started("first", 1);
+    eventLoop.advance(5_000);
+    Node later = started("later", 2);
+    eventLoop.advance(2_000);
+    first.failTwice();
+    eventLoop.advance(10);
+    assertEquals(EngineStanding.SUSPECT, later.standing());
+  }
+
+  @Test
+  void whatOthersSawIsNotTakenForAnOwnFailure() {
+    Node first = started("first", 1);
+    Node second = started("second", 2);
+    Node third = started("third", 3);
+    eventLoop.advance(2_000);
+    long before = network.sentBytes();
+    first.failTwice();
+    long oneNotice = network.sentBytes() - before;
+    eventLoop.advance(100);
+    assertEquals(before + oneNotice, network.sentBytes(), "nobody passes it on");
+    assertEquals(0, EngineStanding.SUSPECT.penaltyMillis(true));
+    assertEquals(second.standing(), third.standing());
+  }
+
+  @Test
+  void aStoreThatIsAwayAtTheStartDelaysOnlyTheNews() {
+    store.fault(TestingStore.Fault.REFUSE);
+    Node first = started("first", 1);
+    Node second = started("second", 2);
+    eventLoop.advance(4_000);
+    store.fault(TestingStore.Fault.NONE);
+    eventLoop.advance(3_000);
+    assertEquals(List.of(second.address), List.copyOf(first.peers.peers()));
+    assertEquals(List.of(first.address), List.copyOf(second.peers.peers()));
+  }
+
+  @Test
+  void bytesStayBoundedHoweverManyFailuresThereAre() {
+    int peers = 400;
+    List<Node> nodes = new ArrayList<>();
+    for (int i = 0; i <= peers; i++) {
+      nodes.add(new Node("n" + i, i + 1));
+    }
+    Node first = nodes.get(0);
+    nodes.subList(1, nodes.size()).forEach(node -> first.peers.heardFrom(node.address));
+    for (int i = 0; i < 100; i++) {
+      EngineRecord record = new EngineRecord("f" + i, "s", "10.0.0.9", 80, "z", 4, false);
+      first.engines.put(record);
+      Engine engine = first.engines.find(new EngineId("f" + i));
+      engine.failed(eventLoop.nanoTime());
+      engine.failed(eventLoop.nanoTime());
+      eventLoop.advance(100);
+    }
+    long tenSeconds = 40_960 + 10 * 8_192;
+    assertTrue(network.sentBytes() > 0);
+    assertTrue(network.sentBytes() <= tenSeconds, "sent " + network.sentBytes());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "00", "0000000000000000", "02003d00c6020000ff7f", "0000ffffc6020000"})
+  void bytesThatAreNoMessageAreDropped(String hex) {
+    assertEquals(Optional.empty(), new PeerMessageCodec().decode(HexFormat.of().parseHex(hex)));
+  }
+
+  @Test
+  void messagesAreReadAsTheyWereWritten() {
+    PeerMessageCodec codec = new PeerMessageCodec();
+    for (PeerMessage message :
+        List.of(new PeerMessage.NodeAnnouncement(), new PeerMessage.EngineSuspicion(ENGINE))) {
+      assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
+    }
+  }
+
+  @Test
+  void aPlannedStopTakesOnlyItsOwnLifesRowAway() {
+    RowAddress row = new RowAddress("node", "", "first");
+    Node before = started("first", 1);
+    eventLoop.advance(2_000);
+    assertEquals("10.0.0.1:1", new String(store.value(row), StandardCharsets.US_ASCII));
+    Node next = started("first", 1);
+    eventLoop.advance(2_000);
+    before.peers.leave();
+    eventLoop.advance(100);
+    assertNotNull(store.value(row));
+    next.peers.leave();
+    eventLoop.advance(100);
+    assertNull(store.value(row));
+  }
+}
