--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineFailures.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineFailures.java
@@ -48,6 +48,12 @@
     suspect(nowNanos, FIRST_REPORT_NANOS, !suspectAt(nowNanos));
   }
 
+  /**
+   * Makes the engine suspect, or extends that.
+   *
+   * @param firstNanos how long it is suspect the first time
+   * @param again whether this is a new occasion, which doubles the time, or the same one going on
+   */
   private void suspect(long nowNanos, long firstNanos, boolean again) {
     if (!everSuspect || nowNanos - suspectUntilNanos > FORGET_NANOS) {
       suspicions = 1;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineStanding.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineStanding.java
@@ -11,7 +11,8 @@
   },
 
   /**
-   * A request failed there lately, others did not: a request that may run only once waits rather.
+   * A request failed there lately, others did not. One that may run only once prefers another
+   * engine unless that costs it much time.
    */
   PROBATION {
     @Override
