A start runs on one thread until everything is built

Cause: a node's virtual machine ended with code 134 at a start, rarely. Two caught frames show main in the C library's read, loading a native library or a properties file, 13 to 17 ms after the event loop's thread had started; the users' page says that places which make system calls often are rewritten while the process runs. Reading, not shown: the second thread was in the same place. Ruled out by earlier trials: stack sizes, native libraries alone (opening channels first still ended once in 990 starts).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
@@ -18,23 +18,27 @@
   private volatile Channel channel;
 
   /**
-   * Binds and receives. Must not be called on the event loop.
+   * Begins to receive; may be called on the event loop. Until the address is bound, nothing is
+   * sent.
    *
    * @param receiver takes what arrives, on the event loop
-   * @return whether the address could be bound
+   * @return completes when the address is bound, or fails if it cannot be
    */
-  public boolean listen(EventLoopGroup group, PeerAddress address, Receiver receiver) {
+  public ChannelFuture listen(EventLoopGroup group, PeerAddress address, Receiver receiver) {
     ChannelFuture bound =
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
             .handler(new Handler(receiver))
-            .bind(new InetSocketAddress(address.host(), address.port()))
-            .awaitUninterruptibly();
+            .bind(new InetSocketAddress(address.host(), address.port()));
+    bound.addListener(future -> adopt(bound));
+    return bound;
+  }
+
+  private void adopt(ChannelFuture bound) {
     if (bound.isSuccess()) {
       channel = bound.channel();
     }
-    return bound.isSuccess();
   }
 
   @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -45,9 +46,13 @@
     this.log = log;
   }
 
-  /** Binds and listens; fails with an exception if the address cannot be bound. */
-  public void listen(EventLoopGroup group, InetSocketAddress address) {
-    listener =
+  /**
+   * Begins to listen; may be called on the event loop.
+   *
+   * @return completes when the address is bound, or fails if it cannot be
+   */
+  public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+    ChannelFuture bound =
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
@@ -61,12 +66,12 @@
                     accept(channel);
                   }
                 })
-            .bind(address)
-            .syncUninterruptibly()
-            .channel();
+            .bind(address);
+    listener = bound.channel();
     group
         .next()
         .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    return bound;
   }
 
   private void accept(SocketChannel channel) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ReadinessServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ReadinessServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -40,9 +41,13 @@
     this.metrics = metrics;
   }
 
-  /** Binds and listens. */
-  public void listen(EventLoopGroup group, InetSocketAddress address) {
-    new ServerBootstrap()
+  /**
+   * Begins to listen; may be called on the event loop.
+   *
+   * @return completes when the address is bound, or fails if it cannot be
+   */
+  public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+    return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
@@ -57,8 +62,7 @@
                     .addLast(new Handler());
               }
             })
-        .bind(address)
-        .syncUninterruptibly();
+        .bind(address);
   }
 
   /** Answers one connection. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/LineWriter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/LineWriter.java
@@ -5,11 +5,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Writes lines of {@code key=value} pairs from a thread of its own. When its queue is full, lines
- * are dropped and counted; the count is written once there is room.
+ * Writes lines of {@code key=value} pairs from a thread of its own, which starts with the first
+ * line. When its queue is full, lines are dropped and counted; the count is written once there is
+ * room.
  */
 public final class LineWriter implements DecisionLog, AutoCloseable {
   private static final int QUEUE_LINES = 2_048;
@@ -20,6 +22,7 @@
   private final OutputStream out;
   private final ArrayBlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
   private final AtomicLong dropped = new AtomicLong();
+  private final AtomicBoolean started = new AtomicBoolean();
   private final Thread thread;
   private volatile boolean closed;
 
@@ -28,16 +31,22 @@
     this.out = out;
     this.thread = new Thread(this::run, "log");
     thread.setDaemon(true);
-    thread.start();
   }
 
   @Override
   public void write(GatewayEvent event, Object... fields) {
+    startOnce();
     if (!queue.offer(format(event, fields))) {
       dropped.incrementAndGet();
     }
   }
 
+  private void startOnce() {
+    if (!started.get() && started.compareAndSet(false, true)) {
+      thread.start();
+    }
+  }
+
   private String format(GatewayEvent event, Object... fields) {
     StringBuilder line = new StringBuilder(160);
     line.append("t=").append(System.currentTimeMillis());
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/datagram/TestDatagramPeerTransport.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/datagram/TestDatagramPeerTransport.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerTransport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -37,21 +38,24 @@
     }
   }
 
+  private boolean listens(
+      DatagramPeerTransport transport, PeerAddress address, PeerTransport.Receiver receiver) {
+    return transport.listen(group, address, receiver).awaitUninterruptibly().isSuccess();
+  }
+
   @Test
   void aDatagramArrivesWithItsSender() throws Exception {
     PeerAddress senderAddress = freeAddress();
     PeerAddress receiverAddress = freeAddress();
     CompletableFuture<String> received = new CompletableFuture<>();
     DatagramPeerTransport sender = new DatagramPeerTransport();
-    assertTrue(sender.listen(group, senderAddress, (from, datagram) -> {}));
+    assertTrue(listens(sender, senderAddress, (from, datagram) -> {}));
     assertTrue(
-        new DatagramPeerTransport()
-            .listen(
-                group,
-                receiverAddress,
-                (from, datagram) ->
-                    received.complete(
-                        from + " " + new String(datagram, StandardCharsets.US_ASCII))));
+        listens(
+            new DatagramPeerTransport(),
+            receiverAddress,
+            (from, datagram) ->
+                received.complete(from + " " + new String(datagram, StandardCharsets.US_ASCII))));
     sender.send(receiverAddress, "hello".getBytes(StandardCharsets.US_ASCII));
     assertEquals(senderAddress + " hello", received.get(PATIENCE_SECONDS, TimeUnit.SECONDS));
   }
@@ -59,9 +63,9 @@
   @Test
   void aTakenPortIsReportedAndSendingDoesNothing() throws Exception {
     PeerAddress address = freeAddress();
-    assertTrue(new DatagramPeerTransport().listen(group, address, (from, datagram) -> {}));
+    assertTrue(listens(new DatagramPeerTransport(), address, (from, datagram) -> {}));
     DatagramPeerTransport second = new DatagramPeerTransport();
-    assertFalse(second.listen(group, address, (from, datagram) -> {}));
+    assertFalse(listens(second, address, (from, datagram) -> {}));
     second.send(address, new byte[1]);
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -105,7 +105,8 @@
       port = free.getLocalPort();
     }
     new IngressServer(new CallCoordinator(context), translator, state, (event, fields) -> {})
-        .listen(group, new InetSocketAddress("127.0.0.1", port));
+        .listen(group, new InetSocketAddress("127.0.0.1", port))
+        .syncUninterruptibly();
   }
 
   @AfterEach
