A node that alone can't reach the store calls it through another node; lapsed entries wait for the store's return

Ruled out: prefill, queues and batches at the engines (no program of the calm seconds was late). Change: FailoverStoreCaller takes the direct way, a second way through another node when an answer is overdue (six times the usual time) or the direct way failed, and no way but a cheap read each 250 ms while nobody reaches the store. Calls travel as SBE over TCP on the nodes' own port; a node makes calls of others by its direct way only. A change may now be made twice, so a budget's grant is recognised by its identifier also when its own answer is a conflict. A long poll that the service cuts says nothing of the next call. An engine whose entry lapsed stays until 2.2 s after the store's last failure (at most 0.95 of the drain bound) instead of 0.7 of the drain bound; TestGatewayState's cases of 1.5 and 1.85 s failed before.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
@@ -132,7 +132,7 @@
     if (outcome instanceof TransactionOutcome.Applied applied) {
       adoptOwnGrant(asked, applied.version());
     } else if (outcome instanceof TransactionOutcome.Conflict conflict) {
-      onConflict(conflict.rows());
+      onConflict(asked, conflict.rows());
     } else {
       if (outcome instanceof TransactionOutcome.Unknown) {
         unknownRow = asked;
@@ -149,7 +149,7 @@
     ask();
   }
 
-  private void onConflict(List<StoredRow> rows) {
+  private void onConflict(BudgetRow asked, List<StoredRow> rows) {
     BudgetRow current = BudgetRow.NONE;
     long version = Transaction.ABSENT;
     for (StoredRow stored : rows) {
@@ -158,7 +158,7 @@
         version = stored.version();
       }
     }
-    if (unknownRow != null && unknownRow.grantId() == current.grantId()) {
+    if (ownGrant(asked, current) || ownGrant(unknownRow, current)) {
       adoptOwnGrant(current, version);
       return;
     }
@@ -167,6 +167,13 @@
     ask();
   }
 
+  /**
+   * The row is what this process asked for: another copy of the call, or an earlier one, was done.
+   */
+  private static boolean ownGrant(BudgetRow asked, BudgetRow current) {
+    return asked != null && asked.grantId() == current.grantId();
+  }
+
   private void adopt(BudgetRow current, long version) {
     row = current;
     rowVersion = version;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
@@ -14,7 +14,12 @@
  * the configuration never goes back within one life of the process.
  */
 public final class GatewayState {
-  private static final long STORE_DISTURBED_NANOS = 3_000_000_000L;
+  /**
+   * Engines write their entries anew within about two seconds of the store's return; an entry that
+   * is missing after that is that of an engine which is gone. A fifth of a second is slack.
+   */
+  private static final long LAPSES_END_NANOS = 2_200_000_000L;
+
   private static final long STORE_LOST_NANOS = 3_500_000_000L;
 
   private final EventLoop eventLoop;
@@ -61,7 +66,7 @@
   /** Adopts the whole list of engines. */
   public void replaceEngines(List<EngineRecord> records) {
     enginesKnown = true;
-    engines.replaceAll(records, storeDisturbed(), eventLoop.nanoTime());
+    engines.replaceAll(records, lapsesEndNanos(), eventLoop.nanoTime());
     log.write(GatewayEvent.ENGINES_CHANGED, "listed", records.size(), "known", engines.size());
   }
 
@@ -80,7 +85,7 @@
 
   /** An engine's entry is gone. */
   public void removeEngine(String id) {
-    engines.remove(id, storeDisturbed(), eventLoop.nanoTime());
+    engines.remove(id, lapsesEndNanos(), eventLoop.nanoTime());
     log.write(
         GatewayEvent.ENGINES_CHANGED,
         "engine",
@@ -93,9 +98,15 @@
         engines.size());
   }
 
-  /** Whether the store failed towards this process shortly before. */
+  /** Whether entries of engines may have lapsed in an outage that ended shortly before. */
   public boolean storeDisturbed() {
-    return storeHealth.nanosSinceFailure(eventLoop.nanoTime()) < STORE_DISTURBED_NANOS;
+    return lapsesEndNanos() - eventLoop.nanoTime() > 0;
+  }
+
+  private long lapsesEndNanos() {
+    long now = eventLoop.nanoTime();
+    long sinceFailureNanos = storeHealth.nanosSinceFailure(now);
+    return sinceFailureNanos > LAPSES_END_NANOS ? now : now - sinceFailureNanos + LAPSES_END_NANOS;
   }
 
   /** Whether the configuration in force is known to be recent. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -8,12 +8,13 @@
 import java.util.Set;
 
 /**
- * The engines by service. An engine whose entry vanishes while the store is disturbed stays usable
- * for a grace period, since the store removes entries of live engines during its own outages; one
- * that vanishes in calm times, or that drains, gets no new work at once.
+ * The engines by service. An engine whose entry vanishes around an outage of the store stays usable
+ * for a grace period, since the store removes entries of live engines during its own outages and
+ * has them back soon after; one that vanishes in calm times, or that drains, gets no new work at
+ * once.
  */
 public final class EngineDirectory {
-  private final long lapseGraceNanos;
+  private final long longestLapseNanos;
   private final Map<String, Engine> byId = new HashMap<>();
   private final Map<String, List<Engine>> byService = new HashMap<>();
   private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
@@ -22,11 +23,11 @@
   /**
    * Creates a directory.
    *
-   * @param lapseGraceNanos how long an engine whose entry vanished around an outage may still be
-   *     used; well under the time after which a leaving engine must get no work
+   * @param longestLapseNanos how long an engine whose entry vanished around an outage may be used
+   *     at most; under the time after which a leaving engine must get no work
    */
-  public EngineDirectory(long lapseGraceNanos) {
-    this.lapseGraceNanos = lapseGraceNanos;
+  public EngineDirectory(long longestLapseNanos) {
+    this.longestLapseNanos = longestLapseNanos;
   }
 
   /**
@@ -47,8 +48,13 @@
     return byId.get(id.value());
   }
 
-  /** Adopts the whole list of engines. */
-  public void replaceAll(List<EngineRecord> records, boolean storeDisturbed, long nowNanos) {
+  /**
+   * Adopts the whole list of engines.
+   *
+   * @param lapsesEndNanos when entries that lapsed in an outage are back; in the past if there was
+   *     no outage lately
+   */
+  public void replaceAll(List<EngineRecord> records, long lapsesEndNanos, long nowNanos) {
     Set<String> present = new HashSet<>();
     for (EngineRecord record : records) {
       present.add(record.id());
@@ -56,7 +62,7 @@
     }
     for (String id : new ArrayList<>(byId.keySet())) {
       if (!present.contains(id)) {
-        remove(id, storeDisturbed, nowNanos);
+        remove(id, lapsesEndNanos, nowNanos);
       }
     }
   }
@@ -77,18 +83,20 @@
   /**
    * An engine's entry is gone.
    *
-   * @param storeDisturbed whether the store failed shortly before, so that the engine may be well
+   * @param lapsesEndNanos when entries that lapsed in an outage are back; in the past if there was
+   *     no outage lately
    */
-  public void remove(String id, boolean storeDisturbed, long nowNanos) {
+  public void remove(String id, long lapsesEndNanos, long nowNanos) {
     Engine engine = byId.get(id);
     if (engine == null || lapsedUntilNanos.containsKey(id)) {
       return;
     }
-    if (storeDisturbed && !engine.record().draining()) {
-      lapsedUntilNanos.put(id, nowNanos + lapseGraceNanos);
-      return;
+    long graceNanos = Math.min(lapsesEndNanos - nowNanos, longestLapseNanos);
+    if (graceNanos <= 0 || engine.record().draining()) {
+      drop(engine);
+    } else {
+      lapsedUntilNanos.put(id, nowNanos + graceNanos);
     }
-    drop(engine);
   }
 
   /** Drops engines whose grace period is over. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpCaller.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpCaller.java
@@ -24,27 +24,17 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.baykeel.gateway.remote.StoreCall;
+import org.baykeel.gateway.remote.StoreCaller;
+import org.baykeel.gateway.remote.StoreReply;
 
 /** Makes HTTP calls to one address over kept connections, one call at a time on each. */
-public final class HttpCaller {
+public final class HttpCaller implements StoreCaller {
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
   private static final int MAX_ANSWER_BYTES = 16 << 20;
   private static final int MAX_IDLE = 8;
   private static final long MAX_IDLE_NANOS = 5_000_000_000L;
 
-  /** How a call ended. */
-  public sealed interface Reply {
-    /** A whole answer. */
-    @SuppressWarnings("ArrayRecordComponent")
-    record Answered(int status, byte[] body) implements Reply {}
-
-    /** Not one byte of the call left this process. */
-    record NotSent(String reason) implements Reply {}
-
-    /** No whole answer; what the call asked for may have been done. */
-    record Lost(String reason) implements Reply {}
-  }
-
   private final EventLoopGroup group;
   private final InetSocketAddress address;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
@@ -54,20 +44,15 @@
     this.address = address;
   }
 
-  /**
-   * Makes a call.
-   *
-   * @param body the body, or null for none
-   * @param timeoutMillis when the call counts as lost and its connection is closed
-   */
-  @SuppressWarnings("ParameterNumber")
-  public void call(
-      HttpMethod method, String uri, byte[] body, long timeoutMillis, Consumer<Reply> answer) {
+  @Override
+  public void call(StoreCall call, Consumer<StoreReply> answer) {
+    byte[] body = call.body();
+    long timeoutMillis = call.timeoutMillis();
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
-            method,
-            uri,
+            HttpMethod.valueOf(call.method().name()),
+            call.target(),
             body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
     request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ':' + address.getPort());
     if (body != null) {
@@ -94,7 +79,7 @@
     return null;
   }
 
-  private void connect(FullHttpRequest request, long timeoutMillis, Consumer<Reply> answer) {
+  private void connect(FullHttpRequest request, long timeoutMillis, Consumer<StoreReply> answer) {
     Connection connection = new Connection();
     new Bootstrap()
         .group(group)
@@ -119,7 +104,7 @@
                 connection.send(request, timeoutMillis, answer);
               } else {
                 request.release();
-                answer.accept(new Reply.NotSent(String.valueOf(future.cause().getMessage())));
+                answer.accept(new StoreReply.NotSent(String.valueOf(future.cause().getMessage())));
               }
             });
   }
@@ -127,7 +112,7 @@
   /** One kept connection. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private Channel channel;
-    private Consumer<Reply> waiting;
+    private Consumer<StoreReply> waiting;
     private Future<?> timeout;
     private long idleSinceNanos;
 
@@ -136,7 +121,7 @@
       channel = context.channel();
     }
 
-    void send(FullHttpRequest request, long timeoutMillis, Consumer<Reply> answer) {
+    void send(FullHttpRequest request, long timeoutMillis, Consumer<StoreReply> answer) {
       waiting = answer;
       timeout =
           channel
@@ -153,18 +138,18 @@
       }
       byte[] body = new byte[response.content().readableBytes()];
       response.content().readBytes(body);
-      Consumer<Reply> answer = takeWaiting();
+      Consumer<StoreReply> answer = takeWaiting();
       if (HttpUtil.isKeepAlive(response) && idle.size() < MAX_IDLE) {
         idleSinceNanos = System.nanoTime();
         idle.addLast(this);
       } else {
         channel.close();
       }
-      answer.accept(new Reply.Answered(response.status().code(), body));
+      answer.accept(new StoreReply.Answered(response.status().code(), body));
     }
 
-    private Consumer<Reply> takeWaiting() {
-      Consumer<Reply> answer = waiting;
+    private Consumer<StoreReply> takeWaiting() {
+      Consumer<StoreReply> answer = waiting;
       waiting = null;
       if (timeout != null) {
         timeout.cancel(false);
@@ -175,9 +160,9 @@
     private void lose(String reason) {
       idle.remove(this);
       channel.close();
-      Consumer<Reply> answer = takeWaiting();
+      Consumer<StoreReply> answer = takeWaiting();
       if (answer != null) {
-        answer.accept(new Reply.Lost(reason));
+        answer.accept(new StoreReply.Lost(reason));
       }
     }
 
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/relay/RelayChannel.java
@@ -0,0 +1,67 @@
+package org.baykeel.gateway.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.util.function.Consumer;
+
+/** Frames of a relay connection: four bytes of length, then one message. */
+final class RelayChannel {
+  private static final int LENGTH_BYTES = 4;
+
+  /** More than the largest answer of the store's service that this node accepts. */
+  private static final int MAX_FRAME_BYTES = 17 << 20;
+
+  private RelayChannel() {}
+
+  /**
+   * Adds the handlers of a connection.
+   *
+   * @param onMessage takes each message
+   * @param onClosed runs once the connection is gone
+   */
+  static void prepare(
+      ChannelPipeline pipeline, Consumer<RelayMessage> onMessage, Runnable onClosed) {
+    pipeline
+        .addLast(
+            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+        .addLast(new Reader(onMessage, onClosed));
+  }
+
+  static ByteBuf frame(RelayMessage message) {
+    return Unpooled.wrappedBuffer(RelayCodec.encode(message));
+  }
+
+  /** Hands messages on; a connection with anything else on it is closed. */
+  private static final class Reader extends SimpleChannelInboundHandler<ByteBuf> {
+    private final Consumer<RelayMessage> onMessage;
+    private final Runnable onClosed;
+
+    Reader(Consumer<RelayMessage> onMessage, Runnable onClosed) {
+      this.onMessage = onMessage;
+      this.onClosed = onClosed;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+      byte[] bytes = new byte[frame.readableBytes()];
+      frame.readBytes(bytes);
+      onMessage.accept(RelayCodec.decode(bytes));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      onClosed.run();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/StoreCaller.java
@@ -0,0 +1,16 @@
+package org.baykeel.gateway.remote;
+
+import java.util.function.Consumer;
+
+/** A way to the store's service. */
+@FunctionalInterface
+public interface StoreCaller {
+
+  /**
+   * Makes a call.
+   *
+   * @param call the call
+   * @param answer takes its outcome, exactly once, on the event loop
+   */
+  void call(StoreCall call, Consumer<StoreReply> answer);
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
@@ -6,7 +6,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Consumer;
+import org.baykeel.gateway.storage.DurableStore;
 import org.baykeel.gateway.storage.RowAddress;
+import org.baykeel.gateway.storage.Transaction;
+import org.baykeel.gateway.storage.TransactionOutcome;
+import org.baykeel.gateway.testing.ForwardingStore;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingStore.Fault;
@@ -43,6 +48,29 @@
     assertEquals(1, store.transactions());
   }
 
+  /** A store whose calls are each made twice; the answer is that of the second copy. */
+  private static final class DoublingStore extends ForwardingStore {
+    DoublingStore(DurableStore store) {
+      super(store);
+    }
+
+    @Override
+    public void transact(Transaction transaction, Consumer<TransactionOutcome> answer) {
+      super.transact(transaction, first -> super.transact(transaction, answer));
+    }
+  }
+
+  @Test
+  void aGrantWhoseCallWasMadeTwiceCountsOnce() {
+    ProgramBudgets doubled =
+        new ProgramBudgets(new DoublingStore(store), eventLoop, new GrantIds(3_000));
+    Reservation turn = reserve(doubled, 10_000);
+    eventLoop.advance(20);
+    assertEquals(Grant.GRANTED, turn.grant());
+    assertEquals(2, store.transactions());
+    assertEquals(4 * TURN, grantedInStore());
+  }
+
   @Test
   void refusesOnceTheBudgetIsGranted() {
     for (int i = 0; i < 2; i++) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/directory/TestEngineDirectory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/directory/TestEngineDirectory.java
@@ -6,9 +6,12 @@
 import org.junit.jupiter.api.Test;
 
 class TestEngineDirectory {
-  private static final long GRACE_NANOS = 1_500_000_000L;
+  private static final long LONGEST_NANOS = 1_900_000_000L;
+  private static final long NO_OUTAGE = 0;
+  private static final long OUTAGE_JUST_OVER = 2_200_000_000L;
+  private static final long OUTAGE_NEARLY_FORGOTTEN = 300_000_000L;
 
-  private final EngineDirectory directory = new EngineDirectory(GRACE_NANOS);
+  private final EngineDirectory directory = new EngineDirectory(LONGEST_NANOS);
 
   private static EngineRecord engine(String id, boolean draining) {
     return new EngineRecord(id, "s", "10.0.0.1", 80, "z", 4, draining);
@@ -17,32 +20,41 @@
   @Test
   void anEngineThatVanishesInCalmTimesIsGoneAtOnce() {
     directory.put(engine("a", false));
-    directory.remove("a", false, 0);
+    directory.remove("a", NO_OUTAGE, 0);
     assertEquals(0, directory.ofService("s").size());
   }
 
   @Test
   void anEngineThatVanishesAroundAnOutageStaysForTheGracePeriod() {
     directory.put(engine("a", false));
-    directory.replaceAll(List.of(), true, 0);
+    directory.replaceAll(List.of(), OUTAGE_JUST_OVER, 0);
+    directory.expireLapsed(LONGEST_NANOS - 1);
     assertEquals(1, directory.ofService("s").size());
-    directory.expireLapsed(GRACE_NANOS);
+    directory.expireLapsed(LONGEST_NANOS);
+    assertEquals(0, directory.ofService("s").size());
+  }
+
+  @Test
+  void anEngineThatVanishesLongAfterAnOutageStaysOnlyUntilLapsedEntriesAreBack() {
+    directory.put(engine("a", false));
+    directory.remove("a", OUTAGE_NEARLY_FORGOTTEN, 0);
+    directory.expireLapsed(OUTAGE_NEARLY_FORGOTTEN);
     assertEquals(0, directory.ofService("s").size());
   }
 
   @Test
   void aLapsedEngineThatReturnsStays() {
     directory.put(engine("a", false));
-    directory.remove("a", true, 0);
+    directory.remove("a", OUTAGE_JUST_OVER, 0);
     directory.put(engine("a", false));
-    directory.expireLapsed(GRACE_NANOS);
+    directory.expireLapsed(LONGEST_NANOS);
     assertEquals(1, directory.ofService("s").size());
   }
 
   @Test
   void aDrainingEngineThatVanishesIsGoneEvenAroundAnOutage() {
     directory.put(engine("a", true));
-    directory.remove("a", true, 0);
+    directory.remove("a", OUTAGE_JUST_OVER, 0);
     assertEquals(0, directory.ofService("s").size());
   }
 }
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/relay/TestRelay.java
@@ -0,0 +1,109 @@
+package org.baykeel.gateway.relay;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.remote.StoreCall;
+import org.baykeel.gateway.remote.StoreCaller;
+import org.baykeel.gateway.remote.StoreReply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class TestRelay {
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final long PATIENCE_SECONDS = 10;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final RelayClient client = new RelayClient(group);
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  private PeerAddress serve(StoreCaller store) {
+    ChannelFuture bound = new RelayServer(store).listen(group, new InetSocketAddress(LOOPBACK, 0));
+    bound.syncUninterruptibly();
+    int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+    return new PeerAddress(LOOPBACK, port);
+  }
+
+  private StoreReply call(PeerAddress peer, StoreCall call) throws Exception {
+    CompletableFuture<StoreReply> reply = new CompletableFuture<>();
+    group.next().execute(() -> client.call(peer, call, reply::complete));
+    return reply.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private static StoreCall change(String body, long timeoutMillis) {
+    return new StoreCall(
+        StoreCall.Method.POST,
+        "/t?a=b",
+        body.getBytes(StandardCharsets.UTF_8),
+        timeoutMillis,
+        false);
+  }
+
+  @Test
+  void anAnswerComesBackWithItsOwnCall() throws Exception {
+    PeerAddress peer =
+        serve((call, answer) -> answer.accept(new StoreReply.Answered(412, call.body())));
+    for (String body : new String[] {"one", "two", "x".repeat(300_000)}) {
+      StoreReply reply = call(peer, change(body, 5_000));
+      StoreReply.Answered answered = assertInstanceOf(StoreReply.Answered.class, reply);
+      assertEquals(412, answered.status());
+      assertArrayEquals(body.getBytes(StandardCharsets.UTF_8), answered.body());
+    }
+  }
+
+  @Test
+  void whatBecameOfACallKeepsItsMeaning() throws Exception {
+    PeerAddress notSent =
+        serve((call, answer) -> answer.accept(new StoreReply.NotSent("no way to the store")));
+    PeerAddress lost = serve((call, answer) -> answer.accept(new StoreReply.Lost("time-out")));
+    assertEquals(new StoreReply.NotSent("no way to the store"), call(notSent, change("", 5_000)));
+    assertEquals(new StoreReply.Lost("time-out"), call(lost, change("", 5_000)));
+  }
+
+  @Test
+  void aNodeThatIsNotThereSentNothing() throws Exception {
+    ChannelFuture closed =
+        new RelayServer((call, answer) -> {}).listen(group, new InetSocketAddress(LOOPBACK, 0));
+    closed.syncUninterruptibly();
+    int port = ((InetSocketAddress) closed.channel().localAddress()).getPort();
+    closed.channel().close().syncUninterruptibly();
+    StoreReply reply = call(new PeerAddress(LOOPBACK, port), change("", 5_000));
+    assertInstanceOf(StoreReply.NotSent.class, reply);
+  }
+
+  @Test
+  void aCallWithoutAnAnswerIsLostAtItsTimeOut() throws Exception {
+    PeerAddress silent = serve((call, answer) -> {});
+    assertInstanceOf(StoreReply.Lost.class, call(silent, change("", 100)));
+  }
+
+  @Test
+  void aConnectionWithNonsenseIsClosedAndTheServerGoesOn() throws Exception {
+    PeerAddress peer =
+        serve((call, answer) -> answer.accept(new StoreReply.Answered(200, new byte[0])));
+    try (Socket socket = new Socket(LOOPBACK, peer.port())) {
+      OutputStream out = socket.getOutputStream();
+      out.write(new byte[] {0, 0, 0, 9, 1, 2, 3, 4, 5, 6, 7, 8, 9});
+      out.flush();
+      assertEquals(-1, socket.getInputStream().read());
+    }
+    assertInstanceOf(StoreReply.Answered.class, call(peer, change("", 5_000)));
+  }
+}
