--- a/baykeel-cli/src/main/java/org/baykeel/cli/ExplainCommand.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/ExplainCommand.java
@@ -6,24 +6,37 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
 
-/** Prints the story of one request, session or program from log files of any nodes. */
+/**
+ * Prints the story of one request, session or program from log files of any nodes, or the ledger of
+ * what all programs lost.
+ */
 final class ExplainCommand implements Command {
-  @Argument(metaVar = "ID", index = 0, required = true, usage = "request, session or program")
-  private String id;
+  @Option(name = "--ledger", usage = "what programs lost and why, in place of one story")
+  private boolean ledger;
 
-  @Argument(metaVar = "FILE", index = 1, required = true, usage = "log files", multiValued = true)
-  private List<Path> files = new ArrayList<>();
+  @Argument(
+      metaVar = "[ID] FILE...",
+      required = true,
+      usage = "request, session or program (not with --ledger), then log files",
+      multiValued = true)
+  private List<String> arguments = new ArrayList<>();
 
   @Override
   public int run() throws IOException {
+    int firstFile = ledger ? 0 : 1;
     List<String> lines = new ArrayList<>();
-    for (Path file : files) {
-      lines.addAll(Files.readAllLines(file));
+    for (String file : arguments.subList(firstFile, arguments.size())) {
+      lines.addAll(Files.readAllLines(Path.of(file)));
     }
-    List<String> story = LogStory.of(id, lines.stream());
+    if (ledger) {
+      ProgramLedger.of(lines.stream()).forEach(System.out::println);
+      return ExitCode.OK;
+    }
+    List<String> story = LogStory.of(arguments.get(0), lines.stream());
     if (story.isEmpty()) {
-      System.err.println("no line tells of " + id);
+      System.err.println("no line tells of " + arguments.get(0));
       return ExitCode.FAILED;
     }
     story.forEach(System.out::println);
--- a/baykeel-cli/src/main/java/org/baykeel/cli/LogStory.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/LogStory.java
@@ -1,11 +1,8 @@
 package org.baykeel.cli;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /**
@@ -14,8 +11,6 @@
  */
 final class LogStory {
   private static final long CONTEXT_MILLIS = 3_000;
-  private static final Pattern LINE =
-      Pattern.compile("t=(\\d+) event=(\\d+) name=(\\S+) node=(\\S+)(.*)");
   private static final Set<String> CONTEXT_EVENTS =
       Set.of(
           "GATEWAY_STARTED",
@@ -26,16 +21,10 @@
           "ENGINES_CHANGED",
           "STORE_LOST",
           "STORE_REGAINED",
+          "STORE_PATH_CHANGED",
           "LINES_DROPPED",
           "FAULT");
 
-  /** One line of a log. */
-  private record Line(long millis, String name, String node, String text) {
-    boolean tellsOf(String id) {
-      return (text + " ").contains("=" + id + " ");
-    }
-  }
-
   private LogStory() {}
 
   /**
@@ -46,24 +35,16 @@
    * @return lines in order of time; empty if none tells of it
    */
   static List<String> of(String id, Stream<String> log) {
-    List<Line> lines = new ArrayList<>();
-    log.forEach(
-        text -> {
-          Matcher matcher = LINE.matcher(text);
-          if (matcher.find()) {
-            long millis = Long.parseLong(matcher.group(1));
-            lines.add(new Line(millis, matcher.group(3), matcher.group(4), matcher.group()));
-          }
-        });
-    List<Line> own = lines.stream().filter(line -> line.tellsOf(id)).toList();
+    List<LogLine> lines = log.flatMap(text -> LogLine.parse(text).stream()).toList();
+    List<LogLine> own = lines.stream().filter(line -> line.tellsOf(id)).toList();
     return lines.stream()
         .filter(line -> line.tellsOf(id) || isContext(line, own))
-        .sorted(Comparator.comparingLong(Line::millis))
-        .map(Line::text)
+        .sorted(Comparator.comparingLong(LogLine::millis))
+        .map(LogLine::text)
         .toList();
   }
 
-  private static boolean isContext(Line line, List<Line> own) {
+  private static boolean isContext(LogLine line, List<LogLine> own) {
     return CONTEXT_EVENTS.contains(line.name())
         && own.stream()
             .anyMatch(
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
@@ -9,6 +9,7 @@
  *
  * @param requestId identifies this request and no other
  * @param deadlineMillis how long the caller waits
+ * @param finishMillis the time left until the whole program should be over
  * @param programId the program it belongs to
  * @param sessionId its line of turns within the program
  * @param tokenBudget tokens that all turns of the program may generate
@@ -21,6 +22,7 @@
 public record CallAttributes(
     String requestId,
     long deadlineMillis,
+    long finishMillis,
     String programId,
     String sessionId,
     long tokenBudget,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.call;
 
+import java.util.EnumMap;
 import java.util.List;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.directory.Engine;
@@ -15,9 +16,21 @@
   private final DecisionLog log;
   private final GatewayMetrics metrics;
   private final EventLoop eventLoop;
+  private final EnumMap<Wait, Long> beganNanos = new EnumMap<>(Wait.class);
+  private final EnumMap<Wait, Long> waitedMillis = new EnumMap<>(Wait.class);
   private String lastEngine = "none";
   private int unreadTokens;
 
+  /** What a call waits for besides its engine. */
+  enum Wait {
+    /** The store's decision on its tokens. */
+    GRANT,
+    /** The turns that it continues. */
+    HISTORY,
+    /** The store's word that its turn is kept. */
+    KEEP
+  }
+
   /**
    * How a call ended.
    *
@@ -49,6 +62,22 @@
     this.eventLoop = eventLoop;
   }
 
+  void waitBegan(Wait wait) {
+    beganNanos.put(wait, eventLoop.nanoTime());
+  }
+
+  void waitEnded(Wait wait) {
+    Long began = beganNanos.remove(wait);
+    if (began != null) {
+      waitedMillis.merge(wait, (eventLoop.nanoTime() - began) / 1_000_000, Long::sum);
+    }
+  }
+
+  private long waited(Wait wait) {
+    waitEnded(wait);
+    return waitedMillis.getOrDefault(wait, 0L);
+  }
+
   void sentTo(Engine engine, List<PromptPart> prompt) {
     lastEngine = engine.record().id();
     unreadTokens = engine.cachedPrefixes().uncachedTokens(prompt);
@@ -95,6 +124,14 @@
         millis,
         "first_ms",
         firstMillis,
+        "finish_ms",
+        attributes.finishMillis(),
+        "grant_ms",
+        waited(Wait.GRANT),
+        "history_ms",
+        waited(Wait.HISTORY),
+        "keep_ms",
+        waited(Wait.KEEP),
         "sends",
         end.sends(),
         "engine",
