Engines' speed, pace, answers and tools' work are learnt, not constants of one deployment

Cause: 250 tokens a ms, 8 ms to a first event, 35 ms between events, 11 events, 1,500 new tokens and every threshold in milliseconds fitted one deployment; at 37.9 tokens a ms reading looked like waiting, which feeds the refusals. Change: ServicePerformance learns per service from own requests (least squares for reading, a low estimate of the first event, means of gaps, events, growth of a prompt, tools' work); the engine's own pace stays per engine. Bands of refusal, the silence after which another engine is tried and the doubt about an engine are multiples of what the route states or of what was observed. Ties are settled at random within half a place's time. Tests: TestDecisionsScale (10, 40, 270 tokens a ms; 4 to 128 places; 1 to 30 ms a step; work of 10 to 900 ms). Two tests changed: the safe request's silence is checked on both sides of the time its route implies (it was within a fixed 500 ms); a slow engine is told from one observed at the usual pace, since no pace is assumed any more.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -26,11 +26,7 @@
  */
 public final class ClientCall implements EngineAttempt.Owner {
   private static final int MAX_SENDS = 6;
-  private static final long FIRST_PROGRESS_MILLIS = 1_000;
-  private static final long NEXT_PROGRESS_MILLIS = 600;
-  private static final long SAFE_PROGRESS_MILLIS = 400;
   private static final long LOOKUP_PATIENCE_MILLIS = 1_000;
-  private static final double SPARE_WAIT_MILLIS = 100;
   private static final long NOT_READY_RETRY_MILLIS = 250;
   private static final long BUSY_RETRY_MILLIS = 150;
   private static final long OVERLOADED_RETRY_MILLIS = 400;
@@ -139,7 +135,10 @@
 
   private boolean budgetAdmits() {
     programKnown = context.budgets().knows(attributes().programId());
-    congested = !context.congestion().admits(route.priority() == 0, eventLoop.nanoTime());
+    congested =
+        !context
+            .congestion()
+            .admits(route.priority() == 0, route.targetLatencyMillis(), eventLoop.nanoTime());
     reservation =
         context
             .budgets()
@@ -159,6 +158,8 @@
     }
     if (reservation.grant() == Grant.GRANTED) {
       relay.open();
+    } else {
+      record.waitBegan(CallRecord.Wait.GRANT);
     }
     return true;
   }
@@ -169,7 +170,7 @@
    */
   private boolean mustNotWaitForStore() {
     return !context.storeHealth().reachable()
-        && context.congestion().waitMillis(eventLoop.nanoTime()) > SPARE_WAIT_MILLIS;
+        && !context.congestion().timeToSpare(route.targetLatencyMillis(), eventLoop.nanoTime());
   }
 
   private void findHistory() {
@@ -178,6 +179,7 @@
       return;
     }
     long giveUp = eventLoop.nanoTime() + LOOKUP_PATIENCE_MILLIS * 1_000_000;
+    record.waitBegan(CallRecord.Wait.HISTORY);
     context.history().find(attributes().previousTurn(), giveUp, this::onHistory);
   }
 
@@ -185,6 +187,7 @@
     if (over) {
       return;
     }
+    record.waitEnded(CallRecord.Wait.HISTORY);
     if (lookup instanceof Lookup.Found found) {
       ancestors = found.ids();
       onReadyToSend(found.continuedBy(request.body()));
@@ -211,6 +214,7 @@
     if (over) {
       return;
     }
+    record.waitEnded(CallRecord.Wait.GRANT);
     switch (reservation.grant()) {
       case GRANTED -> onGranted();
       case EXHAUSTED -> onNotGranted(ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
@@ -294,10 +298,7 @@
   }
 
   private long progressMillis() {
-    if (route.kind() == RouteKind.SAFE) {
-      return SAFE_PROGRESS_MILLIS;
-    }
-    return firstEventNanos == 0 ? FIRST_PROGRESS_MILLIS : NEXT_PROGRESS_MILLIS;
+    return route.longestSilenceMillis(firstEventNanos != 0);
   }
 
   private void checkProgress() {
@@ -419,6 +420,7 @@
     }
     KeptTurn turn =
         new KeptTurn(attributes().requestId(), ancestors, request.body(), relay.output());
+    record.waitBegan(CallRecord.Wait.KEEP);
     context.history().keep(turn, deadlineNanos, this::onTurnKept);
   }
 
@@ -426,6 +428,7 @@
     if (over) {
       return;
     }
+    record.waitEnded(CallRecord.Wait.KEEP);
     if (kept) {
       endStream();
     } else if (relay.begun()) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -47,6 +47,8 @@
   private final Owner owner;
   private final EventStreamParser parser = new EventStreamParser();
   private final double expectedMillis;
+  private final int unreadTokens;
+  private final boolean continuation;
   private final long startedNanos;
   private EngineTransport.Exchange exchange;
   private AnswerHead head;
@@ -69,6 +71,8 @@
     this.congestion = congestion;
     this.owner = owner;
     this.expectedMillis = engine.expectedFirstEventMillis(prompt);
+    this.unreadTokens = engine.cachedPrefixes().uncachedTokens(prompt);
+    this.continuation = engine.cachedPrefixes().containsOwnPart(prompt);
     this.startedNanos = eventLoop.nanoTime();
   }
 
@@ -153,7 +157,12 @@
 
   private void noteFirstEvent(long now) {
     engine.cachedPrefixes().add(prompt);
-    double waitMillis = (now - startedNanos) / 1e6 - expectedMillis;
+    double firstMillis = (now - startedNanos) / 1e6;
+    engine.performance().observeFirstEvent(unreadTokens, firstMillis);
+    if (continuation) {
+      engine.performance().observeNewTokens(unreadTokens);
+    }
+    double waitMillis = firstMillis - expectedMillis;
     engine.observeWait(waitMillis, now);
     congestion.observeWait(waitMillis, now);
   }
@@ -164,11 +173,13 @@
       return;
     }
     if (body != null) {
+      engine.performance().observeWork((eventLoop.nanoTime() - startedNanos) / 1e6);
       owner.onWholeAnswer(head, body.toByteArray());
     } else if (parser.midEvent()) {
       owner.onBroken("ended within an event");
     } else {
       engine.succeeded();
+      engine.performance().observeEvents(events);
       engine.cachedPrefixes().extend(prompt, events * tokensPerEvent);
       owner.onStreamComplete();
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/Route.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/Route.java
@@ -11,6 +11,7 @@
  * @param kind how often a request may run
  * @param timeoutMillis the longest time that a request may be held
  * @param targetLatencyMillis the time within which an answer has its full value
+ * @param gapTargetMillis the longest pause between events for which a stream is in time
  * @param priority the rank among routes; 0 is the most urgent
  * @param backends the services that share the requests; never empty
  * @param attempts the largest number of engines to which one request may be sent
@@ -26,6 +27,7 @@
     RouteKind kind,
     long timeoutMillis,
     long targetLatencyMillis,
+    long gapTargetMillis,
     int priority,
     List<Backend> backends,
     int attempts,
@@ -34,6 +36,11 @@
     boolean sessionAffinity,
     boolean resumable) {
 
+  private static final int STREAM_SILENCE_TARGETS = 5;
+  private static final int STREAM_SILENCE_GAPS = 2;
+  private static final int SAFE_SILENCE_TARGETS = 4;
+  private static final double SAFE_SILENCE_PART_OF_TIMEOUT = 0.3;
+
   public Route {
     backends = List.copyOf(backends);
     if (backends.isEmpty()) {
@@ -41,6 +48,21 @@
     }
   }
 
+  /**
+   * The longest silence of an engine after which a request that may be repeated tries another one.
+   *
+   * @param begun whether the first event of a stream is there
+   */
+  public long longestSilenceMillis(boolean begun) {
+    if (kind == RouteKind.SAFE) {
+      long patience = Math.round(timeoutMillis * SAFE_SILENCE_PART_OF_TIMEOUT);
+      return Math.min(targetLatencyMillis * SAFE_SILENCE_TARGETS, patience);
+    }
+    return begun
+        ? gapTargetMillis * STREAM_SILENCE_GAPS
+        : targetLatencyMillis * STREAM_SILENCE_TARGETS;
+  }
+
   /** Whether a request may be sent to another engine after an unknown outcome. */
   public boolean repeatable() {
     return kind == RouteKind.SAFE || kind == RouteKind.STREAMING && resumable;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/CachedPrefixes.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/CachedPrefixes.java
@@ -41,6 +41,11 @@
     return keptTokens.containsKey(partId);
   }
 
+  /** Whether the engine is believed to keep anything of a prompt's own, last part. */
+  public boolean containsOwnPart(List<PromptPart> prompt) {
+    return !prompt.isEmpty() && contains(prompt.get(prompt.size() - 1).id());
+  }
+
   /**
    * Tokens of the prompt that the engine would have to read. A part grows from turn to turn under
    * the same identifier, so what is kept of it may be less than its length; behind a gap nothing
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -4,23 +4,17 @@
 
 /** An engine and this process's own view of it. Used only from the event loop. */
 public final class Engine {
-  /** Prompt tokens that an engine is assumed to read in a millisecond. */
-  public static final double PREFILL_TOKENS_PER_MILLI = 250.0;
-
-  /** Time to the first event of a prompt that is cached whole. */
-  private static final double CACHED_FIRST_EVENT_MILLIS = 8.0;
-
   private static final double WAIT_SMOOTHING = 0.2;
   private static final double GAP_SMOOTHING = 0.08;
-  private static final double LONGEST_GAP_MILLIS = 1_000;
+
+  /** A gap counts at most as this multiple of the usual one: a stalled stream is not a pace. */
+  private static final double LONGEST_GAP_FACTOR = 30;
 
   /** After this time without an observation a wait no longer says anything. */
   private static final long WAIT_STALE_NANOS = 1_500_000_000L;
 
-  /** The gap between events of an engine that was not observed yet. */
-  private static final double DEFAULT_GAP_MILLIS = 35;
-
   private EngineRecord record;
+  private final ServicePerformance performance;
   private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
   private final EngineFailures failures = new EngineFailures();
   private final EngineSuspicionListener suspicionListener;
@@ -28,10 +22,15 @@
   private int inFlight;
   private double waitMillis;
   private long waitObservedNanos;
-  private double gapMillis = DEFAULT_GAP_MILLIS;
+  private double gapMillis;
+  private boolean gapObserved;
 
-  Engine(EngineRecord record, EngineSuspicionListener suspicionListener) {
+  Engine(
+      EngineRecord record,
+      ServicePerformance performance,
+      EngineSuspicionListener suspicionListener) {
     this.record = record;
+    this.performance = performance;
     this.suspicionListener = suspicionListener;
   }
 
@@ -59,10 +58,15 @@
     return cachedPrefixes;
   }
 
+  /** How fast the engines of its service work. */
+  public ServicePerformance performance() {
+    return performance;
+  }
+
   /** The time in which it is expected to begin an answer when idle, in milliseconds. */
   public double expectedFirstEventMillis(List<PromptPart> prompt) {
-    return CACHED_FIRST_EVENT_MILLIS
-        + cachedPrefixes.uncachedTokens(prompt) / PREFILL_TOKENS_PER_MILLI;
+    return performance.firstEventMillis()
+        + performance.readingMillis(cachedPrefixes.uncachedTokens(prompt));
   }
 
   /** Requests that this process has sent to it and that are not over. */
@@ -97,14 +101,17 @@
     return age >= WAIT_STALE_NANOS ? 0 : waitMillis * (1.0 - (double) age / WAIT_STALE_NANOS);
   }
 
-  /** Notes the time between two events of a stream. */
+  /** Notes the time between two events of a stream, in milliseconds. */
   public void observeGap(double millis) {
-    gapMillis += GAP_SMOOTHING * (Math.min(millis, LONGEST_GAP_MILLIS) - gapMillis);
+    double counted = Math.min(millis, performance.gapMillis() * LONGEST_GAP_FACTOR);
+    gapMillis = gapMillis() + GAP_SMOOTHING * (counted - gapMillis());
+    gapObserved = true;
+    performance.observeGap(counted);
   }
 
-  /** The smoothed time between two events of a stream. */
+  /** The smoothed time between two events of a stream; that of its service if none was seen. */
   public double gapMillis() {
-    return gapMillis;
+    return gapObserved ? gapMillis : performance.gapMillis();
   }
 
   /** Notes that a request failed there, or that it could not be reached. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -17,6 +17,7 @@
   private final long longestLapseNanos;
   private final Map<String, Engine> byId = new HashMap<>();
   private final Map<String, List<Engine>> byService = new HashMap<>();
+  private final Map<String, ServicePerformance> performanceByService = new HashMap<>();
   private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
   private EngineSuspicionListener suspicionListener = EngineSuspicionListener.NONE;
 
@@ -75,7 +76,11 @@
       known.update(record);
       return;
     }
-    Engine engine = new Engine(record, suspected -> suspicionListener.engineSuspected(suspected));
+    Engine engine =
+        new Engine(
+            record,
+            performanceOf(record.service()),
+            suspected -> suspicionListener.engineSuspected(suspected));
     byId.put(record.id(), engine);
     byService.computeIfAbsent(record.service(), service -> new ArrayList<>()).add(engine);
   }
@@ -118,6 +123,11 @@
     byService.get(engine.record().service()).remove(engine);
   }
 
+  /** How fast the engines of a service work; outlives each of them. */
+  public ServicePerformance performanceOf(String service) {
+    return performanceByService.computeIfAbsent(service, unknown -> new ServicePerformance());
+  }
+
   /** The engines of a service, draining ones among them. */
   public List<Engine> ofService(String service) {
     return byService.getOrDefault(service, List.of());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineStanding.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineStanding.java
@@ -5,7 +5,7 @@
   /** Nothing speaks against it. */
   TRUSTED {
     @Override
-    public double penaltyMillis(boolean repeatable) {
+    public double penaltyMillis(boolean repeatable, double answerMillis) {
       return 0;
     }
   },
@@ -16,8 +16,8 @@
    */
   PROBATION {
     @Override
-    public double penaltyMillis(boolean repeatable) {
-      return repeatable ? 0 : PROBATION_PENALTY_MILLIS;
+    public double penaltyMillis(boolean repeatable, double answerMillis) {
+      return repeatable ? 0 : answerMillis * PROBATION_PENALTY_ANSWERS;
     }
   },
 
@@ -28,7 +28,7 @@
    */
   SUSPECT {
     @Override
-    public double penaltyMillis(boolean repeatable) {
+    public double penaltyMillis(boolean repeatable, double answerMillis) {
       return repeatable ? 0 : SUSPECT_PENALTY_MILLIS;
     }
   },
@@ -36,12 +36,13 @@
   /** It has just failed: used only if no other engine is left. */
   AVOIDED {
     @Override
-    public double penaltyMillis(boolean repeatable) {
+    public double penaltyMillis(boolean repeatable, double answerMillis) {
       return LAST_RESORT_PENALTY_MILLIS;
     }
   };
 
-  private static final double PROBATION_PENALTY_MILLIS = 100;
+  /** What the doubt about an engine on probation is worth, in usual answers of its service. */
+  private static final double PROBATION_PENALTY_ANSWERS = 2;
 
   /** More than any wait that is worth its while. */
   private static final double SUSPECT_PENALTY_MILLIS = 20_000;
@@ -52,6 +53,7 @@
    * What is added to the predicted time of a request, in milliseconds.
    *
    * @param repeatable whether the request may be sent to another engine after an unknown outcome
+   * @param answerMillis the usual time of an answer of the service
    */
-  public abstract double penaltyMillis(boolean repeatable);
+  public abstract double penaltyMillis(boolean repeatable, double answerMillis);
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/CongestionMonitor.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/CongestionMonitor.java
@@ -13,11 +13,17 @@
 
   private static final long STALE_NANOS = 1_000_000_000L;
 
-  /** Where refusals begin and where all new programs are refused, in milliseconds of waiting. */
-  private record Band(double beginMillis, double fullMillis) {}
+  /**
+   * Where refusals begin and where all new programs are refused, in multiples of the time within
+   * which the route wants its answers to begin.
+   */
+  private record Band(double begin, double full) {}
 
-  private static final Band URGENT = new Band(900, 2_500);
-  private static final Band ORDINARY = new Band(500, 1_500);
+  private static final Band URGENT = new Band(4.5, 12.5);
+  private static final Band ORDINARY = new Band(2.5, 7.5);
+
+  /** Below this multiple of that time engines have time to spare. */
+  private static final double SPARE = 0.5;
 
   private final RandomGenerator random;
   private double waitMillis;
@@ -51,13 +57,24 @@
    * Whether a new program may begin.
    *
    * @param mostUrgent whether it belongs to the most urgent rank
+   * @param targetMillis the time within which its route wants an answer to begin
    */
-  public boolean admits(boolean mostUrgent, long nowNanos) {
+  public boolean admits(boolean mostUrgent, long targetMillis, long nowNanos) {
     Band band = mostUrgent ? URGENT : ORDINARY;
-    double excess = waitMillis(nowNanos) - band.beginMillis();
+    double targets = waitMillis(nowNanos) / Math.max(1, targetMillis);
+    double excess = targets - band.begin();
     if (excess <= 0) {
       return true;
     }
-    return random.nextDouble() * (band.fullMillis() - band.beginMillis()) > excess;
+    return random.nextDouble() * (band.full() - band.begin()) > excess;
+  }
+
+  /**
+   * Whether engines have time to spare for work that may turn out to be for nothing.
+   *
+   * @param targetMillis the time within which the route wants an answer to begin
+   */
+  public boolean timeToSpare(long targetMillis, long nowNanos) {
+    return waitMillis(nowNanos) <= targetMillis * SPARE;
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.PromptPart;
+import org.baykeel.gateway.directory.ServicePerformance;
 
 /**
  * Picks the engine at which a request is predicted to end first: its wait, reading what the engine
@@ -15,9 +17,6 @@
  * what they share there even when they arrive through different processes.
  */
 public final class EngineSelector {
-  /** Tokens by which a prompt typically grows from turn to turn. */
-  private static final int TYPICAL_NEW_TOKENS = 1_500;
-
   /**
    * What reading counts for in a choice, as a multiple of its own time: while an engine reads, all
    * that run there stand still.
@@ -30,17 +29,34 @@
   /** An engine counts as slow from this multiple of the usual time between events. */
   private static final double SLOW_PACE = 1.6;
 
-  private static final double EVENTS_PER_ANSWER = 11.0;
-  private static final double MILLIS_PER_REQUEST_IN_FLIGHT = 2.0;
+  /**
+   * What a stream that this process has under way at an engine adds to the next one there, as a
+   * part of the usual time of a stream. Small: streams share the steps of an engine, and its pace
+   * is observed by itself.
+   */
+  private static final double STREAM_IN_FLIGHT_WEIGHT = 1.0 / 200;
+
   private static final double OTHER_ZONE_MILLIS = 4.0;
-  private static final double HOME_BONUS_MILLIS = 60.0;
+
+  /** What a home is worth, in prompts of one turn that need not be read again. */
+  private static final double HOME_BONUS_TURNS = 4.0;
+
+  /** Engines that are this close to each other, in places of their own work, count as equal. */
+  private static final double TIE_WIDTH = 0.5;
 
   private final EngineDirectory directory;
   private final String ownZone;
+  private final RandomGenerator random;
 
-  public EngineSelector(EngineDirectory directory, String ownZone) {
+  /**
+   * Creates a selector.
+   *
+   * @param random settles ties, so that nodes that know the same don't all pick the same engine
+   */
+  public EngineSelector(EngineDirectory directory, String ownZone, RandomGenerator random) {
     this.directory = directory;
     this.ownZone = ownZone;
+    this.random = random;
   }
 
   /**
@@ -72,7 +88,7 @@
       }
       double millis = predictedMillis(engine, criteria, usualGapMillis, nowNanos);
       if (engine == home) {
-        millis -= keptSomewhere ? HOME_BONUS_MILLIS : assumedAtHomeMillis(engine, criteria);
+        millis -= keptSomewhere ? homeBonusMillis(engine) : assumedAtHomeMillis(engine, criteria);
       }
       if (best == null || millis < bestMillis) {
         best = engine;
@@ -95,42 +111,55 @@
 
   private double predictedMillis(
       Engine engine, Criteria criteria, double usualGapMillis, long nowNanos) {
-    double millis = engine.inFlight() * MILLIS_PER_REQUEST_IN_FLIGHT;
-    if (!criteria.prompt().isEmpty()) {
-      millis += readingMillis(engine.cachedPrefixes().uncachedTokens(criteria.prompt()));
+    ServicePerformance performance = engine.performance();
+    boolean stream = !criteria.prompt().isEmpty();
+    double answerMillis = stream ? performance.streamMillis() : performance.workMillis();
+    double millis = stream ? 0 : tieMillis(engine);
+    if (stream) {
+      millis += engine.inFlight() * answerMillis * STREAM_IN_FLIGHT_WEIGHT;
+      int unread = engine.cachedPrefixes().uncachedTokens(criteria.prompt());
+      millis += performance.readingMillis(unread) * READING_WEIGHT;
       millis += engine.waitMillis(nowNanos) * WAIT_WEIGHT;
       double excessGap = engine.gapMillis() - usualGapMillis * SLOW_PACE;
-      millis += Math.max(0, excessGap) * EVENTS_PER_ANSWER;
+      millis += Math.max(0, excessGap) * performance.eventsPerAnswer();
+    } else {
+      millis += engine.inFlight() * placeMillis(engine);
     }
     if (!engine.record().zone().equals(ownZone)) {
       millis += OTHER_ZONE_MILLIS;
     }
-    return millis + engine.standing(nowNanos).penaltyMillis(criteria.repeatable());
+    return millis + engine.standing(nowNanos).penaltyMillis(criteria.repeatable(), answerMillis);
+  }
+
+  /** The time after which an engine that is full is expected to have a place again. */
+  private static double placeMillis(Engine engine) {
+    return engine.performance().workMillis() / Math.max(1, engine.record().slots());
+  }
+
+  private double tieMillis(Engine engine) {
+    return random.nextDouble() * TIE_WIDTH * placeMillis(engine);
   }
 
   /** Whether an engine is known here to keep something of the prompt's own, last part. */
   private boolean keptSomewhere(Criteria criteria) {
-    List<PromptPart> prompt = criteria.prompt();
-    if (prompt.isEmpty()) {
+    if (criteria.prompt().isEmpty()) {
       return true;
     }
-    String ownPart = prompt.get(prompt.size() - 1).id();
-    for (Engine engine : directory.ofService(criteria.service())) {
-      if (engine.cachedPrefixes().contains(ownPart)) {
-        return true;
-      }
-    }
-    return false;
+    return directory.ofService(criteria.service()).stream()
+        .anyMatch(engine -> engine.cachedPrefixes().containsOwnPart(criteria.prompt()));
+  }
+
+  private static double homeBonusMillis(Engine home) {
+    ServicePerformance performance = home.performance();
+    return performance.readingMillis(performance.newTokens()) * HOME_BONUS_TURNS * READING_WEIGHT;
   }
 
   /** What earlier turns through other processes are assumed to have left at the home. */
   private static double assumedAtHomeMillis(Engine home, Criteria criteria) {
+    ServicePerformance performance = home.performance();
     int uncached = home.cachedPrefixes().uncachedTokens(criteria.prompt());
-    return HOME_BONUS_MILLIS + readingMillis(Math.max(0, uncached - TYPICAL_NEW_TOKENS));
-  }
-
-  private static double readingMillis(int tokens) {
-    return tokens * READING_WEIGHT / Engine.PREFILL_TOKENS_PER_MILLI;
+    double assumedKept = Math.max(0, uncached - performance.newTokens());
+    return homeBonusMillis(home) + performance.readingMillis(assumedKept) * READING_WEIGHT;
   }
 
   /** Rendezvous hashing: the engine with the highest rank for the key. */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -62,7 +62,7 @@
         new GatewayContext(
             eventLoop,
             state,
-            new EngineSelector(engines, "z"),
+            new EngineSelector(engines, "z", new Random(1)),
             new BackendChooser(),
             congestion,
             new ProgramBudgets(store, eventLoop, new GrantIds(1)),
@@ -93,6 +93,7 @@
         kind,
         TIMEOUT_MILLIS,
         200,
+        300,
         1,
         List.of(new Backend("s", 1)),
         attempts,
@@ -115,7 +116,7 @@
       String path, String id, String previousTurn, String program, String session, long budget) {
     CallAttributes attributes =
         new CallAttributes(
-            id, 3_000, program, session, budget, 500, List.of(), previousTurn, -1, null);
+            id, 3_000, -1, program, session, budget, 500, List.of(), previousTurn, -1, null);
     CallRequest request =
         new CallRequest(
             "POST",
@@ -186,7 +187,11 @@
   @Test
   void aSilentEngineIsGivenUpForASafeRequest() {
     call("/safe/");
-    eventLoop.advance(500);
+    long silenceMillis =
+        route("/safe/", RouteKind.SAFE, 2, false, false).longestSilenceMillis(false);
+    eventLoop.advance(silenceMillis - 1);
+    assertFalse(transport.sent(0).cancelled());
+    eventLoop.advance(1);
     assertTrue(transport.sent(0).cancelled());
     transport.last().head(200, true, false, false).bytes("b").complete();
     assertEquals(List.of("answer 200 b"), responder.heard());
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -78,6 +78,7 @@
             RouteKind.UNSAFE,
             2_000,
             100,
+            300,
             0,
             List.of(new Backend("s", 1)),
             1,
@@ -92,7 +93,7 @@
         new GatewayContext(
             eventLoop,
             state,
-            new EngineSelector(engines, "z"),
+            new EngineSelector(engines, "z", new Random(1)),
             new BackendChooser(),
             new CongestionMonitor(new Random(1)),
             new ProgramBudgets(store, eventLoop, new GrantIds(1)),
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineSuspicionGossip.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineSuspicionGossip.java
@@ -140,7 +140,7 @@
     long oneNotice = network.sentBytes() - before;
     eventLoop.advance(100);
     assertEquals(before + oneNotice, network.sentBytes(), "nobody passes it on");
-    assertEquals(0, EngineStanding.SUSPECT.penaltyMillis(true));
+    assertEquals(0, EngineStanding.SUSPECT.penaltyMillis(true, 100));
     assertEquals(second.standing(), third.standing());
   }
 
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestDecisionsScale.java
@@ -0,0 +1,160 @@
+package org.baykeel.gateway.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.directory.PromptPart;
+import org.baykeel.gateway.directory.ServicePerformance;
+import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Decisions follow the engines that are observed; none rests on the engines of one deployment. */
+class TestDecisionsScale {
+  private static final String SERVICE = "s";
+  private static final int OBSERVATIONS = 400;
+  private static final int KEPT_TOKENS = 6_000;
+  private static final long TARGET_MILLIS = 200;
+  private static final List<PromptPart> PROMPT =
+      List.of(new PromptPart("shared", KEPT_TOKENS), new PromptPart("own", 500));
+
+  private final Random random = new Random(7);
+  private final EngineDirectory directory = new EngineDirectory(1);
+  private final EngineSelector selector = new EngineSelector(directory, "z", random);
+
+  /** Tokens read in a millisecond, places, milliseconds to the first event, between two events. */
+  static Stream<Arguments> modelEngines() {
+    return Stream.of(10.0, 40.0, 270.0)
+        .flatMap(
+            speed ->
+                IntStream.of(4, 16, 64, 128)
+                    .boxed()
+                    .flatMap(
+                        slots ->
+                            Stream.of(1.0, 5.0, 30.0)
+                                .map(step -> Arguments.of(speed, slots, step * 4, step * 3))));
+  }
+
+  private Engine engine(String id, int slots, String zone) {
+    directory.put(new EngineRecord(id, SERVICE, "10.0.0.1", 80, zone, slots, false));
+    return directory.ofService(SERVICE).get(directory.ofService(SERVICE).size() - 1);
+  }
+
+  private void observe(Engine engine, double speed, double firstMillis, double gapMillis) {
+    ServicePerformance performance = engine.performance();
+    for (int i = 0; i < OBSERVATIONS; i++) {
+      int unread = random.nextInt(4_000);
+      performance.observeFirstEvent(unread, firstMillis + unread / speed);
+      engine.observeGap(gapMillis);
+    }
+  }
+
+  @ParameterizedTest
+  @MethodSource("modelEngines")
+  void speedAndFirstEventAreLearnt(double speed, int slots, double first, double gap) {
+    Engine engine = engine("e0", slots, "z");
+    observe(engine, speed, first, gap);
+    ServicePerformance performance = engine.performance();
+    assertEquals(4_000 / speed, performance.readingMillis(4_000), 400 / speed);
+    assertEquals(first, performance.firstEventMillis(), 1 + first * 0.3);
+    assertEquals(gap, performance.gapMillis(), gap * 0.2);
+  }
+
+  @ParameterizedTest
+  @MethodSource("modelEngines")
+  void readingAPromptIsNoWait(double speed, int slots, double first, double gap) {
+    Engine engine = engine("e0", slots, "z");
+    observe(engine, speed, first, gap);
+    CongestionMonitor congestion = new CongestionMonitor(random);
+    List<PromptPart> unread = List.of(new PromptPart("new", 4_000));
+    double waitMillis = first + 4_000 / speed - engine.expectedFirstEventMillis(unread);
+    for (int i = 0; i < 50; i++) {
+      congestion.observeWait(waitMillis, 0);
+    }
+    assertTrue(congestion.admits(false, TARGET_MILLIS, 0));
+    assertTrue(congestion.timeToSpare(TARGET_MILLIS, 0), waitMillis + " ms");
+  }
+
+  @ParameterizedTest
+  @MethodSource("modelEngines")
+  void aLineLeavesWhatIsKeptOnlyForAWaitThatOutweighsReading(
+      double speed, int slots, double first, double gap) {
+    Engine keeping = engine("e0", slots, "z");
+    Engine other = engine("e1", slots, "z");
+    observe(keeping, speed, first, gap);
+    observe(other, speed, first, gap);
+    keeping.cachedPrefixes().add(PROMPT);
+    Criteria criteria = new Criteria(SERVICE, PROMPT, null, true);
+    double readingMillis = KEPT_TOKENS / speed;
+    keeping.observeWait(readingMillis, 0);
+    assertEquals("e0", selector.select(criteria, Set.of(), 0).record().id());
+    for (int i = 0; i < 50; i++) {
+      keeping.observeWait(readingMillis * 20 + 400, 0);
+    }
+    assertEquals("e1", selector.select(criteria, Set.of(), 0).record().id());
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {10, 60, 300, 900})
+  void aToolCallLeavesItsZoneOnlyForAWaitThatOutweighsTheWay(int workMillis) {
+    Engine near = engine("near", 6, "z");
+    engine("far", 6, "elsewhere");
+    for (int i = 0; i < OBSERVATIONS; i++) {
+      near.performance().observeWork(workMillis);
+    }
+    Criteria criteria = new Criteria(SERVICE, List.of(), null, true);
+    int sent = 0;
+    while (selector.select(criteria, Set.of(), 0) == near) {
+      near.requestStarted();
+      sent++;
+    }
+    double waitMillis = sent * workMillis / 6.0;
+    assertTrue(waitMillis < 6 + 1.5 * workMillis / 6.0, sent + " calls, " + waitMillis + " ms");
+    assertTrue(sent > 0);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {10, 60, 300, 900})
+  void nodesThatKnowTheSameDoNotAllPickTheSameEngine(int workMillis) {
+    for (int i = 0; i < 6; i++) {
+      Engine engine = engine("e" + i, 6, "z");
+      engine.performance().observeWork(workMillis);
+    }
+    Criteria criteria = new Criteria(SERVICE, List.of(), null, true);
+    Map<String, Integer> picks = new HashMap<>();
+    for (int node = 0; node < 600; node++) {
+      EngineSelector other = new EngineSelector(directory, "z", new SplittableRandom(node));
+      picks.merge(other.select(criteria, Set.of(), 0).record().id(), 1, Integer::sum);
+    }
+    assertEquals(6, picks.size());
+    picks.values().forEach(count -> assertTrue(count < 200, picks::toString));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {50, 200, 2_000})
+  void refusalsBeginAtAMultipleOfWhatTheRouteWants(long targetMillis) {
+    CongestionMonitor congestion = new CongestionMonitor(random);
+    for (int i = 0; i < 100; i++) {
+      congestion.observeWait(targetMillis * 2.0, 0);
+    }
+    assertTrue(congestion.admits(false, targetMillis, 0));
+    for (int i = 0; i < 100; i++) {
+      congestion.observeWait(targetMillis * 20.0, 0);
+    }
+    assertFalse(congestion.admits(true, targetMillis, 0));
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestEngineSelector.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestEngineSelector.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import org.baykeel.gateway.directory.CachedPrefixes;
 import org.baykeel.gateway.directory.Engine;
@@ -24,7 +25,7 @@
           new PromptPart("turn2", 1_500));
 
   private final EngineDirectory directory = new EngineDirectory(1);
-  private final EngineSelector selector = new EngineSelector(directory, "z");
+  private final EngineSelector selector = new EngineSelector(directory, "z", new Random(1));
 
   private void engines(int count) {
     for (int i = 0; i < count; i++) {
@@ -57,7 +58,7 @@
     for (Engine engine : directory.ofService("s")) {
       elsewhere.put(engine.record());
     }
-    EngineSelector other = new EngineSelector(elsewhere, "other zone");
+    EngineSelector other = new EngineSelector(elsewhere, "other zone", new Random(2));
     for (int i = 0; i < 20; i++) {
       String program = "p" + i;
       String home = select(LONG_PROMPT, program).record().id();
@@ -72,6 +73,7 @@
     engine("e0").cachedPrefixes().add(LONG_PROMPT);
     for (int i = 0; i < 100; i++) {
       engine("e0").observeGap(200);
+      engine("e1").observeGap(35);
     }
     assertEquals("e1", select(LONG_PROMPT, null).record().id());
   }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
@@ -54,7 +54,7 @@
             new GatewayContext(
                 eventLoop,
                 state,
-                new EngineSelector(directory, "z"),
+                new EngineSelector(directory, "z", random),
                 new BackendChooser(),
                 new CongestionMonitor(random),
                 new ProgramBudgets(store, eventLoop, new GrantIds(random.nextLong())),
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
@@ -47,6 +47,7 @@
         RouteKind.STREAMING,
         3_000,
         200,
+        300,
         0,
         List.of(new Backend("s", 1)),
         2,
