--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Optional;
+import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.storage.DurableStore;
 import org.baykeel.gateway.storage.RowAddress;
@@ -25,10 +27,12 @@
 
   private static final long RETRY_MILLIS = 40;
 
+  private final ProgramId program;
   private final RowAddress address;
   private final DurableStore store;
   private final EventLoop eventLoop;
   private final GrantIds grantIds;
+  private final GrantSource source;
   private final ArrayDeque<Reservation> waiting = new ArrayDeque<>();
   private long budgetTokens;
   private long allowance;
@@ -36,16 +40,32 @@
   private long rowVersion = Transaction.ABSENT;
   private boolean rowSeen;
   private boolean openedHere;
+
+  /** Whether this process was the last to be granted tokens, as far as it knows. */
+  private boolean holder;
+
+  /** Whether others were asked since this process last gave its tokens up. */
+  private boolean othersAsked;
+
   private boolean asking;
   private BudgetRow unknownRow;
   private int openReservations;
   private long lastUsedNanos;
 
-  ProgramAccount(RowAddress address, DurableStore store, EventLoop eventLoop, GrantIds grantIds) {
+  @SuppressWarnings("ParameterNumber")
+  ProgramAccount(
+      ProgramId program,
+      RowAddress address,
+      DurableStore store,
+      EventLoop eventLoop,
+      GrantIds grantIds,
+      GrantSource source) {
+    this.program = program;
     this.address = address;
     this.store = store;
     this.eventLoop = eventLoop;
     this.grantIds = grantIds;
+    this.source = source;
   }
 
   Reservation reserve(long budget, int tokens, long giveUpNanos, Runnable onDecided) {
@@ -60,7 +80,9 @@
       reservation.decideSilently(Grant.EXHAUSTED);
     } else {
       waiting.add(reservation);
+      reservation.quiet(true);
       ask();
+      reservation.quiet(false);
     }
     return reservation;
   }
@@ -90,13 +112,21 @@
   }
 
   private boolean knownExhausted(int tokens) {
-    return rowSeen && row.grantedTokens() >= budgetTokens && allowance < tokens;
+    boolean othersMayHaveSome = !holder && !othersAsked;
+    boolean allGranted = rowSeen && row.grantedTokens() >= budgetTokens;
+    return allGranted && allowance < tokens && !othersMayHaveSome;
   }
 
   private void ask() {
     if (asking || waiting.isEmpty()) {
       return;
     }
+    if (!holder && !othersAsked) {
+      asking = true;
+      othersAsked = true;
+      source.request(program, this::onTransfer);
+      return;
+    }
     long grant = tokensToAskFor();
     if (grant == 0) {
       refuseAll(Grant.EXHAUSTED);
@@ -127,6 +157,45 @@
     return granted + ahead <= budgetTokens * AHEAD_BELOW ? ahead : missing;
   }
 
+  private void onTransfer(Optional<GrantTransfer> transfer) {
+    asking = false;
+    transfer.ifPresent(this::adoptTransfer);
+    serveFromAllowance();
+    ask();
+  }
+
+  private void adoptTransfer(GrantTransfer transfer) {
+    allowance += transfer.tokens();
+    if (!rowSeen || transfer.rowVersion() > rowVersion) {
+      row = new BudgetRow(transfer.grantedTokens(), transfer.grantId());
+      rowVersion = transfer.rowVersion();
+      rowSeen = true;
+    }
+    becomeHolder();
+  }
+
+  private void becomeHolder() {
+    if (!holder) {
+      holder = true;
+      source.holds(program);
+    }
+  }
+
+  /**
+   * Gives up the tokens that no turn here has reserved or waits for. They are taken off before they
+   * are told to anybody: if the answer is lost, they count as spent.
+   */
+  Optional<GrantTransfer> release() {
+    if (!rowSeen) {
+      return Optional.empty();
+    }
+    long given = waiting.isEmpty() ? allowance : 0;
+    allowance -= given;
+    holder = false;
+    othersAsked = false;
+    return Optional.of(new GrantTransfer(given, row.grantedTokens(), row.grantId(), rowVersion));
+  }
+
   private void onOutcome(BudgetRow asked, TransactionOutcome outcome) {
     asking = false;
     if (outcome instanceof TransactionOutcome.Applied applied) {
@@ -145,6 +214,7 @@
     openedHere |= rowVersion == Transaction.ABSENT;
     allowance += granted.grantedTokens() - row.grantedTokens();
     adopt(granted, version);
+    becomeHolder();
     serveFromAllowance();
     ask();
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.storage.DurableStore;
 import org.baykeel.gateway.storage.RowAddress;
@@ -14,12 +16,20 @@
   private final DurableStore store;
   private final EventLoop eventLoop;
   private final GrantIds grantIds;
+  private final GrantSource source;
   private final Map<String, ProgramAccount> accounts = new HashMap<>();
 
-  public ProgramBudgets(DurableStore store, EventLoop eventLoop, GrantIds grantIds) {
+  /**
+   * Creates accounts.
+   *
+   * @param source gets what other processes have left of a program's grant
+   */
+  public ProgramBudgets(
+      DurableStore store, EventLoop eventLoop, GrantIds grantIds, GrantSource source) {
     this.store = store;
     this.eventLoop = eventLoop;
     this.grantIds = grantIds;
+    this.source = source;
   }
 
   /**
@@ -39,6 +49,11 @@
     return account != null && account.known();
   }
 
+  /** Gives up what this process has left of a program's grant, for another to use. */
+  public Optional<GrantTransfer> release(ProgramId program) {
+    return Optional.ofNullable(accounts.get(program.value())).flatMap(ProgramAccount::release);
+  }
+
   /** Forgets programs that have not been heard of for a while. Their rows stay in the store. */
   public void forgetIdle() {
     long since = eventLoop.nanoTime() - FORGET_NANOS;
@@ -51,6 +66,6 @@
 
   private ProgramAccount open(String program) {
     RowAddress address = new RowAddress(TABLE, program, "granted");
-    return new ProgramAccount(address, store, eventLoop, grantIds);
+    return new ProgramAccount(new ProgramId(program), address, store, eventLoop, grantIds, source);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/Reservation.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/Reservation.java
@@ -9,6 +9,7 @@
   private Grant grant = Grant.PENDING;
   private int usedTokens;
   private boolean closed;
+  private boolean quiet;
 
   Reservation(ProgramAccount account, int tokens, long giveUpNanos, Runnable onDecided) {
     this.account = account;
@@ -36,11 +37,16 @@
 
   void decide(Grant decision) {
     grant = decision;
-    if (!closed) {
+    if (!closed && !quiet) {
       onDecided.run();
     }
   }
 
+  /** While quiet, a decision is only kept: whoever reserves is about to look at it. */
+  void quiet(boolean nowQuiet) {
+    quiet = nowQuiet;
+  }
+
   void decideSilently(Grant decision) {
     grant = decision;
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.budget.Grant;
@@ -13,6 +14,7 @@
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.history.KeptTurn;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
+import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
 
@@ -48,10 +50,8 @@
   private Reservation reservation;
   private EngineAttempt attempt;
   private EventLoop.Timer deadlineTimer;
-  private EventLoop.Timer progressTimer;
+  private SilenceWatch silenceWatch;
   private long deadlineNanos;
-  private long lastProgressNanos;
-  private long firstEventNanos;
   private int sends;
   private int runs;
   private boolean programKnown;
@@ -84,6 +84,7 @@
     service = context.backendChooser().choose(route, homeKey());
     ServiceProfile profile = configuration.service(service);
     tokensPerEvent = profile == null ? 0 : profile.tokensPerEvent();
+    silenceWatch = new SilenceWatch(eventLoop, route, this::onSilence);
     relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
     if (admitted()) {
       findHistory();
@@ -180,7 +181,8 @@
     }
     long giveUp = eventLoop.nanoTime() + LOOKUP_PATIENCE_MILLIS * 1_000_000;
     record.waitBegan(CallRecord.Wait.HISTORY);
-    context.history().find(attributes().previousTurn(), giveUp, this::onHistory);
+    ProgramId program = new ProgramId(Objects.requireNonNullElse(attributes().programId(), ""));
+    context.history().find(program, attributes().previousTurn(), giveUp, this::onHistory);
   }
 
   private void onHistory(Lookup lookup) {
@@ -263,7 +265,6 @@
     runs++;
     record.sentTo(engine, attributes().prompt());
     triedEngines.add(engine.record().id());
-    lastProgressNanos = now;
     attempt =
         new EngineAttempt(
             engine, attributes().prompt(), tokensPerEvent, eventLoop, context.congestion(), this);
@@ -271,7 +272,7 @@
     attempt.send(
         context.transport(),
         new EngineRequest(request, engineBody, remaining, relay.lastEventId()));
-    armProgressTimer();
+    silenceWatch.sent();
   }
 
   private String engineHomeKey() {
@@ -290,33 +291,14 @@
     }
   }
 
-  private void armProgressTimer() {
-    if (!route.repeatable() || progressTimer != null) {
+  private void onSilence() {
+    if (over || streamComplete || attempt == null || !mayRunAgain()) {
       return;
     }
-    progressTimer = eventLoop.schedule(progressMillis(), this::checkProgress);
-  }
-
-  private long progressMillis() {
-    return route.longestSilenceMillis(firstEventNanos != 0);
-  }
-
-  private void checkProgress() {
-    progressTimer = null;
-    if (over || streamComplete) {
-      return;
-    }
-    long allowedNanos = progressMillis() * 1_000_000;
-    long quietNanos = eventLoop.nanoTime() - lastProgressNanos;
-    if (quietNanos >= allowedNanos && attempt != null && mayRunAgain()) {
-      attempt.engine().failed(eventLoop.nanoTime());
-      attempt.cancel();
-      endAttempt("silent");
-      dispatch();
-    }
-    if (!over) {
-      armProgressTimer();
-    }
+    attempt.engine().failed(eventLoop.nanoTime());
+    attempt.cancel();
+    endAttempt("silent");
+    dispatch();
   }
 
   private boolean mayRunAgain() {
@@ -327,7 +309,7 @@
 
   @Override
   public void onAttemptProgress() {
-    lastProgressNanos = eventLoop.nanoTime();
+    silenceWatch.heard();
   }
 
   @Override
@@ -337,9 +319,7 @@
 
   @Override
   public void onStreamEvent(StreamEvent event) {
-    if (firstEventNanos == 0) {
-      firstEventNanos = eventLoop.nanoTime();
-    }
+    silenceWatch.event();
     if (relay.event(event)) {
       noteEventsPassed(1);
     }
@@ -491,8 +471,10 @@
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
-    if (progressTimer != null) {
-      progressTimer.cancel();
+    long firstEventNanos = 0;
+    if (silenceWatch != null) {
+      silenceWatch.end();
+      firstEventNanos = silenceWatch.firstEventNanos();
     }
     if (reservation != null) {
       reservation.close();
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/SilenceWatch.java
@@ -0,0 +1,72 @@
+package org.baykeel.gateway.call;
+
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.runtime.EventLoop;
+
+/**
+ * Notices when the engine of a request that may be repeated has been silent for too long. Runs from
+ * the first send to the end of the request, across engines.
+ */
+final class SilenceWatch {
+  private final EventLoop eventLoop;
+  private final Route route;
+  private final Runnable onSilence;
+  private EventLoop.Timer timer;
+  private long lastHeardNanos;
+  private long firstEventNanos;
+
+  /**
+   * Creates a watch that has not begun.
+   *
+   * @param route tells how long an engine may be silent
+   * @param onSilence runs each time the engine has been silent for that long
+   */
+  SilenceWatch(EventLoop eventLoop, Route route, Runnable onSilence) {
+    this.eventLoop = eventLoop;
+    this.route = route;
+    this.onSilence = onSilence;
+  }
+
+  /** The request was sent to an engine; begins the watch if it has not begun. */
+  void sent() {
+    lastHeardNanos = eventLoop.nanoTime();
+    if (route.repeatable() && timer == null) {
+      timer = eventLoop.schedule(allowedMillis(), this::check);
+    }
+  }
+
+  /** Something arrived from the engine. */
+  void heard() {
+    lastHeardNanos = eventLoop.nanoTime();
+  }
+
+  /** An event arrived from the engine. */
+  void event() {
+    if (firstEventNanos == 0) {
+      firstEventNanos = eventLoop.nanoTime();
+    }
+  }
+
+  /** When the first event arrived; 0 if none did. */
+  long firstEventNanos() {
+    return firstEventNanos;
+  }
+
+  /** Ends the watch. */
+  void end() {
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+
+  private long allowedMillis() {
+    return route.longestSilenceMillis(firstEventNanos != 0);
+  }
+
+  private void check() {
+    timer = eventLoop.schedule(allowedMillis(), this::check);
+    if (eventLoop.nanoTime() - lastHeardNanos >= allowedMillis() * 1_000_000) {
+      onSilence.run();
+    }
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/KeptTurnCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/KeptTurnCodec.java
@@ -11,13 +11,55 @@
 import java.util.List;
 
 /** A kept turn as one or more values of bounded size, the first of which tells their number. */
-final class KeptTurnCodec {
+public final class KeptTurnCodec {
   private static final byte FORMAT = 1;
 
   private KeptTurnCodec() {}
 
+  /**
+   * A turn without its identifier, as one value.
+   *
+   * @param turn the turn
+   */
+  public static byte[] encodeWhole(KeptTurn turn) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(turn.bytes() + 256);
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      out.writeShort(turn.ancestors().size());
+      for (String ancestor : turn.ancestors()) {
+        out.writeUTF(ancestor);
+      }
+      out.writeInt(turn.input().length);
+      out.write(turn.input());
+      out.writeInt(turn.output().length);
+      out.write(turn.output());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /**
+   * Reads what {@link #encodeWhole} has written.
+   *
+   * @throws IllegalArgumentException if the bytes are none of that
+   */
+  public static KeptTurn decodeWhole(String id, byte[] value) {
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(value))) {
+      List<String> ancestors = new ArrayList<>();
+      int count = in.readUnsignedShort();
+      for (int i = 0; i < count; i++) {
+        ancestors.add(in.readUTF());
+      }
+      byte[] input = in.readNBytes(in.readInt());
+      byte[] output = in.readNBytes(in.readInt());
+      return new KeptTurn(id, ancestors, input, output);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("not a kept turn: " + value.length + " bytes", e);
+    }
+  }
+
   static List<byte[]> encode(KeptTurn turn, int maxValueBytes) {
-    byte[] body = body(turn);
+    byte[] body = encodeWhole(turn);
     int room = maxValueBytes - 2;
     int pieces = Math.max(1, (body.length + room - 1) / room);
     List<byte[]> values = new ArrayList<>(pieces);
@@ -44,34 +86,6 @@
     for (byte[] value : values) {
       body.write(value, 2, value.length - 2);
     }
-    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body.toByteArray()))) {
-      List<String> ancestors = new ArrayList<>();
-      int count = in.readUnsignedShort();
-      for (int i = 0; i < count; i++) {
-        ancestors.add(in.readUTF());
-      }
-      byte[] input = in.readNBytes(in.readInt());
-      byte[] output = in.readNBytes(in.readInt());
-      return new KeptTurn(id, ancestors, input, output);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  private static byte[] body(KeptTurn turn) {
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream(turn.bytes() + 256);
-    try (DataOutputStream out = new DataOutputStream(bytes)) {
-      out.writeShort(turn.ancestors().size());
-      for (String ancestor : turn.ancestors()) {
-        out.writeUTF(ancestor);
-      }
-      out.writeInt(turn.input().length);
-      out.write(turn.input());
-      out.writeInt(turn.output().length);
-      out.write(turn.output());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    return bytes.toByteArray();
+    return decodeWhole(id, body.toByteArray());
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Consumer;
+import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.StableHash;
 import org.baykeel.gateway.storage.DurableStore;
@@ -32,6 +34,7 @@
   private final DurableStore store;
   private final EventLoop eventLoop;
   private final TurnCache cache;
+  private final TurnSource source;
 
   /** How a search for a turn ended. */
   public sealed interface Lookup {
@@ -66,11 +69,13 @@
    * Creates a history.
    *
    * @param cacheBytes inputs and outputs kept in memory
+   * @param source gets turns from other processes
    */
-  public TurnHistory(DurableStore store, EventLoop eventLoop, long cacheBytes) {
+  public TurnHistory(DurableStore store, EventLoop eventLoop, long cacheBytes, TurnSource source) {
     this.store = store;
     this.eventLoop = eventLoop;
     this.cache = new TurnCache(cacheBytes);
+    this.source = source;
   }
 
   /** Whether a turn's whole chain is in memory. */
@@ -79,12 +84,37 @@
     return turn != null && turn.ancestors().stream().allMatch(id -> cache.get(id) != null);
   }
 
+  /** What is in memory of a turn and all it continues; each of them is in the store. */
+  public List<KeptTurn> turnsInMemory(String turnId) {
+    KeptTurn last = cache.get(turnId);
+    if (last == null) {
+      return List.of();
+    }
+    return last.chain().stream().map(cache::get).filter(Objects::nonNull).toList();
+  }
+
   /**
    * Finds a turn and all it continues.
    *
+   * @param program the program that continues it
    * @param giveUpNanos when a turn that cannot be read counts as unavailable
    */
-  public void find(String turnId, long giveUpNanos, Consumer<Lookup> answer) {
+  public void find(ProgramId program, String turnId, long giveUpNanos, Consumer<Lookup> answer) {
+    if (inMemory(turnId)) {
+      findInStore(turnId, giveUpNanos, answer);
+      return;
+    }
+    source.request(
+        program,
+        turnId,
+        turns -> {
+          turns.forEach(cache::put);
+          findInStore(turnId, giveUpNanos, answer);
+        });
+  }
+
+  /** Finds a turn in memory, and what is missing there in the store. */
+  private void findInStore(String turnId, long giveUpNanos, Consumer<Lookup> answer) {
     fetch(turnId, giveUpNanos, last -> onLast(last, giveUpNanos, answer));
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/relay/RelayChannel.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkChannel.java
@@ -1,4 +1,4 @@
-package org.baykeel.gateway.relay;
+package org.baykeel.gateway.link;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -9,14 +9,14 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.util.function.Consumer;
 
-/** Frames of a relay connection: four bytes of length, then one message. */
-final class RelayChannel {
+/** Frames of a connection between nodes: four bytes of length, then one message. */
+final class LinkChannel {
   private static final int LENGTH_BYTES = 4;
 
   /** More than the largest answer of the store's service that this node accepts. */
   private static final int MAX_FRAME_BYTES = 17 << 20;
 
-  private RelayChannel() {}
+  private LinkChannel() {}
 
   /**
    * Adds the handlers of a connection.
@@ -25,7 +25,7 @@
    * @param onClosed runs once the connection is gone
    */
   static void prepare(
-      ChannelPipeline pipeline, Consumer<RelayMessage> onMessage, Runnable onClosed) {
+      ChannelPipeline pipeline, Consumer<LinkMessage> onMessage, Runnable onClosed) {
     pipeline
         .addLast(
             new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
@@ -33,16 +33,16 @@
         .addLast(new Reader(onMessage, onClosed));
   }
 
-  static ByteBuf frame(RelayMessage message) {
-    return Unpooled.wrappedBuffer(RelayCodec.encode(message));
+  static ByteBuf frame(LinkMessage message) {
+    return Unpooled.wrappedBuffer(LinkCodec.encode(message));
   }
 
   /** Hands messages on; a connection with anything else on it is closed. */
   private static final class Reader extends SimpleChannelInboundHandler<ByteBuf> {
-    private final Consumer<RelayMessage> onMessage;
+    private final Consumer<LinkMessage> onMessage;
     private final Runnable onClosed;
 
-    Reader(Consumer<RelayMessage> onMessage, Runnable onClosed) {
+    Reader(Consumer<LinkMessage> onMessage, Runnable onClosed) {
       this.onMessage = onMessage;
       this.onClosed = onClosed;
     }
@@ -51,7 +51,7 @@
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
       byte[] bytes = new byte[frame.readableBytes()];
       frame.readBytes(bytes);
-      onMessage.accept(RelayCodec.decode(bytes));
+      onMessage.accept(LinkCodec.decode(bytes));
     }
 
     @Override
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkServer.java
@@ -0,0 +1,92 @@
+package org.baykeel.gateway.link;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import org.baykeel.gateway.remote.StoreReply;
+
+/** Answers other nodes. */
+public final class LinkServer {
+  /** Calls to the store under way for one other node; more are turned down. */
+  private static final int MAX_STORE_CALLS_PER_CONNECTION = 256;
+
+  private final LinkServices services;
+
+  /**
+   * Creates a server.
+   *
+   * @param services what this node does for others
+   */
+  public LinkServer(LinkServices services) {
+    this.services = services;
+  }
+
+  /**
+   * Begins to listen; may be called on the event loop.
+   *
+   * @return completes when the address is bound, or fails if it cannot be
+   */
+  public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                Caller caller = new Caller(channel);
+                LinkChannel.prepare(channel.pipeline(), caller::onMessage, () -> {});
+              }
+            })
+        .bind(address);
+  }
+
+  /** The node at the other end of one connection. */
+  private final class Caller {
+    private final SocketChannel channel;
+    private int storeCalls;
+
+    Caller(SocketChannel channel) {
+      this.channel = channel;
+    }
+
+    void onMessage(LinkMessage message) {
+      long id = message.correlationId();
+      if (message instanceof LinkMessage.StoreRequest request) {
+        callStore(request);
+      } else if (message instanceof LinkMessage.GrantRequest request) {
+        send(new LinkMessage.GrantAnswer(id, services.releaseGrant(request.program())));
+      } else if (message instanceof LinkMessage.TurnsRequest request) {
+        send(new LinkMessage.TurnsAnswer(id, services.turnsInMemory(request.turnId())));
+      } else {
+        channel.close();
+      }
+    }
+
+    private void callStore(LinkMessage.StoreRequest request) {
+      long id = request.correlationId();
+      if (storeCalls >= MAX_STORE_CALLS_PER_CONNECTION) {
+        send(new LinkMessage.StoreAnswer(id, new StoreReply.NotSent("too many relayed calls")));
+        return;
+      }
+      storeCalls++;
+      services.callStore(
+          request.call(),
+          outcome -> {
+            storeCalls--;
+            send(new LinkMessage.StoreAnswer(id, outcome));
+          });
+    }
+
+    private void send(LinkMessage answer) {
+      channel.writeAndFlush(LinkChannel.frame(answer));
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkServices.java
@@ -0,0 +1,27 @@
+package org.baykeel.gateway.link;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.baykeel.gateway.budget.GrantTransfer;
+import org.baykeel.gateway.history.KeptTurn;
+import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.remote.StoreCall;
+import org.baykeel.gateway.remote.StoreReply;
+
+/** What a node does for other nodes; called on the event loop. */
+public interface LinkServices {
+
+  /**
+   * Makes a call to the store by this node's own way.
+   *
+   * @param answer takes the outcome, exactly once
+   */
+  void callStore(StoreCall call, Consumer<StoreReply> answer);
+
+  /** Gives up what this node has left of a program's grant. */
+  Optional<GrantTransfer> releaseGrant(ProgramId program);
+
+  /** What this node has in memory of a turn and all it continues. */
+  List<KeptTurn> turnsInMemory(String turnId);
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LocalLinkServices.java
@@ -0,0 +1,42 @@
+package org.baykeel.gateway.link;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.baykeel.gateway.budget.GrantTransfer;
+import org.baykeel.gateway.budget.ProgramBudgets;
+import org.baykeel.gateway.history.KeptTurn;
+import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.remote.FailoverStoreCaller;
+import org.baykeel.gateway.remote.StoreCall;
+import org.baykeel.gateway.remote.StoreReply;
+
+/** What this process does for others, from its own state. */
+public final class LocalLinkServices implements LinkServices {
+  private final FailoverStoreCaller store;
+  private final ProgramBudgets budgets;
+  private final TurnHistory history;
+
+  /** Creates services on this process's state. */
+  public LocalLinkServices(FailoverStoreCaller store, ProgramBudgets budgets, TurnHistory history) {
+    this.store = store;
+    this.budgets = budgets;
+    this.history = history;
+  }
+
+  @Override
+  public void callStore(StoreCall call, Consumer<StoreReply> answer) {
+    store.callDirectly(call, answer);
+  }
+
+  @Override
+  public Optional<GrantTransfer> releaseGrant(ProgramId program) {
+    return budgets.release(program);
+  }
+
+  @Override
+  public List<KeptTurn> turnsInMemory(String turnId) {
+    return history.turnsInMemory(turnId);
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineSuspicionGossip.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineSuspicionGossip.java
@@ -13,7 +13,7 @@
  * there. The word of another node counts for a short time, and only for requests that may run only
  * once: a node that alone can't reach an engine takes no more than that from the rest.
  */
-public final class EngineSuspicionGossip implements EngineSuspicionListener {
+public final class EngineSuspicionGossip implements EngineSuspicionListener, PeerMessageListener {
   /** Bytes that a datagram takes on a link beyond its content: UDP, IP and Ethernet. */
   private static final int OVERHEAD_BYTES = 46;
 
@@ -67,22 +67,11 @@
     return true;
   }
 
-  /**
-   * Takes what another node has sent.
-   *
-   * @param sender where it came from
-   * @param datagram its bytes
-   */
-  public void receive(PeerAddress sender, byte[] datagram) {
-    codec
-        .decode(datagram)
-        .ifPresent(
-            message -> {
-              peers.heardFrom(sender);
-              if (message instanceof PeerMessage.EngineSuspicion suspicion) {
-                onSuspicionElsewhere(sender, suspicion.engineId());
-              }
-            });
+  @Override
+  public void onMessage(PeerAddress sender, PeerMessage message) {
+    if (message instanceof PeerMessage.EngineSuspicion suspicion) {
+      onSuspicionElsewhere(sender, suspicion.engineId());
+    }
   }
 
   private void onSuspicionElsewhere(PeerAddress sender, EngineId engineId) {
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageDispatcher.java
@@ -0,0 +1,34 @@
+package org.baykeel.gateway.peer;
+
+import java.util.List;
+
+/** Reads datagrams of other nodes and hands their messages on; anything else is left out. */
+public final class PeerMessageDispatcher implements PeerTransport.Receiver {
+  private final PeerMessageCodec codec;
+  private final PeerDirectory peers;
+  private final List<PeerMessageListener> listeners;
+
+  /**
+   * Creates a dispatcher.
+   *
+   * @param peers hears of every sender
+   * @param listeners hear every message
+   */
+  public PeerMessageDispatcher(
+      PeerMessageCodec codec, PeerDirectory peers, List<PeerMessageListener> listeners) {
+    this.codec = codec;
+    this.peers = peers;
+    this.listeners = List.copyOf(listeners);
+  }
+
+  @Override
+  public void receive(PeerAddress sender, byte[] datagram) {
+    codec
+        .decode(datagram)
+        .ifPresent(
+            message -> {
+              peers.heardFrom(sender);
+              listeners.forEach(listener -> listener.onMessage(sender, message));
+            });
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/program/package-info.java
@@ -0,0 +1,2 @@
+/** What identifies a program. */
+package org.baykeel.gateway.program;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/relay/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Calls to the store that one node makes in place of another, over TCP. */
-package org.baykeel.gateway.relay;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
@@ -13,6 +13,7 @@
 import org.baykeel.gateway.storage.TransactionOutcome;
 import org.baykeel.gateway.testing.ForwardingStore;
 import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingHandover;
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingStore.Fault;
 import org.junit.jupiter.api.Test;
@@ -24,8 +25,10 @@
 
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final TestingStore store = new TestingStore(eventLoop);
-  private final ProgramBudgets first = new ProgramBudgets(store, eventLoop, new GrantIds(1_000));
-  private final ProgramBudgets second = new ProgramBudgets(store, eventLoop, new GrantIds(2_000));
+  private final ProgramBudgets first =
+      new ProgramBudgets(store, eventLoop, new GrantIds(1_000), GrantSource.NONE);
+  private final ProgramBudgets second =
+      new ProgramBudgets(store, eventLoop, new GrantIds(2_000), GrantSource.NONE);
 
   private Reservation reserve(ProgramBudgets budgets, long budget) {
     long giveUp = eventLoop.nanoTime() + PATIENCE_MILLIS * 1_000_000;
@@ -48,6 +51,41 @@
     assertEquals(1, store.transactions());
   }
 
+  @Test
+  void aProgramThatComesFromAnotherProcessBringsWhatIsLeftOfItsGrant() {
+    TestingHandover handover = new TestingHandover(eventLoop, new Random(5));
+    ProgramBudgets left = node(store, eventLoop, handover, 10_000);
+    ProgramBudgets taking = node(store, eventLoop, handover, 20_000);
+    Reservation turn = reserve(left, 10_000);
+    eventLoop.advance(50);
+    turn.use(100);
+    turn.close();
+    Reservation next = reserve(taking, 10_000);
+    eventLoop.advance(50);
+    assertEquals(Grant.GRANTED, next.grant());
+    assertEquals(1, store.transactions());
+  }
+
+  @Test
+  void whoGaveItsTokensUpAsksTheOtherBeforeItCallsTheBudgetSpent() {
+    TestingHandover handover = new TestingHandover(eventLoop, new Random(5));
+    ProgramBudgets left = node(store, eventLoop, handover, 10_000);
+    ProgramBudgets taking = node(store, eventLoop, handover, 20_000);
+    int budget = 3 * TURN;
+    reserve(left, budget).close();
+    eventLoop.advance(50);
+    for (int i = 0; i < 3; i++) {
+      Reservation turn = reserve(taking, budget);
+      eventLoop.advance(50);
+      turn.use(i < 2 ? TURN : 0);
+      turn.close();
+    }
+    assertEquals(budget, grantedInStore());
+    Reservation back = reserve(left, budget);
+    eventLoop.advance(50);
+    assertEquals(Grant.GRANTED, back.grant());
+  }
+
   /** A store whose calls are each made twice; the answer is that of the second copy. */
   private static final class DoublingStore extends ForwardingStore {
     DoublingStore(DurableStore store) {
@@ -63,7 +101,8 @@
   @Test
   void aGrantWhoseCallWasMadeTwiceCountsOnce() {
     ProgramBudgets doubled =
-        new ProgramBudgets(new DoublingStore(store), eventLoop, new GrantIds(3_000));
+        new ProgramBudgets(
+            new DoublingStore(store), eventLoop, new GrantIds(3_000), GrantSource.NONE);
     Reservation turn = reserve(doubled, 10_000);
     eventLoop.advance(20);
     assertEquals(Grant.GRANTED, turn.grant());
@@ -146,13 +185,22 @@
     }
   }
 
+  private static ProgramBudgets node(
+      TestingStore store, TestingEventLoop loop, TestingHandover handover, long firstGrantId) {
+    TestingHandover.Node side = handover.new Node();
+    ProgramBudgets budgets = new ProgramBudgets(store, loop, new GrantIds(firstGrantId), side);
+    side.serve(budgets, null);
+    return budgets;
+  }
+
   private static long handedOutUnderFaults(int seed, long budget) {
     Random random = new Random(seed);
     TestingEventLoop loop = new TestingEventLoop();
     TestingStore faulty = new TestingStore(loop);
+    TestingHandover handover = new TestingHandover(loop, new Random(seed + 1_000L));
     List<ProgramBudgets> nodes = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
-      nodes.add(new ProgramBudgets(faulty, loop, new GrantIds(i * 1_000_000L)));
+      nodes.add(node(faulty, loop, handover, i * 1_000_000L));
     }
     List<Reservation> turns = new ArrayList<>();
     long[] handed = {0};
@@ -161,7 +209,7 @@
       int node = random.nextInt(nodes.size());
       if (random.nextInt(10) == 0) {
         // A process that lost power forgets its accounts; its grants stay in the store.
-        nodes.set(node, new ProgramBudgets(faulty, loop, new GrantIds(step * 7_000_000L + 5)));
+        nodes.set(node, node(faulty, loop, handover, step * 7_000_000L + 5));
       }
       long giveUp = loop.nanoTime() + 2_000_000_000L;
       turns.add(nodes.get(node).reserve(PROGRAM, budget, TURN, giveUp, () -> {}));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.budget.GrantIds;
+import org.baykeel.gateway.budget.GrantSource;
 import org.baykeel.gateway.budget.ProgramBudgets;
 import org.baykeel.gateway.configuration.Backend;
 import org.baykeel.gateway.configuration.GatewayConfiguration;
@@ -21,6 +22,7 @@
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.history.TurnSource;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -65,8 +67,8 @@
             new EngineSelector(engines, "z", new Random(1)),
             new BackendChooser(),
             congestion,
-            new ProgramBudgets(store, eventLoop, new GrantIds(1)),
-            new TurnHistory(store, eventLoop, 1 << 20),
+            new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
+            new TurnHistory(store, eventLoop, 1 << 20, TurnSource.NONE),
             transport,
             storeHealth,
             (event, fields) -> {},
@@ -294,7 +296,8 @@
 
   @Test
   void aBudgetSpentElsewhereIsNeverToldAfterTheTurnWasSent() {
-    ProgramBudgets elsewhere = new ProgramBudgets(store, eventLoop, new GrantIds(900));
+    ProgramBudgets elsewhere =
+        new ProgramBudgets(store, eventLoop, new GrantIds(900), GrantSource.NONE);
     elsewhere.reserve("p", 400, 500, Long.MAX_VALUE, () -> {});
     eventLoop.advance(10);
     call("/once/", "r", null, "p", 400);
@@ -371,7 +374,8 @@
 
   @Test
   void aProgramThatBeganElsewhereGoesOnWhileEnginesKeepWorkWaiting() {
-    ProgramBudgets elsewhere = new ProgramBudgets(store, eventLoop, new GrantIds(900));
+    ProgramBudgets elsewhere =
+        new ProgramBudgets(store, eventLoop, new GrantIds(900), GrantSource.NONE);
     elsewhere.reserve("p", 10_000, 500, Long.MAX_VALUE, () -> {});
     eventLoop.advance(10);
     congest();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestTurnHistory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestTurnHistory.java
@@ -10,17 +10,20 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
+import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingStore.Fault;
 import org.junit.jupiter.api.Test;
 
 class TestTurnHistory {
+  private static final ProgramId PROGRAM = new ProgramId("p");
   private static final long CACHE_BYTES = 1 << 20;
 
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final TestingStore store = new TestingStore(eventLoop);
-  private final TurnHistory history = new TurnHistory(store, eventLoop, CACHE_BYTES);
+  private final TurnHistory history =
+      new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
 
   private static KeptTurn turn(String id, List<String> ancestors, int inputBytes) {
     byte[] output = ("out " + id + "\n").getBytes(StandardCharsets.UTF_8);
@@ -38,7 +41,7 @@
 
   private Lookup find(TurnHistory finder, String id) {
     AtomicReference<Lookup> found = new AtomicReference<>();
-    finder.find(id, eventLoop.nanoTime() + 1_000_000_000L, found::set);
+    finder.find(PROGRAM, id, eventLoop.nanoTime() + 1_000_000_000L, found::set);
     eventLoop.advance(2_000);
     return found.get();
   }
@@ -48,7 +51,7 @@
     keep(history, turn("a", List.of(), 10), 10);
     keep(history, turn("b", List.of("a"), 20), 10);
     keep(history, turn("c", List.of("a", "b"), 30), 10);
-    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES);
+    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
     Lookup.Found found = assertInstanceOf(Lookup.Found.class, find(other, "c"));
     assertEquals(List.of("a", "b", "c"), found.chain().stream().map(KeptTurn::id).toList());
     assertTrue(other.inMemory("c"));
@@ -58,7 +61,7 @@
   void aTurnLargerThanARowComesBackWhole() {
     KeptTurn large = turn("x", List.of(), 150_000);
     assertEquals(true, keep(history, large, 10));
-    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES);
+    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
     Lookup.Found found = assertInstanceOf(Lookup.Found.class, find(other, "x"));
     assertArrayEquals(large.input(), found.chain().get(0).input());
     assertArrayEquals(large.output(), found.chain().get(0).output());
@@ -73,7 +76,7 @@
   void aTurnThatCannotBeReadIsUnavailableAndNotAbsent() {
     keep(history, turn("a", List.of(), 10), 10);
     store.failReads(true);
-    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES);
+    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
     assertInstanceOf(Lookup.Unavailable.class, find(other, "a"));
   }
 
@@ -81,7 +84,7 @@
   void aReadFromAnOldStateDoesNotMakeATurnAbsent() {
     store.freezeReads(true);
     keep(history, turn("a", List.of(), 10), 10);
-    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES);
+    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
     assertInstanceOf(Lookup.Unavailable.class, find(other, "a"));
     store.freezeReads(false);
     assertInstanceOf(Lookup.Found.class, find(other, "a"));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -17,6 +17,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.baykeel.gateway.budget.GrantIds;
+import org.baykeel.gateway.budget.GrantSource;
 import org.baykeel.gateway.budget.ProgramBudgets;
 import org.baykeel.gateway.call.CallCoordinator;
 import org.baykeel.gateway.call.GatewayContext;
@@ -29,6 +30,7 @@
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.history.TurnSource;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -96,8 +98,8 @@
             new EngineSelector(engines, "z", new Random(1)),
             new BackendChooser(),
             new CongestionMonitor(new Random(1)),
-            new ProgramBudgets(store, eventLoop, new GrantIds(1)),
-            new TurnHistory(store, eventLoop, 1_000),
+            new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
+            new TurnHistory(store, eventLoop, 1_000, TurnSource.NONE),
             new NettyEngineTransport(group, translator),
             health,
             (event, fields) -> {},
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/relay/TestRelay.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/link/TestLink.java
@@ -1,4 +1,4 @@
-package org.baykeel.gateway.relay;
+package org.baykeel.gateway.link;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,30 +12,61 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.baykeel.gateway.budget.GrantTransfer;
+import org.baykeel.gateway.history.KeptTurn;
 import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.remote.StoreCall;
 import org.baykeel.gateway.remote.StoreCaller;
 import org.baykeel.gateway.remote.StoreReply;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-class TestRelay {
+class TestLink {
   private static final String LOOPBACK = "127.0.0.1";
   private static final long PATIENCE_SECONDS = 10;
+  private static final ProgramId PROGRAM = new ProgramId("p");
+  private static final GrantTransfer TRANSFER = new GrantTransfer(500, 2_000, 17, 99);
+  private static final KeptTurn TURN =
+      new KeptTurn("t2", List.of("t1"), new byte[] {1, 2}, new byte[70_000]);
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final RelayClient client = new RelayClient(group);
+  private final LinkClient client = new LinkClient(group);
 
   @AfterEach
   void stop() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 
+  /** What a node does for others: it calls the store, and has one program and one turn. */
+  private static LinkServices services(StoreCaller store) {
+    return new LinkServices() {
+      @Override
+      public void callStore(StoreCall call, Consumer<StoreReply> answer) {
+        store.call(call, answer);
+      }
+
+      @Override
+      public Optional<GrantTransfer> releaseGrant(ProgramId program) {
+        return program.equals(PROGRAM) ? Optional.of(TRANSFER) : Optional.empty();
+      }
+
+      @Override
+      public List<KeptTurn> turnsInMemory(String turnId) {
+        return turnId.equals(TURN.id()) ? List.of(TURN) : List.of();
+      }
+    };
+  }
+
   private PeerAddress serve(StoreCaller store) {
-    ChannelFuture bound = new RelayServer(store).listen(group, new InetSocketAddress(LOOPBACK, 0));
+    ChannelFuture bound =
+        new LinkServer(services(store)).listen(group, new InetSocketAddress(LOOPBACK, 0));
     bound.syncUninterruptibly();
     int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
     return new PeerAddress(LOOPBACK, port);
@@ -80,7 +111,8 @@
   @Test
   void aNodeThatIsNotThereSentNothing() throws Exception {
     ChannelFuture closed =
-        new RelayServer((call, answer) -> {}).listen(group, new InetSocketAddress(LOOPBACK, 0));
+        new LinkServer(services((call, answer) -> {}))
+            .listen(group, new InetSocketAddress(LOOPBACK, 0));
     closed.syncUninterruptibly();
     int port = ((InetSocketAddress) closed.channel().localAddress()).getPort();
     closed.channel().close().syncUninterruptibly();
@@ -106,4 +138,29 @@
     }
     assertInstanceOf(StoreReply.Answered.class, call(peer, change("", 5_000)));
   }
+
+  @Test
+  void aGrantIsHandedOverWhole() throws Exception {
+    PeerAddress peer = serve((call, answer) -> {});
+    for (String program : new String[] {"p", "unknown"}) {
+      CompletableFuture<Optional<GrantTransfer>> transfer = new CompletableFuture<>();
+      group
+          .next()
+          .execute(() -> client.requestGrant(peer, new ProgramId(program), transfer::complete));
+      assertEquals(
+          program.equals("p") ? Optional.of(TRANSFER) : Optional.empty(),
+          transfer.get(PATIENCE_SECONDS, TimeUnit.SECONDS));
+    }
+  }
+
+  @Test
+  void turnsAreHandedOverWhole() throws Exception {
+    PeerAddress peer = serve((call, answer) -> {});
+    CompletableFuture<List<KeptTurn>> turns = new CompletableFuture<>();
+    group.next().execute(() -> client.requestTurns(peer, "t2", turns::complete));
+    KeptTurn turn = turns.get(PATIENCE_SECONDS, TimeUnit.SECONDS).get(0);
+    assertEquals(TURN.chain(), turn.chain());
+    assertArrayEquals(TURN.input(), turn.input());
+    assertArrayEquals(TURN.output(), turn.output());
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineSuspicionGossip.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineSuspicionGossip.java
@@ -49,7 +49,7 @@
               engines, peers, transport, codec, eventLoop, (event, fields) -> {});
       engines.put(new EngineRecord(ENGINE.value(), "s", "10.0.0.9", 80, "z", 4, false));
       engines.onSuspicion(gossip);
-      network.attach(address, gossip::receive);
+      network.attach(address, new PeerMessageDispatcher(codec, peers, List.of(gossip)));
     }
 
     Engine engine() {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
@@ -21,6 +21,7 @@
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingHandover;
 import org.baykeel.gateway.testing.TestingStore;
 
 /** One life of one node: everything but the store and the engines is lost with it. */
@@ -30,6 +31,7 @@
 
   private final CallCoordinator coordinator;
   private final TurnHistory history;
+  private final TestingHandover.Node side;
   private final List<ClientCall> calls = new ArrayList<>();
 
   SimulatedNode(
@@ -37,6 +39,7 @@
       TestingStore store,
       SimulatedEngines engines,
       GatewayConfiguration configuration,
+      TestingHandover handover,
       Random random) {
     StoreHealth health = new StoreHealth();
     health.answered(eventLoop.nanoTime());
@@ -48,7 +51,11 @@
     }
     state.replaceEngines(records);
     state.offer(configuration);
-    history = new TurnHistory(store, eventLoop, CACHE_BYTES);
+    side = handover.new Node();
+    history = new TurnHistory(store, eventLoop, CACHE_BYTES, side);
+    ProgramBudgets budgets =
+        new ProgramBudgets(store, eventLoop, new GrantIds(random.nextLong()), side);
+    side.serve(budgets, history);
     coordinator =
         new CallCoordinator(
             new GatewayContext(
@@ -57,7 +64,7 @@
                 new EngineSelector(directory, "z", random),
                 new BackendChooser(),
                 new CongestionMonitor(random),
-                new ProgramBudgets(store, eventLoop, new GrantIds(random.nextLong())),
+                budgets,
                 history,
                 engines,
                 health,
@@ -75,6 +82,7 @@
 
   /** The node loses power: its connections to engines are gone, and nobody hears of it again. */
   void losePower() {
+    side.leave();
     calls.forEach(ClientCall::callerLeft);
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
@@ -15,7 +15,9 @@
 import org.baykeel.gateway.configuration.ServiceProfile;
 import org.baykeel.gateway.history.KeptTurn;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
+import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingHandover;
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingStore.Fault;
 import org.junit.jupiter.api.Test;
@@ -63,12 +65,14 @@
     private final TestingEventLoop eventLoop = new TestingEventLoop();
     private final TestingStore store = new TestingStore(eventLoop);
     private final SimulatedEngines engines;
+    private final TestingHandover handover;
     private final List<SimulatedNode> nodes = new ArrayList<>();
     private final List<SimulatedProgram> programs = new ArrayList<>();
     private final List<Integer> nodeOfProgram = new ArrayList<>();
 
     Schedule(int seed) {
       random = new Random(seed);
+      handover = new TestingHandover(eventLoop, new Random(seed + 2_000_000));
       engines = new SimulatedEngines(eventLoop, new Random(seed + 1_000_000));
       for (int i = 0; i < NODES; i++) {
         nodes.add(startNode());
@@ -82,7 +86,7 @@
 
     private SimulatedNode startNode() {
       return new SimulatedNode(
-          eventLoop, store, engines, configuration(), new Random(random.nextLong()));
+          eventLoop, store, engines, configuration(), handover, new Random(random.nextLong()));
     }
 
     void run() {
@@ -172,7 +176,7 @@
         }
         AtomicReference<Lookup> found = new AtomicReference<>();
         long giveUp = eventLoop.nanoTime() + 1_000_000_000L;
-        fresh.history().find(program.lastWhole(), giveUp, found::set);
+        fresh.history().find(new ProgramId("any"), program.lastWhole(), giveUp, found::set);
         eventLoop.advance(2_000);
         assertTrue(found.get() instanceof Lookup.Found, seed + ": lost " + program.lastWhole());
         List<KeptTurn> chain = ((Lookup.Found) found.get()).chain();
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingHandover.java
@@ -0,0 +1,97 @@
+package org.baykeel.gateway.testing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.baykeel.gateway.budget.GrantSource;
+import org.baykeel.gateway.budget.GrantTransfer;
+import org.baykeel.gateway.budget.ProgramBudgets;
+import org.baykeel.gateway.history.KeptTurn;
+import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.history.TurnSource;
+import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.runtime.EventLoop;
+
+/**
+ * Hands programs over between nodes in memory and virtual time. Some requests find nobody, some
+ * answers are lost after the tokens were given up, and some come late.
+ */
+public final class TestingHandover {
+  private static final long WAY_MILLIS = 3;
+  private static final long LATE_MILLIS = 40;
+  private static final double LOST_SHARE = 0.1;
+  private static final double LATE_SHARE = 0.1;
+
+  private final EventLoop eventLoop;
+  private final Random random;
+  private final Map<ProgramId, Node> holders = new HashMap<>();
+  private int transfers;
+
+  /** Creates a handover between nodes that have yet to join. */
+  public TestingHandover(EventLoop eventLoop, Random random) {
+    this.eventLoop = eventLoop;
+    this.random = random;
+  }
+
+  /** Transfers of grants so far. */
+  public int transfers() {
+    return transfers;
+  }
+
+  /** One node's side. */
+  public final class Node implements GrantSource, TurnSource {
+    private ProgramBudgets budgets;
+    private TurnHistory history;
+    private boolean gone;
+
+    /** Sets what this node gives to others. */
+    public void serve(ProgramBudgets newBudgets, TurnHistory newHistory) {
+      budgets = newBudgets;
+      history = newHistory;
+    }
+
+    /** This node answers nobody any more. */
+    public void leave() {
+      gone = true;
+    }
+
+    @Override
+    public void request(ProgramId program, Consumer<Optional<GrantTransfer>> answer) {
+      Node holder = holders.get(program);
+      if (holder == null || holder == this || holder.gone) {
+        answer.accept(Optional.empty());
+        return;
+      }
+      Optional<GrantTransfer> given = holder.budgets.release(program);
+      transfers++;
+      if (random.nextDouble() < LOST_SHARE) {
+        given = Optional.empty();
+      }
+      Optional<GrantTransfer> answered = given;
+      eventLoop.schedule(wayMillis(), () -> answer.accept(answered));
+    }
+
+    private long wayMillis() {
+      return random.nextDouble() < LATE_SHARE ? LATE_MILLIS : WAY_MILLIS;
+    }
+
+    @Override
+    public void holds(ProgramId program) {
+      holders.put(program, this);
+    }
+
+    @Override
+    public void request(ProgramId program, String turnId, Consumer<List<KeptTurn>> answer) {
+      Node holder = holders.get(program);
+      List<KeptTurn> turns =
+          holder == null || holder == this || holder.gone || holder.history == null
+              ? List.of()
+              : new ArrayList<>(holder.history.turnsInMemory(turnId));
+      eventLoop.schedule(wayMillis(), () -> answer.accept(turns));
+    }
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingPeerNetwork.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingPeerNetwork.java
@@ -23,6 +23,11 @@
     receivers.put(address, receiver);
   }
 
+  /** Drops what is sent to an address from now on. */
+  public void detach(PeerAddress address) {
+    receivers.remove(address);
+  }
+
   /** The transport of the node at an address. */
   public PeerTransport transportOf(PeerAddress sender) {
     return (receiver, datagram) -> {
