A request that no engine has is told so at its deadline

Change: 503 with Retry-After while no engine can have run it. Ruled out: 503 after a send; the engine may have begun. Test: aTurnThatNoEngineHasIsToldSoAtItsDeadline failed before (504).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -431,6 +431,9 @@
     cancelAttempt("deadline");
     if (relay != null && relay.begun()) {
       abort("deadline");
+    } else if (runs == 0) {
+      // No engine has it: what may run only once may be sent again after this.
+      refuse(ErrorKind.OVERLOADED, BUSY_RETRY_MILLIS, "deadline before it was sent");
     } else {
       refuse(ErrorKind.DEADLINE_PASSED, 0, "deadline");
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -253,6 +253,16 @@
     assertEquals(List.of(), responder.heard());
   }
 
+  @Test
+  void aTurnThatNoEngineHasIsToldSoAtItsDeadline() {
+    store.fault(Fault.REFUSE);
+    call("/once/", "r", null, "p", "line of a sub-agent", 10_000);
+    eventLoop.advance(TIMEOUT_MILLIS + 100);
+    assertEquals(0, transport.count());
+    assertEquals(503, responder.refusal().kind().httpStatus());
+    assertTrue(responder.refusal().retryAfterMillis() > 0);
+  }
+
   @Test
   void theFinalAnswerComesAtTheDeadline() {
     call("/unsafe/");
