A request waits for room while all engines are full, for half of its time

Where a scale-in takes one of the three engines of that service, six or twelve places are left. Change: RoomWait asks the engines again after the time in which a place is expected to come free, until half of the request's time is over; then the refusal as before. Test: anUnsafeRequestThatNobodyTook... expected the refusal at once; it is replaced by one that expects it, with its time to come back, between 0.4 and 0.6 of the time-out, and one that is served after a wait; both failed before.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
@@ -44,6 +44,33 @@
     return programId != null && programId.equals(sessionId);
   }
 
+  /**
+   * The time that the request has: what its caller waits, but no longer than its route holds it.
+   *
+   * @param timeoutMillis the longest time that the route holds a request
+   */
+  public long patienceMillis(long timeoutMillis) {
+    return deadlineMillis == ABSENT ? timeoutMillis : Math.min(deadlineMillis, timeoutMillis);
+  }
+
+  /**
+   * What must stay with one service: a stream's line of turns, else the object it concerns.
+   *
+   * @param stream whether the request is a stream
+   */
+  public String lineOrObject(boolean stream) {
+    return stream && sessionId != null ? sessionId : affinityKey;
+  }
+
+  /**
+   * What should stay with one engine: a stream's program, else the object it concerns.
+   *
+   * @param stream whether the request is a stream
+   */
+  public String programOrObject(boolean stream) {
+    return stream ? programId : affinityKey;
+  }
+
   /** Whether the request is a turn of a program with a token budget. */
   public boolean budgeted() {
     return programId != null && tokenBudget != ABSENT && maxOutputTokens > 0;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -27,7 +27,9 @@
  * turn ends only after the store has it.
  */
 public final class ClientCall implements EngineAttempt.Owner {
+  /** Engines that are asked one after the other before the request waits for room. */
   private static final int MAX_SENDS = 6;
+
   private static final long LOOKUP_PATIENCE_MILLIS = 1_000;
   private static final long NOT_READY_RETRY_MILLIS = 250;
   private static final long BUSY_RETRY_MILLIS = 150;
@@ -50,9 +52,11 @@
   private Reservation reservation;
   private EngineAttempt attempt;
   private EventLoop.Timer deadlineTimer;
+  private RoomWait roomWait;
   private SilenceWatch silenceWatch;
   private long deadlineNanos;
   private int sends;
+  private int sendsInRound;
   private int runs;
   private boolean programKnown;
   private boolean congested;
@@ -78,12 +82,13 @@
       refuseUnknownRoute();
       return;
     }
-    long patience = patienceMillis();
+    long patience = attributes().patienceMillis(route.timeoutMillis());
     deadlineNanos = request.receivedNanos() + patience * 1_000_000;
     deadlineTimer = eventLoop.schedule(Math.max(0, patience), this::onDeadline);
-    service = context.backendChooser().choose(route, homeKey());
+    service = context.backendChooser().choose(route, attributes().lineOrObject(stream()));
     ServiceProfile profile = configuration.service(service);
     tokensPerEvent = profile == null ? 0 : profile.tokensPerEvent();
+    roomWait = new RoomWait(eventLoop, request.receivedNanos(), patience);
     silenceWatch = new SilenceWatch(eventLoop, route, this::onSilence);
     relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
     if (admitted()) {
@@ -95,18 +100,8 @@
     return request.attributes();
   }
 
-  private String homeKey() {
-    String session = attributes().sessionId();
-    return session != null && route.kind() == RouteKind.STREAMING
-        ? session
-        : attributes().affinityKey();
-  }
-
-  private long patienceMillis() {
-    long deadline = attributes().deadlineMillis();
-    return deadline == CallAttributes.ABSENT
-        ? route.timeoutMillis()
-        : Math.min(deadline, route.timeoutMillis());
+  private boolean stream() {
+    return route.kind() == RouteKind.STREAMING;
   }
 
   private void refuseUnknownRoute() {
@@ -120,7 +115,7 @@
   // Admission: the budget and the history of the turn.
 
   private boolean admitted() {
-    if (route.kind() != RouteKind.STREAMING) {
+    if (!stream()) {
       return true;
     }
     if (route.retained() && mustNotWaitForStore()) {
@@ -254,14 +249,18 @@
     long now = eventLoop.nanoTime();
     EngineSelector.Criteria criteria =
         new EngineSelector.Criteria(
-            service, attributes().prompt(), engineHomeKey(), route.repeatable());
+            service,
+            attributes().prompt(),
+            attributes().programOrObject(stream()),
+            route.repeatable());
     Engine engine =
-        sends >= MAX_SENDS ? null : context.selector().select(criteria, triedEngines, now);
+        sendsInRound >= MAX_SENDS ? null : context.selector().select(criteria, triedEngines, now);
     if (engine == null) {
       onNoEngine();
       return;
     }
     sends++;
+    sendsInRound++;
     runs++;
     record.sentTo(engine, attributes().prompt());
     triedEngines.add(engine.record().id());
@@ -275,22 +274,25 @@
     silenceWatch.sent();
   }
 
-  private String engineHomeKey() {
-    return route.kind() == RouteKind.STREAMING
-        ? attributes().programId()
-        : attributes().affinityKey();
-  }
-
   private void onNoEngine() {
     if (relay.begun()) {
       abort("no engine left");
     } else if (runs > 0) {
       refuse(ErrorKind.BACKEND_FAILED, 0, "no engine left");
-    } else {
+    } else if (!roomWait.begin(this::tryAgain)) {
       refuse(ErrorKind.NO_BACKEND, BUSY_RETRY_MILLIS, "no engine takes work");
     }
   }
 
+  private void tryAgain() {
+    if (over) {
+      return;
+    }
+    triedEngines.clear();
+    sendsInRound = 0;
+    dispatch();
+  }
+
   private void onSilence() {
     if (over || streamComplete || attempt == null || !mayRunAgain()) {
       return;
@@ -335,8 +337,11 @@
   }
 
   @Override
-  public void onNotRun(String outcome) {
+  public void onNotRun(EngineAttempt.NotRun reason, String outcome) {
     runs--;
+    if (reason == EngineAttempt.NotRun.FULL) {
+      roomWait.full(attempt.engine());
+    }
     endAttempt(outcome);
     dispatch();
   }
@@ -474,6 +479,9 @@
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
+    if (roomWait != null) {
+      roomWait.end();
+    }
     long firstEventNanos = 0;
     if (silenceWatch != null) {
       silenceWatch.end();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -15,6 +15,16 @@
   private static final int MISDIRECTED = 421;
   private static final long FULL_PENALTY_MILLIS = 30;
 
+  /** Why an engine did not run a request. */
+  enum NotRun {
+    /** It has no place for it. */
+    FULL,
+    /** It is another engine than the one that was meant. */
+    MISDIRECTED,
+    /** Nothing reached it. */
+    NOT_SENT
+  }
+
   /** Hears what became of the attempt; exactly one of the last four ends it. */
   interface Owner {
     /** Something arrived. */
@@ -30,7 +40,7 @@
     void onStreamComplete();
 
     /** The engine did not run the request. */
-    void onNotRun(String outcome);
+    void onNotRun(NotRun reason, String outcome);
 
     /** The engine may have run the request, and there is no whole answer. */
     void onBroken(String detail);
@@ -119,12 +129,13 @@
   }
 
   private void onNotExecuted() {
-    if (head.status() == MISDIRECTED) {
+    boolean misdirected = head.status() == MISDIRECTED;
+    if (misdirected) {
       engine.failed(eventLoop.nanoTime());
     } else {
       engine.full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
     }
-    owner.onNotRun("not_executed_" + head.status());
+    owner.onNotRun(misdirected ? NotRun.MISDIRECTED : NotRun.FULL, "not_executed_" + head.status());
   }
 
   @Override
@@ -192,7 +203,7 @@
     }
     if (failure == EngineTransport.Failure.NOT_SENT) {
       engine.failed(eventLoop.nanoTime());
-      owner.onNotRun("not_sent " + detail);
+      owner.onNotRun(NotRun.NOT_SENT, "not_sent " + detail);
     } else {
       owner.onBroken(detail);
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -167,13 +167,30 @@
   }
 
   @Test
-  void anUnsafeRequestThatNobodyTookIsRefusedWithATimeToComeBack() {
+  void aRequestWaitsForRoomForAPartOfItsTimeAndIsThenToldWhenToComeBack() {
     call("/unsafe/");
-    for (int i = 0; i < 3; i++) {
+    long waited = 0;
+    while (responder.heard().isEmpty() && waited < TIMEOUT_MILLIS) {
       transport.last().notExecuted();
+      eventLoop.advance(5);
+      waited += 5;
     }
     assertEquals(ErrorKind.NO_BACKEND, responder.refusal().kind());
     assertTrue(responder.refusal().retryAfterMillis() > 0);
+    assertTrue(waited > TIMEOUT_MILLIS * 0.4 && waited < TIMEOUT_MILLIS * 0.6, waited + " ms");
+  }
+
+  @Test
+  void aRequestThatWaitedForRoomIsServedOnceThereIsSome() {
+    call("/unsafe/");
+    for (int i = 0; i < 20; i++) {
+      transport.last().notExecuted();
+      eventLoop.advance(5);
+    }
+    assertEquals(List.of(), responder.heard());
+    eventLoop.advance(100);
+    transport.last().head(200, true, false, false).bytes("body").complete();
+    assertEquals(List.of("answer 200 body"), responder.heard());
   }
 
   @Test
