--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
@@ -86,6 +86,20 @@
     assertEquals(Grant.GRANTED, back.grant());
   }
 
+  @Test
+  void aBudgetThatIsGrantedWholeIsNotSpentWhileTheOtherHasTokensOfIt() {
+    TestingHandover handover = new TestingHandover(eventLoop, new Random(5));
+    ProgramBudgets left = node(store, eventLoop, handover, 10_000);
+    ProgramBudgets taking = node(store, eventLoop, handover, 20_000);
+    for (ProgramBudgets budgets : List.of(left, taking, left)) {
+      Reservation turn = reserve(budgets, TURN);
+      eventLoop.advance(50);
+      assertEquals(Grant.GRANTED, turn.grant());
+      turn.close();
+    }
+    assertEquals(TURN, grantedInStore());
+  }
+
   /** A store whose calls are each made twice; the answer is that of the second copy. */
   private static final class DoublingStore extends ForwardingStore {
     DoublingStore(DurableStore store) {
