--- a/baykeel-cli/src/main/java/org/baykeel/cli/ProgramLedger.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/ProgramLedger.java
@@ -12,11 +12,14 @@
 
 /**
  * What programs lost and why, from the log lines of all nodes: one row for each program that ended
- * late or with a failure, with the cause that took most time beyond what is usual, and totals.
+ * late or with a failure, with the cause that took most time beyond what is usual; totals by the
+ * second in which programs began and by cause; and what the nodes used, by purpose.
  */
 final class ProgramLedger {
+  private static final String USAGE = "USAGE";
   private static final Set<String> ENDS = Set.of("CALL_ENDED", "CALL_REFUSED");
   private static final int FIRST_FAILURE_STATUS = 300;
+  private static final long MILLIS_PER_SECOND = 1_000;
   private static final long BUDGET_SPENT = 402;
   private static final long UNKNOWN_TURN = 404;
 
@@ -46,18 +49,14 @@
   private final Map<LossCause, Double> usualMillis = new EnumMap<>(LossCause.class);
   private final List<Row> rows = new ArrayList<>();
 
+  /** What the nodes used in all, by their own words for it. */
+  private final Map<String, Long> usage = new TreeMap<>();
+
+  private long firstMillis = Long.MAX_VALUE;
+
   private ProgramLedger(Stream<String> log) {
     Map<String, List<LogLine>> byProgram = new TreeMap<>();
-    log.flatMap(text -> LogLine.parse(text).stream())
-        .filter(line -> ENDS.contains(line.name()))
-        .forEach(
-            line ->
-                line.field("program")
-                    .ifPresent(
-                        program ->
-                            byProgram
-                                .computeIfAbsent(program, unknown -> new ArrayList<>())
-                                .add(line)));
+    log.flatMap(text -> LogLine.parse(text).stream()).forEach(line -> sort(line, byProgram));
     byProgram.forEach((program, calls) -> rows.add(row(program, calls)));
     for (LossCause cause : LossCause.values()) {
       usualMillis.put(cause, usual(cause));
@@ -74,6 +73,18 @@
     return new ProgramLedger(log).lines();
   }
 
+  private void sort(LogLine line, Map<String, List<LogLine>> byProgram) {
+    firstMillis = Math.min(firstMillis, line.millis());
+    if (line.name().equals(USAGE)) {
+      line.fields().keySet().forEach(what -> usage.merge(what, line.number(what), Long::sum));
+    } else if (ENDS.contains(line.name())) {
+      line.field("program")
+          .ifPresent(
+              program ->
+                  byProgram.computeIfAbsent(program, unknown -> new ArrayList<>()).add(line));
+    }
+  }
+
   private static Row row(String program, List<LogLine> calls) {
     calls.sort(Comparator.comparingLong(LogLine::millis));
     return new Row(program, calls, loss(calls));
@@ -115,6 +126,7 @@
   private List<String> lines() {
     List<String> lines = new ArrayList<>();
     Map<String, Integer> totals = new TreeMap<>();
+    Map<String, Integer> bySecond = new TreeMap<>();
     lines.add("program calls loss cause cause_ms worst_call node status outcome");
     for (Row row : rows) {
       if (row.loss() == Loss.NONE) {
@@ -123,12 +135,23 @@
       }
       Finding finding = finding(row);
       totals.merge(row.loss() + " " + finding.cause(), 1, Integer::sum);
+      bySecond.merge(whenAndWhat(row), 1, Integer::sum);
       lines.add(describe(row, finding));
     }
+    bySecond.forEach((what, count) -> lines.add("begun in second " + what + ": " + count));
     totals.forEach((what, count) -> lines.add("total " + what + ": " + count));
+    usage.forEach((what, count) -> lines.add("used " + what + ": " + count));
     return lines;
   }
 
+  /** The second of the log in which a program's first call came, its route and its loss. */
+  private String whenAndWhat(Row row) {
+    LogLine first = row.calls().get(0);
+    long begunMillis = first.millis() - Math.max(0, first.number("ms"));
+    long second = Math.max(0, begunMillis - firstMillis) / MILLIS_PER_SECOND;
+    return String.format("%4d %s %s", second, first.field("route").orElse("none"), row.loss());
+  }
+
   /** What explains a program's loss best. */
   private record Finding(LossCause cause, double millis, LogLine worst) {}
 
--- a/baykeel-cli/src/test/java/org/baykeel/cli/TestProgramLedger.java
+++ b/baykeel-cli/src/test/java/org/baykeel/cli/TestProgramLedger.java
@@ -83,4 +83,22 @@
     List<String> log = List.of(call(1, "null", "r1", "status=404 ms=1 sends=0"), "not a line");
     assertEquals(1, ProgramLedger.of(log.stream()).size());
   }
+
+  @Test
+  void tellsWhenLostProgramsBeganAndWhatWasUsed() {
+    List<String> lines = usualPrograms();
+    lines.add(
+        call(
+            8_900,
+            "lost",
+            "x",
+            "route=r7 status=502 ms=900 first_ms=-1 finish_ms=500 grant_ms=0 history_ms=0"
+                + " keep_ms=0 sends=1"));
+    lines.add("t=9000 event=341 name=USAGE node=n1 watch_op=3 engine_connections=2");
+    lines.add("t=9100 event=341 name=USAGE node=n2 watch_op=4 create_budget=1");
+    List<String> ledger = ProgramLedger.of(lines.stream());
+    assertTrue(ledger.contains("begun in second    7 r7 FAILED: 1"), ledger.toString());
+    assertTrue(ledger.contains("used watch_op: 7"), ledger.toString());
+    assertTrue(ledger.contains("used engine_connections: 2"), ledger.toString());
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -21,6 +21,7 @@
 import org.baykeel.gateway.call.EngineRequest;
 import org.baykeel.gateway.call.EngineTransport;
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
 
 /** Sends requests to engines over kept connections, one request at a time on each. */
 public final class NettyEngineTransport implements EngineTransport {
@@ -30,11 +31,19 @@
 
   private final EventLoopGroup group;
   private final CallTranslator translator;
+  private final GatewayMetrics metrics;
   private final Map<String, EngineConnections> byEngine = new HashMap<>();
 
-  public NettyEngineTransport(EventLoopGroup group, CallTranslator translator) {
+  /**
+   * Creates a transport without connections.
+   *
+   * @param metrics counts the connections that are opened
+   */
+  public NettyEngineTransport(
+      EventLoopGroup group, CallTranslator translator, GatewayMetrics metrics) {
     this.group = group;
     this.translator = translator;
+    this.metrics = metrics;
     group
         .next()
         .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -76,6 +85,7 @@
   private void connect(Engine engine, EngineConnections connections, PendingExchange exchange) {
     EngineConnection connection = new EngineConnection(connections, translator);
     connections.opened();
+    metrics.engineConnectionOpened();
     new Bootstrap()
         .group(group)
         .channel(NioSocketChannel.class)
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/CountingStore.java
@@ -0,0 +1,80 @@
+package org.baykeel.gateway.storage;
+
+import java.util.Locale;
+import java.util.function.Consumer;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+
+/** Counts calls to the store by what they are for: the kind of call and the table. */
+public final class CountingStore implements DurableStore {
+  private final DurableStore store;
+  private final GatewayMetrics metrics;
+
+  /** The kinds of calls, from their conditions and effects. */
+  enum Kind {
+    /** Reads rows. */
+    READ,
+    /** Waits for changes of a table. */
+    WATCH,
+    /** Writes rows, the first of which must not exist yet. */
+    CREATE,
+    /** Writes rows that may exist, or removes some. */
+    CHANGE,
+    /** Has a condition checked and changes nothing. */
+    CHECK;
+
+    static Kind of(Transaction transaction) {
+      if (transaction.puts().isEmpty() && transaction.removals().isEmpty()) {
+        return CHECK;
+      }
+      boolean absent =
+          transaction.expectations().stream()
+              .anyMatch(expectation -> expectation.version() == Transaction.ABSENT);
+      return absent ? CREATE : CHANGE;
+    }
+
+    String label(String table) {
+      return name().toLowerCase(Locale.ROOT) + '_' + table;
+    }
+  }
+
+  /**
+   * Creates a store that counts.
+   *
+   * @param store makes the calls
+   * @param metrics takes the counts
+   */
+  public CountingStore(DurableStore store, GatewayMetrics metrics) {
+    this.store = store;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void transact(Transaction transaction, Consumer<TransactionOutcome> answer) {
+    metrics.storeCalled(Kind.of(transaction).label(table(transaction)));
+    store.transact(transaction, answer);
+  }
+
+  private static String table(Transaction transaction) {
+    if (!transaction.puts().isEmpty()) {
+      return transaction.puts().get(0).address().table();
+    }
+    if (!transaction.removals().isEmpty()) {
+      return transaction.removals().get(0).table();
+    }
+    return transaction.expectations().isEmpty()
+        ? "none"
+        : transaction.expectations().get(0).address().table();
+  }
+
+  @Override
+  public void read(RangeRead read, Consumer<ReadOutcome> answer) {
+    metrics.storeCalled(Kind.READ.label(read.table()));
+    store.read(read, answer);
+  }
+
+  @Override
+  public void watch(String table, long afterVersion, int waitMillis, Consumer<ReadOutcome> answer) {
+    metrics.storeCalled(Kind.WATCH.label(table));
+    store.watch(table, afterVersion, waitMillis, answer);
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -21,6 +21,7 @@
   ATTEMPT_ENDED(332),
   BAD_REQUEST(334),
   LINES_DROPPED(340),
+  USAGE(341),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -30,6 +30,10 @@
   private final Map<Integer, long[]> callsByStatus = new TreeMap<>();
   private final Histogram callMillis = new Histogram(LONGEST_MILLIS, SIGNIFICANT_DIGITS);
   private final Histogram firstEventMillis = new Histogram(LONGEST_MILLIS, SIGNIFICANT_DIGITS);
+  private final Map<String, long[]> storeCalls = new TreeMap<>();
+  private final Map<String, long[]> storeCallsToReport = new TreeMap<>();
+  private long engineConnections;
+  private long engineConnectionsToReport;
   private long failedAttempts;
 
   /**
@@ -52,29 +56,59 @@
     failedAttempts++;
   }
 
+  /**
+   * Counts a call to the store.
+   *
+   * @param purpose what it is for, one of a few words
+   */
+  public void storeCalled(String purpose) {
+    storeCalls.computeIfAbsent(purpose, key -> new long[1])[0]++;
+    storeCallsToReport.computeIfAbsent(purpose, key -> new long[1])[0]++;
+  }
+
+  /** Counts a connection that is opened to an engine. */
+  public void engineConnectionOpened() {
+    engineConnections++;
+    engineConnectionsToReport++;
+  }
+
+  /** Writes what was used since the last such line, if anything was. */
+  public void reportUsage(DecisionLog log) {
+    if (storeCallsToReport.isEmpty() && engineConnectionsToReport == 0) {
+      return;
+    }
+    List<Object> fields = new ArrayList<>();
+    storeCallsToReport.forEach((purpose, count) -> fields.addAll(List.of(purpose, count[0])));
+    fields.addAll(List.of("engine_connections", engineConnectionsToReport));
+    log.write(GatewayEvent.USAGE, fields.toArray());
+    storeCallsToReport.clear();
+    engineConnectionsToReport = 0;
+  }
+
   /** All figures in the Prometheus text format. */
   public byte[] render() {
-    CounterSnapshot.Builder calls =
-        CounterSnapshot.builder()
-            .name("baykeel_gateway_calls")
-            .help("Calls by the status that the caller got; 0 is a stream that was cut");
-    callsByStatus.forEach(
-        (status, count) ->
-            calls.dataPoint(
-                CounterDataPointSnapshot.builder()
-                    .labels(Labels.of("status", String.valueOf(status)))
-                    .value(count[0])
-                    .build()));
-    CounterSnapshot attempts =
-        CounterSnapshot.builder()
-            .name("baykeel_gateway_failed_attempts")
-            .help("Sends to engines without a whole answer")
-            .dataPoint(CounterDataPointSnapshot.builder().value(failedAttempts).build())
-            .build();
+    CounterSnapshot calls =
+        counters(
+            "baykeel_gateway_calls",
+            "Calls by the status that the caller got; 0 is a stream that was cut",
+            "status",
+            callsByStatus);
     MetricSnapshots snapshots =
         MetricSnapshots.of(
-            calls.build(),
-            attempts,
+            calls,
+            counter(
+                "baykeel_gateway_failed_attempts",
+                "Sends to engines without a whole answer",
+                failedAttempts),
+            counter(
+                "baykeel_gateway_engine_connections",
+                "Connections opened to engines",
+                engineConnections),
+            counters(
+                "baykeel_gateway_store_calls",
+                "Calls to the store by kind and table",
+                "purpose",
+                storeCalls),
             summary("baykeel_gateway_call_seconds", "Time of a call", callMillis),
             summary(
                 "baykeel_gateway_first_event_seconds",
@@ -89,6 +123,27 @@
     return out.toByteArray();
   }
 
+  private static CounterSnapshot counter(String name, String help, long count) {
+    return CounterSnapshot.builder()
+        .name(name)
+        .help(help)
+        .dataPoint(CounterDataPointSnapshot.builder().value(count).build())
+        .build();
+  }
+
+  private static CounterSnapshot counters(
+      String name, String help, String label, Map<?, long[]> counts) {
+    CounterSnapshot.Builder counters = CounterSnapshot.builder().name(name).help(help);
+    counts.forEach(
+        (value, count) ->
+            counters.dataPoint(
+                CounterDataPointSnapshot.builder()
+                    .labels(Labels.of(label, String.valueOf(value)))
+                    .value(count[0])
+                    .build()));
+    return counters.build();
+  }
+
   private static SummarySnapshot summary(String name, String help, Histogram millis) {
     List<Quantile> quantiles = new ArrayList<>();
     for (double quantile : QUANTILES) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -17,6 +17,7 @@
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.testing.ScriptedEngine;
 import org.baykeel.gateway.testing.ScriptedEngine.After;
 import org.baykeel.gateway.testing.ScriptedEngine.Answer;
@@ -36,7 +37,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final NettyEngineTransport transport =
-      new NettyEngineTransport(group, new TestingTranslator());
+      new NettyEngineTransport(group, new TestingTranslator(), new GatewayMetrics());
 
   @AfterEach
   void stop() {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -100,7 +100,7 @@
             new CongestionMonitor(new Random(1)),
             new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
             new TurnHistory(store, eventLoop, 1_000, TurnSource.NONE),
-            new NettyEngineTransport(group, translator),
+            new NettyEngineTransport(group, translator, new GatewayMetrics()),
             health,
             (event, fields) -> {},
             new GatewayMetrics());
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestGatewayMetrics.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestGatewayMetrics.java
@@ -1,8 +1,12 @@
 package org.baykeel.gateway.telemetry;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class TestGatewayMetrics {
@@ -20,4 +24,29 @@
     assertTrue(text.contains("baykeel_gateway_call_seconds_count 3"), text);
     assertTrue(text.contains("baykeel_gateway_first_event_seconds{quantile=\"0.5\"} 0.02"), text);
   }
+
+  @Test
+  void tellsWhatWasUsedByPurposeOnceAndInAll() {
+    GatewayMetrics metrics = new GatewayMetrics();
+    List<String> lines = new ArrayList<>();
+    DecisionLog log = (event, fields) -> lines.add(event + " " + Arrays.toString(fields));
+    metrics.reportUsage(log);
+    metrics.storeCalled("watch_engines");
+    metrics.storeCalled("create_budget");
+    metrics.storeCalled("watch_engines");
+    metrics.engineConnectionOpened();
+    metrics.reportUsage(log);
+    metrics.reportUsage(log);
+    metrics.storeCalled("create_budget");
+    metrics.reportUsage(log);
+    assertEquals(
+        List.of(
+            "USAGE [create_budget, 1, watch_engines, 2, engine_connections, 1]",
+            "USAGE [create_budget, 1, engine_connections, 0]"),
+        lines);
+    String text = new String(metrics.render(), StandardCharsets.UTF_8);
+    assertTrue(
+        text.contains("baykeel_gateway_store_calls_total{purpose=\"create_budget\"} 2.0"), text);
+    assertTrue(text.contains("baykeel_gateway_engine_connections_total 1.0"), text);
+  }
 }
