The feed of engines rests for a tenth of the drain bound after it told changes

Ruled out: heartbeats (an entry whose sequence alone changes does not end a question: in calm seconds 2 to 3 questions in 5 s, as many as the wait of 2 s gives). Longer waits: they are how a lost path is noticed.

Change: after an answer with changes the watcher of engines waits for 0.1 of the drain bound (200 to 400 ms on the sites) before it asks again; the operator's feed asks at once as before. An engine serves on for the whole bound after it said that it leaves, so nothing is sent to one that must not get it.

Test: TestTableWatcher.restsAfterChangesAndNotAfterAnEmptyAnswer (the pause is new code, there was nothing for it to fail on before).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableWatcher.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableWatcher.java
@@ -26,6 +26,7 @@
   private final String table;
   private final DurableStore store;
   private final int waitMillis;
+  private final long pauseMillis;
   private final BiConsumer<Runnable, Long> scheduler;
   private final Listener listener;
   private final List<StoredRow> pages = new ArrayList<>();
@@ -39,17 +40,22 @@
    *
    * @param waitMillis how long one question to the feed may wait; also bounds how late a lost path
    *     to the store is noticed
+   * @param pauseMillis how long the feed is left alone after it told changes, so that many that
+   *     follow each other come in few answers: each of N nodes hears each change, so a call for
+   *     each would grow with nodes times changes; also how much later a change may be learnt
    * @param scheduler runs a task after a delay in milliseconds on the event loop
    */
   public TableWatcher(
       String table,
       DurableStore store,
       int waitMillis,
+      long pauseMillis,
       BiConsumer<Runnable, Long> scheduler,
       Listener listener) {
     this.table = table;
     this.store = store;
     this.waitMillis = waitMillis;
+    this.pauseMillis = pauseMillis;
     this.scheduler = scheduler;
     this.listener = listener;
   }
@@ -104,7 +110,11 @@
       if (!changes.rows().isEmpty()) {
         listener.onChanges(changes.rows());
       }
-      follow();
+      if (changes.rows().isEmpty() || pauseMillis == 0) {
+        follow();
+      } else {
+        scheduler.accept(this::follow, pauseMillis);
+      }
     } else if (outcome instanceof ReadOutcome.HistoryGone) {
       readFrom(null);
     } else {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
@@ -8,28 +8,34 @@
 import java.util.function.Consumer;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class TestTableWatcher {
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final ScriptedStore store = new ScriptedStore();
   private final List<String> heard = new ArrayList<>();
-  private final TableWatcher watcher =
-      new TableWatcher(
-          "t",
-          store,
-          2_000,
-          (task, millis) -> eventLoop.schedule(millis, task),
-          new TableWatcher.Listener() {
-            @Override
-            public void onSnapshot(List<StoredRow> rows) {
-              heard.add("snapshot " + keys(rows));
-            }
-
-            @Override
-            public void onChanges(List<StoredRow> rows) {
-              heard.add("changes " + keys(rows));
-            }
-          });
+  private final TableWatcher watcher = watcher(0);
+
+  private TableWatcher watcher(long pauseMillis) {
+    return new TableWatcher(
+        "t",
+        store,
+        2_000,
+        pauseMillis,
+        (task, millis) -> eventLoop.schedule(millis, task),
+        new TableWatcher.Listener() {
+          @Override
+          public void onSnapshot(List<StoredRow> rows) {
+            heard.add("snapshot " + keys(rows));
+          }
+
+          @Override
+          public void onChanges(List<StoredRow> rows) {
+            heard.add("changes " + keys(rows));
+          }
+        });
+  }
 
   private static List<String> keys(List<StoredRow> rows) {
     return rows.stream().map(row -> row.address().key()).toList();
@@ -114,4 +120,16 @@
     eventLoop.advance(1_000);
     assertEquals(List.of("snapshot [a]", "changes [b]"), heard);
   }
+
+  @ParameterizedTest(name = "pause {0} ms: {1}")
+  @CsvSource({"0, 3, 3", "200, 2, 3"})
+  void restsAfterChangesAndNotAfterAnEmptyAnswer(long pause, int atOnce, int afterThePause) {
+    store.answers.add(rows(5, false, "a"));
+    store.answers.add(rows(6, false, "b"));
+    watcher(pause).start();
+    assertEquals(atOnce, store.questions.size());
+    eventLoop.advance(pause);
+    assertEquals(afterThePause, store.questions.size());
+    assertEquals("watch 6", store.questions.get(2));
+  }
 }
