--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.peer;
 
+import java.util.Arrays;
 import java.util.Optional;
 import org.agrona.concurrent.UnsafeBuffer;
 import org.baykeel.gateway.directory.EngineId;
@@ -17,61 +18,53 @@
 import org.baykeel.protocol.generated.NodeAnnouncementDecoder;
 import org.baykeel.protocol.generated.NodeAnnouncementEncoder;
 
-/** Messages between nodes as SBE. Not thread-safe: buffers are reused. */
+/**
+ * Messages between nodes as SBE. Buffers and encoders are made for each message: messages are few,
+ * and the classes under them are then loaded with the first one and not with the node's start.
+ */
 public final class PeerMessageCodec {
   private static final int MAX_MESSAGE_BYTES = 512;
 
-  private final UnsafeBuffer buffer = new UnsafeBuffer(new byte[MAX_MESSAGE_BYTES]);
-  private final MessageHeaderEncoder headerEncoder = new MessageHeaderEncoder();
-  private final MessageHeaderDecoder headerDecoder = new MessageHeaderDecoder();
-  private final NodeAnnouncementEncoder announcementEncoder = new NodeAnnouncementEncoder();
-  private final EngineSuspicionNoticeEncoder suspicionEncoder = new EngineSuspicionNoticeEncoder();
-  private final EngineSuspicionNoticeDecoder suspicionDecoder = new EngineSuspicionNoticeDecoder();
-  private final HolderAnnouncementEncoder holderAnnouncementEncoder =
-      new HolderAnnouncementEncoder();
-  private final HolderQueryEncoder holderQueryEncoder = new HolderQueryEncoder();
-  private final HolderReplyEncoder holderReplyEncoder = new HolderReplyEncoder();
-
   /**
    * The bytes of a message.
    *
    * @param message a message
    */
   public byte[] encode(PeerMessage message) {
-    int length = MessageHeaderEncoder.ENCODED_LENGTH + encodeBody(message);
-    byte[] bytes = new byte[length];
-    buffer.getBytes(0, bytes);
-    return bytes;
+    UnsafeBuffer buffer = new UnsafeBuffer(new byte[MAX_MESSAGE_BYTES]);
+    int length = MessageHeaderEncoder.ENCODED_LENGTH + encodeBody(message, buffer);
+    return Arrays.copyOf(buffer.byteArray(), length);
   }
 
-  private int encodeBody(PeerMessage message) {
+  private static int encodeBody(PeerMessage message, UnsafeBuffer buffer) {
+    MessageHeaderEncoder header = new MessageHeaderEncoder();
     if (message instanceof PeerMessage.EngineSuspicion suspicion) {
-      return suspicionEncoder
-          .wrapAndApplyHeader(buffer, 0, headerEncoder)
+      return new EngineSuspicionNoticeEncoder()
+          .wrapAndApplyHeader(buffer, 0, header)
           .engineId(suspicion.engineId().value())
           .encodedLength();
     }
     if (message instanceof PeerMessage.HolderAnnouncement announcement) {
-      return holderAnnouncementEncoder
-          .wrapAndApplyHeader(buffer, 0, headerEncoder)
+      return new HolderAnnouncementEncoder()
+          .wrapAndApplyHeader(buffer, 0, header)
           .program(announcement.program().value())
           .encodedLength();
     }
     if (message instanceof PeerMessage.HolderQuery query) {
-      return holderQueryEncoder
-          .wrapAndApplyHeader(buffer, 0, headerEncoder)
+      return new HolderQueryEncoder()
+          .wrapAndApplyHeader(buffer, 0, header)
           .queryId(query.queryId())
           .program(query.program().value())
           .encodedLength();
     }
     if (message instanceof PeerMessage.HolderReply reply) {
-      return holderReplyEncoder
-          .wrapAndApplyHeader(buffer, 0, headerEncoder)
+      return new HolderReplyEncoder()
+          .wrapAndApplyHeader(buffer, 0, header)
           .queryId(reply.queryId())
           .holder(reply.holder().map(PeerAddress::toString).orElse(""))
           .encodedLength();
     }
-    return announcementEncoder.wrapAndApplyHeader(buffer, 0, headerEncoder).encodedLength();
+    return new NodeAnnouncementEncoder().wrapAndApplyHeader(buffer, 0, header).encodedLength();
   }
 
   /**
@@ -85,39 +78,41 @@
       return Optional.empty();
     }
     UnsafeBuffer received = new UnsafeBuffer(datagram);
-    headerDecoder.wrap(received, 0);
-    if (headerDecoder.schemaId() != MessageHeaderDecoder.SCHEMA_ID) {
+    MessageHeaderDecoder header = new MessageHeaderDecoder();
+    header.wrap(received, 0);
+    if (header.schemaId() != MessageHeaderDecoder.SCHEMA_ID) {
       return Optional.empty();
     }
     try {
-      return decodeBody(received);
+      return decodeBody(header, received);
     } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
       return Optional.empty();
     }
   }
 
-  private Optional<PeerMessage> decodeBody(UnsafeBuffer received) {
-    return switch (headerDecoder.templateId()) {
+  private static Optional<PeerMessage> decodeBody(
+      MessageHeaderDecoder header, UnsafeBuffer received) {
+    return switch (header.templateId()) {
       case NodeAnnouncementDecoder.TEMPLATE_ID -> Optional.of(new PeerMessage.NodeAnnouncement());
       case EngineSuspicionNoticeDecoder.TEMPLATE_ID -> {
-        suspicionDecoder.wrapAndApplyHeader(received, 0, headerDecoder);
-        EngineId engineId = new EngineId(suspicionDecoder.engineId());
-        yield Optional.of(new PeerMessage.EngineSuspicion(engineId));
+        EngineSuspicionNoticeDecoder decoder = new EngineSuspicionNoticeDecoder();
+        decoder.wrapAndApplyHeader(received, 0, header);
+        yield Optional.of(new PeerMessage.EngineSuspicion(new EngineId(decoder.engineId())));
       }
       case HolderAnnouncementDecoder.TEMPLATE_ID -> {
         HolderAnnouncementDecoder decoder = new HolderAnnouncementDecoder();
-        decoder.wrapAndApplyHeader(received, 0, headerDecoder);
+        decoder.wrapAndApplyHeader(received, 0, header);
         yield Optional.of(new PeerMessage.HolderAnnouncement(new ProgramId(decoder.program())));
       }
       case HolderQueryDecoder.TEMPLATE_ID -> {
         HolderQueryDecoder decoder = new HolderQueryDecoder();
-        decoder.wrapAndApplyHeader(received, 0, headerDecoder);
+        decoder.wrapAndApplyHeader(received, 0, header);
         yield Optional.of(
             new PeerMessage.HolderQuery(decoder.queryId(), new ProgramId(decoder.program())));
       }
       case HolderReplyDecoder.TEMPLATE_ID -> {
         HolderReplyDecoder decoder = new HolderReplyDecoder();
-        decoder.wrapAndApplyHeader(received, 0, headerDecoder);
+        decoder.wrapAndApplyHeader(received, 0, header);
         long queryId = decoder.queryId();
         String holder = decoder.holder();
         Optional<PeerAddress> address =
