Grants ahead are a third of a program's budget, twice at the most, instead of four turns

Hypothesis: a larger grant lets programs under way go on while the store is away, and spares calls; what a dead holder had been granted counts as spent, so the part must leave a program something after two deaths.

Ruled out: eight turns: on a short budget one grant would pass 0.8 of it, so each turn would need a call.

Change: ProgramAccount grants a third of the budget at once while under 0.7 of it is granted. A part of the budget fits any length of program; before, a program of a short budget lost up to 0.6 of it with its holder.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
@@ -19,11 +19,15 @@
  * than one turn's most is handed out beyond it.
  */
 final class ProgramAccount {
-  /** Turns granted at once while the budget is far away, to spare calls to the store. */
-  private static final int TURNS_AHEAD = 4;
+  /**
+   * The part of the budget that is granted at once while the budget is far away: it spares calls to
+   * the store, and turns go on while the store is away. It is also what a program loses of its
+   * budget when the process that holds its tokens dies, so it may not be much larger.
+   */
+  private static final double PART_AHEAD = 1.0 / 3;
 
-  /** Grants for several turns are made only below this part of the budget. */
-  private static final double AHEAD_BELOW = 0.6;
+  /** Grants ahead are made only below this part of the budget, so two of them at the most. */
+  private static final double AHEAD_BELOW = 0.7;
 
   private static final long RETRY_MILLIS = 40;
 
@@ -142,18 +146,16 @@
   private long tokensToAskFor() {
     long missing = -allowance;
     long granted = row.grantedTokens();
-    int largest = 0;
     for (Reservation reservation : waiting) {
       if (granted + Math.max(0, missing) >= budgetTokens) {
         break;
       }
       missing += reservation.tokens();
-      largest = Math.max(largest, reservation.tokens());
     }
     if (missing <= 0) {
       return 0;
     }
-    long ahead = missing + (long) (TURNS_AHEAD - 1) * largest;
+    long ahead = Math.max(missing, (long) (budgetTokens * PART_AHEAD));
     return granted + ahead <= budgetTokens * AHEAD_BELOW ? ahead : missing;
   }
 
