--- a/baykeel-cli/src/main/java/org/baykeel/cli/ProgramLedger.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/ProgramLedger.java
@@ -56,7 +56,7 @@
 
   private ProgramLedger(Stream<String> log) {
     Map<String, List<LogLine>> byProgram = new TreeMap<>();
-    log.flatMap(text -> LogLine.parse(text).stream()).forEach(line -> sort(line, byProgram));
+    log.flatMap(text -> LogLine.parse(text).stream()).forEach(line -> collect(line, byProgram));
     byProgram.forEach((program, calls) -> rows.add(row(program, calls)));
     for (LossCause cause : LossCause.values()) {
       usualMillis.put(cause, usual(cause));
@@ -73,7 +73,7 @@
     return new ProgramLedger(log).lines();
   }
 
-  private void sort(LogLine line, Map<String, List<LogLine>> byProgram) {
+  private void collect(LogLine line, Map<String, List<LogLine>> byProgram) {
     firstMillis = Math.min(firstMillis, line.millis());
     if (line.name().equals(USAGE)) {
       line.fields().keySet().forEach(what -> usage.merge(what, line.number(what), Long::sum));
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyLogging.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyLogging.java
@@ -10,7 +10,7 @@
 
 /**
  * Netty's warnings and errors as events of the gateway. The logging of the JDK, which Netty would
- * use otherwise, takes a tenth of a node's start.
+ * use otherwise, prints beside the node's log and in another form.
  */
 public final class NettyLogging extends InternalLoggerFactory {
   private final DecisionLog log;
