--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/Admission.java
@@ -0,0 +1,155 @@
+package org.baykeel.gateway.call;
+
+import java.util.function.Consumer;
+import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.ratelimit.RequestClass;
+import org.baykeel.gateway.ratelimit.RequestLimiter.Decision;
+import org.baykeel.gateway.tenancy.Caller;
+import org.baykeel.gateway.tenancy.KeyAuthenticator.Verdict;
+import org.baykeel.gateway.tenancy.Tenant;
+
+/**
+ * The first step of a call: finds its route and its tenant and takes a request off the tenant's
+ * limit. Nothing has been sent to an engine before it is over.
+ */
+final class Admission {
+  private static final long NOT_READY_RETRY_MILLIS = 250;
+
+  /** Other nodes may have a configuration that is recent enough; the caller tries one of them. */
+  private static final long STALE_RETRY_MILLIS = 100;
+
+  /** A bucket without a holder gets one within a lease. */
+  private static final long NO_HOLDER_RETRY_MILLIS = 300;
+
+  /** The part of a request's time for which it waits for the decision on its limit. */
+  private static final double LIMIT_PART_OF_PATIENCE = 0.3;
+
+  private final GatewayContext context;
+  private final CallRequest request;
+  private final Consumer<Outcome> answer;
+  private GatewayConfiguration configuration;
+  private Route route;
+
+  /** How the step ended. */
+  sealed interface Outcome {
+    /**
+     * The call may go on.
+     *
+     * @param configuration the configuration under which it runs
+     * @param route its route
+     * @param caller on whose behalf it runs
+     */
+    record Admitted(GatewayConfiguration configuration, Route route, Caller caller)
+        implements Outcome {}
+
+    /**
+     * The call ends here.
+     *
+     * @param route its route; null if it has none
+     * @param tenant the name of its tenant for the log
+     * @param refusal what the caller is told
+     */
+    record Refused(Route route, String tenant, Refusal refusal) implements Outcome {}
+  }
+
+  /**
+   * Creates a step that has not begun.
+   *
+   * @param answer takes the outcome, exactly once
+   */
+  Admission(GatewayContext context, CallRequest request, Consumer<Outcome> answer) {
+    this.context = context;
+    this.request = request;
+    this.answer = answer;
+  }
+
+  void begin() {
+    configuration = context.state().configuration();
+    if (configuration == null) {
+      refuse(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, "no configuration");
+      return;
+    }
+    route = configuration.findRoute(request.host(), request.path());
+    if (route == null) {
+      refuseUnknownRoute();
+    } else if (!configuration.tenants().keysRequired()) {
+      admit(Caller.WITHOUT_KEYS);
+    } else if (route.anonymous()) {
+      admit(Caller.ANONYMOUS);
+    } else {
+      context
+          .authenticator()
+          .judge(request.attributes().apiKey(), request.receivedNanos(), this::onVerdict);
+    }
+  }
+
+  private void refuseUnknownRoute() {
+    if (context.state().current()) {
+      refuse(ErrorKind.UNKNOWN_RESOURCE, 0, "no route");
+    } else {
+      refuse(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, "no route in an old configuration");
+    }
+  }
+
+  private void onVerdict(Verdict verdict) {
+    if (verdict instanceof Verdict.Accepted accepted) {
+      context.metrics().keyJudged("accepted");
+      takeOffLimit(accepted.tenant());
+    } else if (verdict instanceof Verdict.Undecided undecided) {
+      context.metrics().keyJudged("undecided");
+      String detail = "configuration too old, proven_ms_ago=" + undecided.ageMillis();
+      refuse(ErrorKind.NOT_READY, STALE_RETRY_MILLIS, detail);
+    } else {
+      context.metrics().keyJudged("ruled_out");
+      refuse(ErrorKind.UNAUTHORIZED, 0, "no tenant holds key " + request.attributes().apiKey());
+    }
+  }
+
+  private void takeOffLimit(Tenant tenant) {
+    long patience = request.attributes().patienceMillis(route.timeoutMillis());
+    long limitPatience = Math.round(patience * LIMIT_PART_OF_PATIENCE);
+    context
+        .limiter()
+        .decide(tenant, kind(tenant), limitPatience, decision -> onDecision(tenant, decision));
+  }
+
+  private RequestClass kind(Tenant tenant) {
+    CallAttributes attributes = request.attributes();
+    boolean known = context.budgets().knows(Caller.of(tenant).scoped(attributes.programId()));
+    boolean opening = route.kind() == RouteKind.STREAMING && attributes.firstLine() && !known;
+    return opening ? RequestClass.OPENING : RequestClass.CONTINUING;
+  }
+
+  private void onDecision(Tenant tenant, Decision decision) {
+    if (decision instanceof Decision.Allowed) {
+      admit(Caller.of(tenant));
+    } else if (decision instanceof Decision.Exceeded exceeded) {
+      String detail =
+          "tenant's limit, rate="
+              + tenant.limit().requestsPerSecond()
+              + " burst="
+              + tenant.limit().burst()
+              + " left="
+              + exceeded.left();
+      refuse(tenant, ErrorKind.RATE_LIMITED, exceeded.retryMillis(), detail);
+    } else {
+      refuse(tenant, ErrorKind.NOT_READY, NO_HOLDER_RETRY_MILLIS, "nobody holds the limit");
+    }
+  }
+
+  private void admit(Caller caller) {
+    answer.accept(new Outcome.Admitted(configuration, route, caller));
+  }
+
+  private void refuse(ErrorKind kind, long retryMillis, String detail) {
+    answer.accept(new Outcome.Refused(route, "none", new Refusal(kind, retryMillis, detail)));
+  }
+
+  private void refuse(Tenant tenant, ErrorKind kind, long retryMillis, String detail) {
+    String name = tenant.id().value();
+    answer.accept(new Outcome.Refused(route, name, new Refusal(kind, retryMillis, detail)));
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.baykeel.gateway.directory.PromptPart;
+import org.baykeel.gateway.tenancy.ApiKey;
 
 /**
  * What a request says about itself beyond its path and body. Absent texts are null, absent numbers
@@ -18,6 +19,7 @@
  * @param previousTurn the turn it continues
  * @param lastEventId the last event of a broken stream that the caller has
  * @param affinityKey the object it concerns
+ * @param apiKey the key that names its tenant
  */
 public record CallAttributes(
     String requestId,
@@ -30,7 +32,8 @@
     List<PromptPart> prompt,
     String previousTurn,
     long lastEventId,
-    String affinityKey) {
+    String affinityKey,
+    ApiKey apiKey) {
 
   /** Stands for a number that the request does not carry. */
   public static final int ABSENT = -1;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -18,6 +18,7 @@
   private final EventLoop eventLoop;
   private final EnumMap<Wait, Long> beganNanos = new EnumMap<>(Wait.class);
   private final EnumMap<Wait, Long> waitedMillis = new EnumMap<>(Wait.class);
+  private String tenant = "none";
   private String lastEngine = "none";
   private int unreadTokens;
 
@@ -62,6 +63,11 @@
     this.eventLoop = eventLoop;
   }
 
+  /** Notes on whose behalf the call runs. */
+  void tenant(String name) {
+    tenant = name;
+  }
+
   void waitBegan(Wait wait) {
     beganNanos.put(wait, eventLoop.nanoTime());
   }
@@ -112,6 +118,8 @@
         attributes.requestId(),
         "route",
         end.route() == null ? "none" : end.route().name(),
+        "tenant",
+        tenant,
         "program",
         attributes.programId(),
         "session",
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -7,7 +7,6 @@
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.budget.Grant;
 import org.baykeel.gateway.budget.Reservation;
-import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
 import org.baykeel.gateway.configuration.ServiceProfile;
@@ -17,6 +16,7 @@
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
+import org.baykeel.gateway.tenancy.Caller;
 
 /**
  * One request from its arrival to its final answer.
@@ -31,7 +31,6 @@
   private static final int MAX_SENDS = 6;
 
   private static final long LOOKUP_PATIENCE_MILLIS = 1_000;
-  private static final long NOT_READY_RETRY_MILLIS = 250;
   private static final long BUSY_RETRY_MILLIS = 150;
   private static final long OVERLOADED_RETRY_MILLIS = 400;
   private static final long STORE_RETRY_MILLIS = 800;
@@ -44,6 +43,7 @@
   private final CallRecord record;
   private final Set<String> triedEngines = new HashSet<>();
   private Route route;
+  private Caller caller;
   private String service;
   private int tokensPerEvent;
   private AnswerRelay relay;
@@ -72,26 +72,38 @@
   }
 
   void start() {
-    GatewayConfiguration configuration = context.state().configuration();
-    if (configuration == null) {
-      refuse(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, "no configuration");
+    new Admission(context, request, this::onAdmission).begin();
+  }
+
+  private void onAdmission(Admission.Outcome outcome) {
+    if (over) {
       return;
     }
-    route = configuration.findRoute(request.host(), request.path());
-    if (route == null) {
-      refuseUnknownRoute();
-      return;
+    if (outcome instanceof Admission.Outcome.Refused refused) {
+      route = refused.route();
+      record.tenant(refused.tenant());
+      Refusal refusal = refused.refusal();
+      refuse(refusal.kind(), refusal.retryAfterMillis(), refusal.detail());
+    } else {
+      begin((Admission.Outcome.Admitted) outcome);
     }
+  }
+
+  private void begin(Admission.Outcome.Admitted admitted) {
+    route = admitted.route();
+    caller = admitted.caller();
+    record.tenant(caller.name());
     long patience = attributes().patienceMillis(route.timeoutMillis());
     deadlineNanos = request.receivedNanos() + patience * 1_000_000;
-    deadlineTimer = eventLoop.schedule(Math.max(0, patience), this::onDeadline);
+    long leftMillis = Math.max(0, (deadlineNanos - eventLoop.nanoTime()) / 1_000_000);
+    deadlineTimer = eventLoop.schedule(leftMillis, this::onDeadline);
     service = context.backendChooser().choose(route, attributes().lineOrObject(stream()));
-    ServiceProfile profile = configuration.service(service);
+    ServiceProfile profile = admitted.configuration().service(service);
     tokensPerEvent = profile == null ? 0 : profile.tokensPerEvent();
     roomWait = new RoomWait(eventLoop, request.receivedNanos(), patience);
     silenceWatch = new SilenceWatch(eventLoop, route, this::onSilence);
     relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
-    if (admitted()) {
+    if (budgetAndStoreAllow()) {
       findHistory();
     }
   }
@@ -104,17 +116,9 @@
     return route.kind() == RouteKind.STREAMING;
   }
 
-  private void refuseUnknownRoute() {
-    if (context.state().current()) {
-      refuse(ErrorKind.UNKNOWN_RESOURCE, 0, "no route");
-    } else {
-      refuse(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, "no route in an old configuration");
-    }
-  }
-
-  // Admission: the budget and the history of the turn.
+  // The budget and the history of the turn.
 
-  private boolean admitted() {
+  private boolean budgetAndStoreAllow() {
     if (!stream()) {
       return true;
     }
@@ -130,16 +134,20 @@
   }
 
   private boolean budgetAdmits() {
-    programKnown = context.budgets().knows(attributes().programId());
+    String program = caller.scoped(attributes().programId());
+    programKnown = context.budgets().knows(program);
     congested =
         !context
             .congestion()
-            .admits(route.priority() == 0, route.targetLatencyMillis(), eventLoop.nanoTime());
+            .admits(
+                caller.priority(route.priority()) == 0,
+                route.targetLatencyMillis(),
+                eventLoop.nanoTime());
     reservation =
         context
             .budgets()
             .reserve(
-                attributes().programId(),
+                program,
                 attributes().tokenBudget(),
                 attributes().maxOutputTokens(),
                 deadlineNanos,
@@ -176,8 +184,10 @@
     }
     long giveUp = eventLoop.nanoTime() + LOOKUP_PATIENCE_MILLIS * 1_000_000;
     record.waitBegan(CallRecord.Wait.HISTORY);
-    ProgramId program = new ProgramId(Objects.requireNonNullElse(attributes().programId(), ""));
-    context.history().find(program, attributes().previousTurn(), giveUp, this::onHistory);
+    String programId = Objects.requireNonNullElse(attributes().programId(), "");
+    ProgramId program = new ProgramId(caller.scoped(programId));
+    String previousTurn = caller.scoped(attributes().previousTurn());
+    context.history().find(program, previousTurn, giveUp, this::onHistory);
   }
 
   private void onHistory(Lookup lookup) {
@@ -270,7 +280,7 @@
     long remaining = Math.max(1, (deadlineNanos - now) / 1_000_000);
     attempt.send(
         context.transport(),
-        new EngineRequest(request, engineBody, remaining, relay.lastEventId()));
+        new EngineRequest(request, engineBody, remaining, caller, relay.lastEventId()));
     silenceWatch.sent();
   }
 
@@ -403,8 +413,8 @@
       endStream();
       return;
     }
-    KeptTurn turn =
-        new KeptTurn(attributes().requestId(), ancestors, request.body(), relay.output());
+    String turnId = caller.scoped(attributes().requestId());
+    KeptTurn turn = new KeptTurn(turnId, ancestors, request.body(), relay.output());
     record.waitBegan(CallRecord.Wait.KEEP);
     context.history().keep(turn, deadlineNanos, this::onTurnKept);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import org.baykeel.gateway.budget.ProgramBudgets;
 import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.ratelimit.RequestLimiter;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.scheduling.CongestionMonitor;
@@ -9,12 +10,15 @@
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.telemetry.DecisionLog;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.tenancy.KeyAuthenticator;
 
 /**
  * What every call works with.
  *
  * @param eventLoop the clock and the timers
  * @param state the configuration in force and the engines
+ * @param authenticator finds the tenant of a key
+ * @param limiter keeps the limits of tenants
  * @param selector picks engines
  * @param backendChooser splits routes among services
  * @param congestion decides whether new programs may begin
@@ -28,6 +32,8 @@
 public record GatewayContext(
     EventLoop eventLoop,
     GatewayState state,
+    KeyAuthenticator authenticator,
+    RequestLimiter limiter,
     EngineSelector selector,
     BackendChooser backendChooser,
     CongestionMonitor congestion,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/GatewayConfiguration.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/GatewayConfiguration.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.baykeel.gateway.tenancy.TenantDirectory;
 
 /** One version of the operator's configuration; immutable. */
 public final class GatewayConfiguration {
@@ -11,6 +12,7 @@
   private final Map<String, List<Route>> routesByHost;
   private final Map<String, ServiceProfile> services;
   private final RequestLimits limits;
+  private final TenantDirectory tenants;
   private final int routeCount;
 
   /**
@@ -20,7 +22,23 @@
    */
   public GatewayConfiguration(
       long version, List<Route> routes, List<ServiceProfile> services, RequestLimits limits) {
+    this(version, routes, services, limits, TenantDirectory.NONE);
+  }
+
+  /**
+   * Creates a configuration with tenants.
+   *
+   * @param version rises with every change
+   * @param tenants who may call; where there are none, callers need no key
+   */
+  public GatewayConfiguration(
+      long version,
+      List<Route> routes,
+      List<ServiceProfile> services,
+      RequestLimits limits,
+      TenantDirectory tenants) {
     this.version = version;
+    this.tenants = tenants;
     this.limits = limits;
     this.routeCount = routes.size();
     this.routesByHost = indexByHost(routes);
@@ -51,6 +69,11 @@
     return routeCount;
   }
 
+  /** Who may call. */
+  public TenantDirectory tenants() {
+    return tenants;
+  }
+
   /** Bounds on what a caller may send. */
   public RequestLimits limits() {
     return limits;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/Route.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/Route.java
@@ -19,6 +19,7 @@
  * @param retentionMillis how long a kept turn must stay readable
  * @param sessionAffinity whether an engine works faster on what it has seen before
  * @param resumable whether a broken stream may be continued at another engine
+ * @param anonymous whether callers need no key even where the configuration names tenants
  */
 public record Route(
     String name,
@@ -34,7 +35,8 @@
     boolean retained,
     long retentionMillis,
     boolean sessionAffinity,
-    boolean resumable) {
+    boolean resumable,
+    boolean anonymous) {
 
   private static final int STREAM_SILENCE_TARGETS = 5;
   private static final int STREAM_SILENCE_GAPS = 2;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.tenancy.TenantId;
 
 /** What nodes tell each other. */
 public sealed interface PeerMessage {
@@ -39,4 +40,40 @@
    * @param holder nothing if the sender knows none
    */
   record HolderReply(long queryId, Optional<PeerAddress> holder) implements PeerMessage {}
+
+  /**
+   * The sender has a request of a tenant and wants tokens of the tenant's limit.
+   *
+   * @param questionId chosen by the sender; the reply carries it
+   * @param wanted how many tokens are wanted; one is enough
+   * @param opening whether a program begins with the request
+   * @param tenant the tenant
+   */
+  record LimitTokenRequest(long questionId, int wanted, boolean opening, TenantId tenant)
+      implements PeerMessage {}
+
+  /**
+   * What became of a request for tokens.
+   *
+   * @param questionId that of the request
+   * @param outcome whether tokens were given
+   * @param tokens how many
+   * @param openingsAllowed whether programs may begin with them
+   * @param retryMillis when there will be some; 0 if some were given
+   * @param left what the bucket still holds
+   */
+  record LimitTokenReply(
+      long questionId,
+      LimitTokenOutcome outcome,
+      int tokens,
+      boolean openingsAllowed,
+      long retryMillis,
+      float left)
+      implements PeerMessage {
+
+    /** The reply of a node that does not hold the tenant's bucket. */
+    public static LimitTokenReply notHeld(long questionId) {
+      return new LimitTokenReply(questionId, LimitTokenOutcome.NOT_HELD, 0, false, 0, 0);
+    }
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -5,6 +5,7 @@
 import org.agrona.concurrent.UnsafeBuffer;
 import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.tenancy.TenantId;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeEncoder;
 import org.baykeel.protocol.generated.HolderAnnouncementDecoder;
@@ -13,6 +14,10 @@
 import org.baykeel.protocol.generated.HolderQueryEncoder;
 import org.baykeel.protocol.generated.HolderReplyDecoder;
 import org.baykeel.protocol.generated.HolderReplyEncoder;
+import org.baykeel.protocol.generated.LimitTokenReplyDecoder;
+import org.baykeel.protocol.generated.LimitTokenReplyEncoder;
+import org.baykeel.protocol.generated.LimitTokenRequestDecoder;
+import org.baykeel.protocol.generated.LimitTokenRequestEncoder;
 import org.baykeel.protocol.generated.MessageHeaderDecoder;
 import org.baykeel.protocol.generated.MessageHeaderEncoder;
 import org.baykeel.protocol.generated.NodeAnnouncementDecoder;
@@ -23,7 +28,8 @@
  * and the classes under them are then loaded with the first one and not with the node's start.
  */
 public final class PeerMessageCodec {
-  private static final int MAX_MESSAGE_BYTES = 512;
+  private static final int MAX_MESSAGE_BYTES = 1_024;
+  private static final long MAX_RETRY_MILLIS = 3_600_000;
 
   /**
    * The bytes of a message.
@@ -64,6 +70,26 @@
           .holder(reply.holder().map(PeerAddress::toString).orElse(""))
           .encodedLength();
     }
+    if (message instanceof PeerMessage.LimitTokenRequest request) {
+      return new LimitTokenRequestEncoder()
+          .wrapAndApplyHeader(buffer, 0, header)
+          .questionId(request.questionId())
+          .wanted(request.wanted())
+          .opening((short) (request.opening() ? 1 : 0))
+          .tenant(request.tenant().value())
+          .encodedLength();
+    }
+    if (message instanceof PeerMessage.LimitTokenReply reply) {
+      return new LimitTokenReplyEncoder()
+          .wrapAndApplyHeader(buffer, 0, header)
+          .questionId(reply.questionId())
+          .outcome((short) reply.outcome().code())
+          .tokens(reply.tokens())
+          .openingsAllowed((short) (reply.openingsAllowed() ? 1 : 0))
+          .retryMillis(Math.min(MAX_RETRY_MILLIS, reply.retryMillis()))
+          .left(reply.left())
+          .encodedLength();
+    }
     return new NodeAnnouncementEncoder().wrapAndApplyHeader(buffer, 0, header).encodedLength();
   }
 
@@ -119,6 +145,30 @@
             holder.isEmpty() ? Optional.empty() : Optional.of(PeerAddress.parse(holder));
         yield Optional.of(new PeerMessage.HolderReply(queryId, address));
       }
+      case LimitTokenRequestDecoder.TEMPLATE_ID -> {
+        LimitTokenRequestDecoder decoder = new LimitTokenRequestDecoder();
+        decoder.wrapAndApplyHeader(received, 0, header);
+        yield Optional.of(
+            new PeerMessage.LimitTokenRequest(
+                decoder.questionId(),
+                decoder.wanted(),
+                decoder.opening() != 0,
+                new TenantId(decoder.tenant())));
+      }
+      case LimitTokenReplyDecoder.TEMPLATE_ID -> {
+        LimitTokenReplyDecoder decoder = new LimitTokenReplyDecoder();
+        decoder.wrapAndApplyHeader(received, 0, header);
+        yield LimitTokenOutcome.ofCode(decoder.outcome())
+            .map(
+                outcome ->
+                    new PeerMessage.LimitTokenReply(
+                        decoder.questionId(),
+                        outcome,
+                        decoder.tokens(),
+                        decoder.openingsAllowed() != 0,
+                        decoder.retryMillis(),
+                        decoder.left()));
+      }
       default -> Optional.empty();
     };
   }
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionLeases.java
@@ -0,0 +1,360 @@
+package org.baykeel.gateway.ratelimit;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.storage.DurableStore;
+import org.baykeel.gateway.storage.RangeRead;
+import org.baykeel.gateway.storage.ReadOutcome;
+import org.baykeel.gateway.storage.RowAddress;
+import org.baykeel.gateway.storage.StoreClock;
+import org.baykeel.gateway.storage.StoredRow;
+import org.baykeel.gateway.storage.Transaction;
+import org.baykeel.gateway.storage.TransactionOutcome;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+
+/**
+ * Which node holds the lease of each partition; takes, renews and gives back leases of this node.
+ *
+ * <p>Invariant: at any moment at most one life of one process believes that it holds a partition. A
+ * lease is written under the condition that the row is the one that was read, with an expiry that
+ * is not before the holder's own, and is taken from another holder only once the store's clock has
+ * certainly passed it. A process at the holder's own address is its successor: the holder is dead.
+ */
+public final class PartitionLeases {
+  static final String TABLE = "limit";
+
+  /**
+   * How long a lease lasts. Longer, and tenants of a holder that died wait longer; shorter, and an
+   * outage of the store stops tenants that might still be served, whose keys count for about as
+   * long.
+   */
+  static final long LEASE_MILLIS = 3_000;
+
+  /** Three renewals may fail before a lease is over. */
+  private static final long RENEW_MILLIS = 900;
+
+  /** Between two reads of the rows while some partition is free. */
+  private static final long REFRESH_MILLIS = 60;
+
+  /** Between two reads for a partition whose lease runs: its holder may have given it back. */
+  private static final long LOOK_AGAIN_MILLIS = 300;
+
+  /**
+   * How much longer each node waits than the one before it in the order of a free partition: a read
+   * and a write of the store, so that the later ones see what the earlier did.
+   */
+  private static final long WAIT_MILLIS_PER_RANK = 25;
+
+  private static final int MAX_RANK = 12;
+
+  /** After a start, when the other nodes are known; free partitions are then spread evenly. */
+  private static final long FIRST_TAKE_MILLIS = 2_500;
+
+  private final PeerAddress self;
+  private final long life;
+  private final DurableStore store;
+  private final StoreClock clock;
+  private final EventLoop eventLoop;
+  private final ToIntFunction<LimitPartition> rank;
+  private final DecisionLog log;
+  private final Map<LimitPartition, Partition> partitions = new LinkedHashMap<>();
+  private boolean refreshing;
+  private boolean refreshed;
+  private boolean stopped;
+  private long refreshedNanos;
+  private long tenures;
+
+  /**
+   * A time without a gap for which this node holds a partition.
+   *
+   * @param number counts the tenures of this life of the process
+   * @param first whether nobody ever held the partition before
+   */
+  record Tenure(long number, boolean first) {}
+
+  /** What is known of one partition. */
+  private static final class Partition {
+    private final LimitPartition id;
+    private LeaseRow row;
+    private long version = Transaction.ABSENT;
+    private long validUntilNanos;
+    private Tenure tenure;
+    private boolean writing;
+    private boolean wanted;
+    private boolean waiting;
+    private boolean turn;
+    private boolean looked;
+    private long lookedNanos;
+
+    Partition(LimitPartition id) {
+      this.id = id;
+    }
+  }
+
+  /**
+   * Creates leases of which nothing is known.
+   *
+   * @param self where the other nodes reach this one
+   * @param clock what the store's clock shows
+   * @param life a random number that identifies this life of the process
+   * @param rank this node's place in the order in which nodes take a free partition, from 0
+   */
+  public PartitionLeases(
+      PeerAddress self,
+      DurableStore store,
+      StoreClock clock,
+      EventLoop eventLoop,
+      long life,
+      ToIntFunction<LimitPartition> rank,
+      DecisionLog log) {
+    this.self = self;
+    this.store = store;
+    this.clock = clock;
+    this.eventLoop = eventLoop;
+    this.rank = rank;
+    this.log = log;
+    this.life = life;
+    for (int i = 0; i < LimitPartition.COUNT; i++) {
+      LimitPartition id = new LimitPartition(i);
+      partitions.put(id, new Partition(id));
+    }
+  }
+
+  /** Learns who holds what and takes back what an earlier life of this node held. */
+  void start() {
+    refresh();
+    eventLoop.schedule(RENEW_MILLIS, this::renew);
+    eventLoop.schedule(FIRST_TAKE_MILLIS, this::takeOwnShare);
+  }
+
+  private void takeOwnShare() {
+    for (Partition partition : partitions.values()) {
+      if (rank.applyAsInt(partition.id) == 0) {
+        want(partition.id);
+      }
+    }
+  }
+
+  /** Whether this node holds a partition. */
+  boolean holds(LimitPartition id) {
+    Partition partition = partitions.get(id);
+    return partition.tenure != null && eventLoop.nanoTime() - partition.validUntilNanos < 0;
+  }
+
+  /** The tenure under which this node holds a partition now; nothing if it doesn't. */
+  Optional<Tenure> tenure(LimitPartition id) {
+    return holds(id) ? Optional.of(partitions.get(id).tenure) : Optional.empty();
+  }
+
+  /** How many partitions this node holds. */
+  public int held() {
+    return (int) partitions.keySet().stream().filter(this::holds).count();
+  }
+
+  /** The other node that holds a partition, as far as is known. */
+  Optional<PeerAddress> holder(LimitPartition id) {
+    LeaseRow row = partitions.get(id).row;
+    if (row == null || row.expiresStoreMillis() == 0 || row.holder().equals(self)) {
+      return Optional.empty();
+    }
+    return Optional.of(row.holder());
+  }
+
+  /** Nobody is known to hold a partition, or its holder is silent: looks, and takes it if free. */
+  void want(LimitPartition id) {
+    Partition partition = partitions.get(id);
+    if (holds(id) || partition.writing || partition.waiting) {
+      return;
+    }
+    long now = eventLoop.nanoTime();
+    boolean lately =
+        partition.looked && now - partition.lookedNanos < LOOK_AGAIN_MILLIS * 1_000_000;
+    if (lately && !free(partition.row)) {
+      return;
+    }
+    partition.looked = true;
+    partition.lookedNanos = now;
+    partition.wanted = true;
+    refresh();
+  }
+
+  private void refresh() {
+    long now = eventLoop.nanoTime();
+    if (refreshing || refreshed && now - refreshedNanos < REFRESH_MILLIS * 1_000_000) {
+      return;
+    }
+    readRows();
+  }
+
+  private void readRows() {
+    refreshing = true;
+    store.read(new RangeRead(TABLE, "", null, LimitPartition.COUNT * 2), this::onRows);
+  }
+
+  private void onRows(ReadOutcome outcome) {
+    refreshing = false;
+    refreshed = true;
+    refreshedNanos = eventLoop.nanoTime();
+    if (!(outcome instanceof ReadOutcome.Rows rows)) {
+      return;
+    }
+    rows.rows().forEach(this::adopt);
+    if (!stopped) {
+      partitions.values().forEach(this::takeIfFree);
+    }
+  }
+
+  /** Adopts a row unless a newer one is known. */
+  private void adopt(StoredRow stored) {
+    if (stored.removed() || !LimitPartition.named(stored.address().key())) {
+      return;
+    }
+    Partition partition = partitions.get(LimitPartition.ofKey(stored.address().key()));
+    if (stored.version() <= partition.version) {
+      return;
+    }
+    try {
+      partition.row = LeaseRow.decode(stored.value());
+      partition.version = stored.version();
+    } catch (IllegalArgumentException e) {
+      log.write(GatewayEvent.FAULT, "where", "lease", "key", stored.address().key(), "error", e);
+    }
+  }
+
+  private void takeIfFree(Partition partition) {
+    boolean own = partition.row != null && partition.row.holder().equals(self);
+    boolean due = partition.turn;
+    partition.turn = false;
+    if (partition.writing || partition.waiting || holds(partition.id)) {
+      return;
+    }
+    if (!(partition.wanted || own || due) || !free(partition.row)) {
+      return;
+    }
+    partition.wanted = false;
+    int place = Math.min(MAX_RANK, rank.applyAsInt(partition.id));
+    if (own || due || place == 0) {
+      write(partition);
+      return;
+    }
+    partition.waiting = true;
+    eventLoop.schedule(place * WAIT_MILLIS_PER_RANK, () -> onTurn(partition));
+  }
+
+  /** The nodes before this one had their time; whether they used it, the rows tell. */
+  private void onTurn(Partition partition) {
+    partition.waiting = false;
+    partition.turn = true;
+    if (!refreshing) {
+      readRows();
+    }
+  }
+
+  private boolean free(LeaseRow row) {
+    if (row == null || row.holder().equals(self) || row.expiresStoreMillis() == 0) {
+      return true;
+    }
+    return clock.known()
+        && clock.earliestStoreMillis(eventLoop.nanoTime()) > row.expiresStoreMillis();
+  }
+
+  /** Takes or renews a lease. */
+  private void write(Partition partition) {
+    if (!clock.known() || partition.writing) {
+      return;
+    }
+    long now = eventLoop.nanoTime();
+    LeaseRow next = new LeaseRow(self, life, clock.latestStoreMillis(now) + LEASE_MILLIS);
+    long untilNanos = now + LEASE_MILLIS * 1_000_000;
+    partition.writing = true;
+    store.transact(
+        Transaction.replace(address(partition.id), partition.version, next.encode()),
+        outcome -> onWritten(partition, next, untilNanos, outcome));
+  }
+
+  private static RowAddress address(LimitPartition id) {
+    return new RowAddress(TABLE, "", id.key());
+  }
+
+  private void onWritten(
+      Partition partition, LeaseRow written, long untilNanos, TransactionOutcome outcome) {
+    partition.writing = false;
+    if (outcome instanceof TransactionOutcome.Applied applied) {
+      onHeld(partition, written, untilNanos, applied.version());
+    } else if (outcome instanceof TransactionOutcome.Conflict conflict) {
+      conflict.rows().forEach(this::adopt);
+      onConflict(partition);
+    }
+  }
+
+  private void onHeld(Partition partition, LeaseRow written, long untilNanos, long version) {
+    LeaseRow before = partition.row;
+    boolean unbroken = partition.tenure != null && before != null && before.life() == life;
+    partition.row = written;
+    partition.version = version;
+    partition.validUntilNanos = untilNanos;
+    if (!unbroken) {
+      partition.tenure = new Tenure(++tenures, before == null);
+      log.write(
+          GatewayEvent.LIMIT_LEASE_TAKEN,
+          "partition",
+          partition.id.number(),
+          "from",
+          before == null ? "nobody" : before.holder());
+    }
+    if (stopped) {
+      giveBack(partition);
+    }
+  }
+
+  private void onConflict(Partition partition) {
+    boolean own = partition.row != null && partition.row.life() == life;
+    if (own) {
+      // An earlier try of this process was done after all; the lease goes on from there.
+      write(partition);
+    } else if (partition.tenure != null) {
+      partition.tenure = null;
+      log.write(
+          GatewayEvent.LIMIT_LEASE_LOST,
+          "partition",
+          partition.id.number(),
+          "to",
+          partition.row == null ? "nobody" : partition.row.holder());
+    }
+  }
+
+  private void renew() {
+    if (stopped) {
+      return;
+    }
+    for (Partition partition : partitions.values()) {
+      if (partition.tenure != null && !partition.writing) {
+        write(partition);
+      }
+    }
+    eventLoop.schedule(RENEW_MILLIS, this::renew);
+  }
+
+  /** Gives all leases back, for a planned stop. */
+  void stop() {
+    stopped = true;
+    for (Partition partition : partitions.values()) {
+      if (partition.tenure != null && !partition.writing) {
+        giveBack(partition);
+      }
+    }
+  }
+
+  private void giveBack(Partition partition) {
+    partition.tenure = null;
+    LeaseRow returned = new LeaseRow(self, life, 0);
+    store.transact(
+        Transaction.replace(address(partition.id), partition.version, returned.encode()),
+        outcome -> {});
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/RequestLimiter.java
@@ -0,0 +1,39 @@
+package org.baykeel.gateway.ratelimit;
+
+import java.util.function.Consumer;
+import org.baykeel.gateway.tenancy.Tenant;
+
+/** Decides whether a request of a tenant may run within the tenant's limit. */
+@FunctionalInterface
+public interface RequestLimiter {
+  /** Lets every request run. */
+  RequestLimiter NONE =
+      (tenant, kind, patienceMillis, answer) -> answer.accept(new Decision.Allowed());
+
+  /** What was decided on a request. */
+  sealed interface Decision {
+    /** It may run, once. */
+    record Allowed() implements Decision {}
+
+    /**
+     * The tenant is beyond its limit.
+     *
+     * @param retryMillis when the request may be tried again with some hope
+     * @param left requests that might still run, kept for others
+     */
+    record Exceeded(long retryMillis, double left) implements Decision {}
+
+    /** Nobody could be asked in time. */
+    record Undecided() implements Decision {}
+  }
+
+  /**
+   * Decides on one request.
+   *
+   * @param tenant its tenant
+   * @param kind its place in its program
+   * @param patienceMillis the longest time that the decision may take
+   * @param answer takes the decision, exactly once, possibly before this returns
+   */
+  void decide(Tenant tenant, RequestClass kind, long patienceMillis, Consumer<Decision> answer);
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -0,0 +1,344 @@
+package org.baykeel.gateway.ratelimit;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.baykeel.gateway.peer.LimitTokenOutcome;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerMessage;
+import org.baykeel.gateway.peer.PeerMessageCodec;
+import org.baykeel.gateway.peer.PeerMessageListener;
+import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.telemetry.GatewayMetrics.LimitFigure;
+import org.baykeel.gateway.tenancy.Tenant;
+import org.baykeel.gateway.tenancy.TenantId;
+
+/**
+ * Gets a token for each request of a tenant with a limit: from a slice in hand, from its own bucket
+ * if this node holds the tenant's partition, else from the node that does.
+ *
+ * <p>Invariant: a token is used at this node only until {@link LimitBounds#holdMillis} after the
+ * first question for it was sent, so it was given at most that long before, whatever delayed the
+ * answer.
+ */
+public final class SharedRequestLimiter implements RequestLimiter, PeerMessageListener {
+  /** Two ways between nodes and a little work at a slow one. */
+  private static final long FIRST_RETRY_MILLIS = 30;
+
+  /** Between two tries while nobody holds the partition. */
+  private static final long NO_HOLDER_RETRY_MILLIS = 20;
+
+  /** Silent tries after which the rows of the leases are read again. */
+  private static final int TRIES_UNTIL_LOOK = 2;
+
+  /** The part of the time for which tokens may be kept that a slice should last. */
+  private static final double SLICE_PART_OF_HOLD = 0.5;
+
+  /** More tokens are never given in one answer. */
+  private static final int MAX_SLICE = 64;
+
+  /** Answers that are kept so that a question that is doubled gets the same one. */
+  private static final int MAX_ANSWERS = 512;
+
+  /** The span over which this node's own demand is averaged. */
+  private static final double DEMAND_NANOS = 1e9;
+
+  private final PartitionLeases leases;
+  private final PeerTransport transport;
+  private final PeerMessageCodec codec;
+  private final EventLoop eventLoop;
+  private final LimitBounds bounds;
+  private final Function<TenantId, Optional<Tenant>> tenants;
+  private final GatewayMetrics metrics;
+  private final Map<LimitPartition, HeldBuckets> buckets = new HashMap<>();
+  private final Map<TenantId, OwnUse> ownUse = new HashMap<>();
+  private final Map<Long, Question> questions = new HashMap<>();
+  private final Map<Asked, PeerMessage.LimitTokenReply> answers =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Asked, PeerMessage.LimitTokenReply> eldest) {
+          return size() > MAX_ANSWERS;
+        }
+      };
+  private long lastQuestionId;
+
+  /** A question of another node. */
+  private record Asked(PeerAddress sender, long questionId) {}
+
+  /** What this node itself uses of a tenant's limit. */
+  private static final class OwnUse {
+    private final TokenSlice slice = new TokenSlice();
+    private double demand;
+    private long askedNanos;
+
+    /** Notes a request and returns how many came lately, in one span of averaging. */
+    double asked(long nowNanos) {
+      demand = demand * Math.exp(-(nowNanos - askedNanos) / DEMAND_NANOS) + 1;
+      askedNanos = nowNanos;
+      return demand;
+    }
+  }
+
+  /** Buckets and the tenure under which they were begun. */
+  private record HeldBuckets(PartitionLeases.Tenure tenure, PartitionBuckets buckets) {}
+
+  /**
+   * Creates a limiter.
+   *
+   * @param leases who holds which partition
+   * @param transport the way to the other nodes
+   * @param bounds how exactly limits are kept
+   * @param tenants the tenants of the configuration in force
+   * @param firstQuestionId a random number, so that no question is like one of an earlier life
+   */
+  @SuppressWarnings("ParameterNumber")
+  public SharedRequestLimiter(
+      PartitionLeases leases,
+      PeerTransport transport,
+      PeerMessageCodec codec,
+      EventLoop eventLoop,
+      LimitBounds bounds,
+      Function<TenantId, Optional<Tenant>> tenants,
+      long firstQuestionId,
+      GatewayMetrics metrics) {
+    this.leases = leases;
+    this.transport = transport;
+    this.codec = codec;
+    this.eventLoop = eventLoop;
+    this.bounds = bounds;
+    this.tenants = tenants;
+    this.lastQuestionId = firstQuestionId;
+    this.metrics = metrics;
+  }
+
+  /** Begins to take part in holding buckets. */
+  public void start() {
+    leases.start();
+  }
+
+  /** Gives back what this node holds, for a planned stop. */
+  public void stop() {
+    leases.stop();
+  }
+
+  /** How many partitions this node holds. */
+  public int partitionsHeld() {
+    return leases.held();
+  }
+
+  @Override
+  public void decide(
+      Tenant tenant, RequestClass kind, long patienceMillis, Consumer<Decision> answer) {
+    if (tenant.limit().unlimited()) {
+      answer.accept(new Decision.Allowed());
+      return;
+    }
+    long now = eventLoop.nanoTime();
+    OwnUse use = ownUse.computeIfAbsent(tenant.id(), id -> new OwnUse());
+    double demand = use.asked(now);
+    if (use.slice.take(kind, now)) {
+      metrics.limitCounted(LimitFigure.FROM_SLICE, 1);
+      answer.accept(new Decision.Allowed());
+      return;
+    }
+    double ahead = demand * (bounds.holdMillis() / 1e3) * SLICE_PART_OF_HOLD;
+    int wanted = (int) Math.min(MAX_SLICE, 1 + ahead);
+    new Question(++lastQuestionId, tenant, kind, wanted, patienceMillis, answer).proceed();
+  }
+
+  /** Decides from this node's own bucket; nothing if it does not hold the partition. */
+  private Optional<TokenDecision> decideHere(Tenant tenant, RequestClass kind, int wanted) {
+    LimitPartition partition = LimitPartition.of(tenant.id());
+    return leases
+        .tenure(partition)
+        .map(tenure -> bucketsOf(partition, tenure))
+        .map(held -> held.decide(tenant, kind, wanted, eventLoop.nanoTime()));
+  }
+
+  private PartitionBuckets bucketsOf(LimitPartition partition, PartitionLeases.Tenure tenure) {
+    HeldBuckets held = buckets.get(partition);
+    if (held == null || !held.tenure().equals(tenure)) {
+      double firstTokens = tenure.first() ? Double.MAX_VALUE : bounds.takeoverTokens();
+      held = new HeldBuckets(tenure, new PartitionBuckets(firstTokens));
+      buckets.put(partition, held);
+    }
+    return held.buckets();
+  }
+
+  @Override
+  public void onMessage(PeerAddress sender, PeerMessage message) {
+    if (message instanceof PeerMessage.LimitTokenRequest request) {
+      reply(sender, request);
+    } else if (message instanceof PeerMessage.LimitTokenReply reply) {
+      Question question = questions.get(reply.questionId());
+      if (question != null) {
+        question.onReply(sender, reply);
+      }
+    }
+  }
+
+  private void reply(PeerAddress sender, PeerMessage.LimitTokenRequest request) {
+    Asked asked = new Asked(sender, request.questionId());
+    PeerMessage.LimitTokenReply reply = answers.get(asked);
+    if (reply == null) {
+      reply = answerTo(request);
+      if (reply.outcome() == LimitTokenOutcome.GIVEN) {
+        answers.put(asked, reply);
+      }
+    }
+    transport.send(sender, codec.encode(reply));
+  }
+
+  private PeerMessage.LimitTokenReply answerTo(PeerMessage.LimitTokenRequest request) {
+    Tenant tenant = tenants.apply(request.tenant()).orElse(null);
+    if (tenant == null || tenant.limit().unlimited()) {
+      // Another configuration is in force there; it will not be so for long.
+      return PeerMessage.LimitTokenReply.notHeld(request.questionId());
+    }
+    int wanted = Math.max(1, Math.min(MAX_SLICE, request.wanted()));
+    RequestClass kind = request.opening() ? RequestClass.OPENING : RequestClass.CONTINUING;
+    return decideHere(tenant, kind, wanted)
+        .map(decision -> replyOf(request.questionId(), decision))
+        .orElseGet(() -> PeerMessage.LimitTokenReply.notHeld(request.questionId()));
+  }
+
+  private PeerMessage.LimitTokenReply replyOf(long questionId, TokenDecision decision) {
+    metrics.limitCounted(LimitFigure.GIVEN_TO_NODES, decision.tokens());
+    return new PeerMessage.LimitTokenReply(
+        questionId,
+        decision.tokens() > 0 ? LimitTokenOutcome.GIVEN : LimitTokenOutcome.REFUSED,
+        decision.tokens(),
+        decision.openingsAllowed(),
+        decision.retryMillis(),
+        (float) decision.left());
+  }
+
+  /** A request that waits for a token. */
+  private final class Question {
+    private final long id;
+    private final Tenant tenant;
+    private final LimitPartition partition;
+    private final RequestClass kind;
+    private final int wanted;
+    private final Consumer<Decision> answer;
+    private final long endNanos;
+    private PeerAddress asked;
+    private long firstSentNanos;
+    private int tries;
+    private EventLoop.Timer retry;
+
+    Question(
+        long id,
+        Tenant tenant,
+        RequestClass kind,
+        int wanted,
+        long patienceMillis,
+        Consumer<Decision> answer) {
+      this.id = id;
+      this.tenant = tenant;
+      this.partition = LimitPartition.of(tenant.id());
+      this.kind = kind;
+      this.wanted = wanted;
+      this.answer = answer;
+      this.endNanos = eventLoop.nanoTime() + patienceMillis * 1_000_000;
+    }
+
+    void proceed() {
+      Optional<TokenDecision> here = decideHere(tenant, kind, 1);
+      if (here.isPresent()) {
+        metrics.limitCounted(LimitFigure.FROM_OWN_BUCKET, here.get().tokens());
+        onDecision(here.get());
+        return;
+      }
+      if (eventLoop.nanoTime() - endNanos >= 0) {
+        metrics.limitCounted(LimitFigure.UNDECIDED, 1);
+        end(new Decision.Undecided());
+        return;
+      }
+      questions.put(id, this);
+      Optional<PeerAddress> holder = leases.holder(partition);
+      if (holder.isEmpty() || tries >= TRIES_UNTIL_LOOK) {
+        leases.want(partition);
+      }
+      if (holder.isPresent()) {
+        ask(holder.get());
+      } else {
+        retryIn(NO_HOLDER_RETRY_MILLIS);
+      }
+    }
+
+    private void ask(PeerAddress holder) {
+      if (!holder.equals(asked)) {
+        asked = holder;
+        firstSentNanos = eventLoop.nanoTime();
+      }
+      tries++;
+      boolean opening = kind == RequestClass.OPENING;
+      transport.send(
+          holder,
+          codec.encode(new PeerMessage.LimitTokenRequest(id, wanted, opening, tenant.id())));
+      retryIn(FIRST_RETRY_MILLIS * tries);
+    }
+
+    private void retryIn(long millis) {
+      long left = Math.max(1, (endNanos - eventLoop.nanoTime()) / 1_000_000);
+      retry = eventLoop.schedule(Math.min(millis, left), this::proceed);
+    }
+
+    void onReply(PeerAddress sender, PeerMessage.LimitTokenReply reply) {
+      if (!sender.equals(asked)) {
+        return;
+      }
+      switch (reply.outcome()) {
+        case GIVEN -> onTokens(Math.min(wanted, reply.tokens()), reply.openingsAllowed());
+        case REFUSED -> onDecision(new TokenDecision(0, false, reply.retryMillis(), reply.left()));
+        default -> onNotHeld();
+      }
+    }
+
+    private void onTokens(int tokens, boolean openingsAllowed) {
+      long now = eventLoop.nanoTime();
+      long expires = firstSentNanos + bounds.holdMillis() * 1_000_000;
+      if (tokens <= 0 || now - expires >= 0) {
+        metrics.limitCounted(LimitFigure.LOST, Math.max(0, tokens));
+        return;
+      }
+      if (tokens > 1) {
+        TokenSlice slice = ownUse.computeIfAbsent(tenant.id(), key -> new OwnUse()).slice;
+        metrics.limitCounted(
+            LimitFigure.LOST, slice.add(tokens - 1, expires, openingsAllowed, now));
+      }
+      onDecision(new TokenDecision(1, openingsAllowed, 0, 0));
+    }
+
+    private void onDecision(TokenDecision decision) {
+      if (decision.tokens() > 0) {
+        end(new Decision.Allowed());
+      } else {
+        metrics.limitCounted(LimitFigure.REFUSED, 1);
+        end(new Decision.Exceeded(Math.max(1, decision.retryMillis()), decision.left()));
+      }
+    }
+
+    private void onNotHeld() {
+      retry.cancel();
+      leases.want(partition);
+      retryIn(NO_HOLDER_RETRY_MILLIS);
+    }
+
+    private void end(Decision decision) {
+      questions.remove(id);
+      if (retry != null) {
+        retry.cancel();
+      }
+      answer.accept(decision);
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/TokenBucket.java
@@ -0,0 +1,75 @@
+package org.baykeel.gateway.ratelimit;
+
+import org.baykeel.gateway.tenancy.RateLimit;
+
+/**
+ * Tokens that fill up at a rate.
+ *
+ * <p>Invariant: in any span of time no more tokens are taken than the bucket held at its begin plus
+ * the rate times the span.
+ */
+final class TokenBucket {
+  /** The span over which the demand is averaged: long against the gaps of a slow tenant. */
+  private static final double DEMAND_NANOS = 1e9;
+
+  private RateLimit limit;
+  private double tokens;
+  private long filledNanos;
+  private double demand;
+
+  /**
+   * Creates a bucket.
+   *
+   * @param tokens what it holds; no more than its capacity counts
+   */
+  TokenBucket(RateLimit limit, double tokens, long nowNanos) {
+    this.limit = limit;
+    this.tokens = Math.min(capacity(limit), tokens);
+    this.filledNanos = nowNanos;
+  }
+
+  /** A limit without a burst still lets one request run at a time. */
+  private static double capacity(RateLimit limit) {
+    return Math.max(1, limit.burst());
+  }
+
+  double capacity() {
+    return capacity(limit);
+  }
+
+  /** Fills the bucket for the time that passed and takes a changed limit into account. */
+  void advance(RateLimit current, long nowNanos) {
+    double nanos = Math.max(0, nowNanos - filledNanos);
+    filledNanos = nowNanos;
+    tokens += nanos * 1e-9 * limit.requestsPerSecond();
+    limit = current;
+    tokens = Math.min(capacity(), tokens);
+    demand *= Math.exp(-nanos / DEMAND_NANOS);
+  }
+
+  /** Notes that tokens were asked for, given or not. */
+  void asked(int count) {
+    demand += count;
+  }
+
+  /** Takes tokens, no more than there are. */
+  int take(int count) {
+    int taken = (int) Math.max(0, Math.min(count, Math.floor(tokens)));
+    tokens -= taken;
+    return taken;
+  }
+
+  double tokens() {
+    return tokens;
+  }
+
+  /** Whether more was asked for lately than the limit allows for long. */
+  boolean overdrawn() {
+    return demand > limit.requestsPerSecond() * (DEMAND_NANOS * 1e-9);
+  }
+
+  /** When the bucket will hold so many tokens, if none is taken until then. */
+  long millisUntil(double wanted) {
+    return (long) Math.ceil(Math.max(0, wanted - tokens) / limit.requestsPerSecond() * 1_000);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/TokenDecision.java
@@ -0,0 +1,11 @@
+package org.baykeel.gateway.ratelimit;
+
+/**
+ * What the holder of a bucket decides.
+ *
+ * @param tokens tokens given; 0 if none
+ * @param openingsAllowed whether programs may begin with them
+ * @param retryMillis when there will be some, if none were given
+ * @param left what the bucket still holds
+ */
+record TokenDecision(int tokens, boolean openingsAllowed, long retryMillis, double left) {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/FailoverStoreCaller.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/FailoverStoreCaller.java
@@ -168,9 +168,7 @@
       directOutstanding = true;
       outstanding++;
       direct.call(call, reply -> onDirectReply(reply, sentNanos));
-      if (!call.longPoll()) {
-        eventLoop.schedule(directPath.overdueMillis(), this::onOverdue);
-      }
+      eventLoop.schedule(call.holdMillis() + directPath.overdueMillis(), this::onOverdue);
     }
 
     private void onDirectReply(StoreReply reply, long sentNanos) {
@@ -202,9 +200,8 @@
       asked.add(peer);
       outstanding++;
       relays.call(peer, call, reply -> onRelayReply(peer, reply));
-      if (!call.longPoll()) {
-        eventLoop.schedule(directPath.overdueMillis() * RELAY_OVERDUE_FACTOR, this::onOverdue);
-      }
+      long overdueMillis = directPath.overdueMillis() * RELAY_OVERDUE_FACTOR;
+      eventLoop.schedule(call.holdMillis() + overdueMillis, this::onOverdue);
       return true;
     }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/ReadOutcome.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/ReadOutcome.java
@@ -11,8 +11,10 @@
    * @param rows in rising order of key, or of change
    * @param more whether rows beyond the limit follow
    * @param version the store's counter at that moment
+   * @param asOfNanos a moment of this process's clock that is not after that moment
    */
-  record Rows(List<StoredRow> rows, boolean more, long version) implements ReadOutcome {}
+  record Rows(List<StoredRow> rows, boolean more, long version, long asOfNanos)
+      implements ReadOutcome {}
 
   /** The feed's history before the given version is gone; read the table again. */
   record HistoryGone() implements ReadOutcome {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableWatcher.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableWatcher.java
@@ -14,6 +14,9 @@
   private static final long FIRST_RETRY_MILLIS = 50;
   private static final long LONGEST_RETRY_MILLIS = 400;
 
+  /** The store tells at once what it has. */
+  private static final int CHECK_WAIT_MILLIS = 1;
+
   /** Receives the table's state. */
   public interface Listener {
     /** The whole table as of one version. */
@@ -21,6 +24,14 @@
 
     /** Rows that changed since the last call. */
     void onChanges(List<StoredRow> rows);
+
+    /**
+     * All changes before a moment have been told. A snapshot proves nothing of the kind: a store
+     * that has just recovered may answer reads from an old state.
+     *
+     * @param nanos the moment, of this process's clock
+     */
+    default void onComplete(long nanos) {}
   }
 
   private final String table;
@@ -33,6 +44,7 @@
   private long knownVersion;
   private long firstPageVersion;
   private boolean hasSnapshot;
+  private boolean checking;
   private long retryMillis = FIRST_RETRY_MILLIS;
 
   /**
@@ -99,17 +111,43 @@
     follow();
   }
 
+  /**
+   * Asks the feed at once for what it has, beside the question that waits for changes; does nothing
+   * while such a question is under way or the table has not been read.
+   */
+  public void check() {
+    if (checking || !hasSnapshot) {
+      return;
+    }
+    checking = true;
+    store.watch(table, knownVersion, CHECK_WAIT_MILLIS, this::onCheck);
+  }
+
+  private void onCheck(ReadOutcome outcome) {
+    checking = false;
+    if (outcome instanceof ReadOutcome.Rows changes) {
+      adopt(changes);
+    }
+  }
+
   private void follow() {
     store.watch(table, knownVersion, waitMillis, this::onFeed);
   }
 
+  private void adopt(ReadOutcome.Rows changes) {
+    knownVersion = Math.max(knownVersion, changes.version());
+    if (!changes.rows().isEmpty()) {
+      listener.onChanges(changes.rows());
+    }
+    if (!changes.more()) {
+      listener.onComplete(changes.asOfNanos());
+    }
+  }
+
   private void onFeed(ReadOutcome outcome) {
     if (outcome instanceof ReadOutcome.Rows changes) {
       retryMillis = FIRST_RETRY_MILLIS;
-      knownVersion = Math.max(knownVersion, changes.version());
-      if (!changes.rows().isEmpty()) {
-        listener.onChanges(changes.rows());
-      }
+      adopt(changes);
       if (changes.rows().isEmpty() || pauseMillis == 0) {
         follow();
       } else {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -3,7 +3,9 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot.CounterDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
 import io.prometheus.metrics.model.snapshots.Labels;
+import io.prometheus.metrics.model.snapshots.MetricSnapshot;
 import io.prometheus.metrics.model.snapshots.MetricSnapshots;
 import io.prometheus.metrics.model.snapshots.Quantile;
 import io.prometheus.metrics.model.snapshots.Quantiles;
@@ -14,8 +16,10 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -32,6 +36,9 @@
   private final Histogram firstEventMillis = new Histogram(LONGEST_MILLIS, SIGNIFICANT_DIGITS);
   private final Map<String, long[]> storeCalls = new TreeMap<>();
   private final Map<String, long[]> storeCallsToReport = new TreeMap<>();
+  private final Map<String, long[]> limitFigures = new TreeMap<>();
+  private final Map<String, long[]> keyVerdicts = new TreeMap<>();
+  private final Map<String, LongSupplier> gauges = new TreeMap<>();
   private long engineConnections;
   private long engineConnectionsToReport;
   private long failedAttempts;
@@ -66,6 +73,53 @@
     storeCallsToReport.computeIfAbsent(purpose, key -> new long[1])[0]++;
   }
 
+  /** What is counted of the tenants' limits. */
+  public enum LimitFigure {
+    /** Requests that ran on a token asked for earlier. */
+    FROM_SLICE,
+    /** Tokens that this node took from its own bucket. */
+    FROM_OWN_BUCKET,
+    /** Tokens given to other nodes. */
+    GIVEN_TO_NODES,
+    /** Tokens that came too late or were not used in time. */
+    LOST,
+    /** Requests beyond their tenant's limit. */
+    REFUSED,
+    /** Requests for which nobody could be asked. */
+    UNDECIDED
+  }
+
+  /**
+   * Counts what became of limits.
+   *
+   * @param count how many; 0 counts nothing
+   */
+  public void limitCounted(LimitFigure figure, long count) {
+    if (count > 0) {
+      String label = figure.name().toLowerCase(Locale.ROOT);
+      limitFigures.computeIfAbsent(label, key -> new long[1])[0] += count;
+    }
+  }
+
+  /**
+   * Counts a verdict on a key.
+   *
+   * @param verdict one of a few words
+   */
+  public void keyJudged(String verdict) {
+    keyVerdicts.computeIfAbsent(verdict, key -> new long[1])[0]++;
+  }
+
+  /**
+   * Adds a figure that is read whenever somebody asks for the figures.
+   *
+   * @param name its name, with its unit
+   * @param reading reads it
+   */
+  public void gauge(String name, LongSupplier reading) {
+    gauges.put(name, reading);
+  }
+
   /** Counts a connection that is opened to an engine. */
   public void engineConnectionOpened() {
     engineConnections++;
@@ -93,9 +147,17 @@
             "Calls by the status that the caller got; 0 is a stream that was cut",
             "status",
             callsByStatus);
-    MetricSnapshots snapshots =
-        MetricSnapshots.of(
+    MetricSnapshots.Builder snapshots = MetricSnapshots.builder();
+    gauges.forEach((name, reading) -> snapshots.metricSnapshot(gaugeSnapshot(name, reading)));
+    for (MetricSnapshot snapshot :
+        List.of(
             calls,
+            counters(
+                "baykeel_gateway_limit_tokens",
+                "Tokens of the tenants' limits, and requests refused for want of them",
+                "state",
+                limitFigures),
+            counters("baykeel_gateway_keys", "Keys judged, by verdict", "verdict", keyVerdicts),
             counter(
                 "baykeel_gateway_failed_attempts",
                 "Sends to engines without a whole answer",
@@ -113,16 +175,27 @@
             summary(
                 "baykeel_gateway_first_event_seconds",
                 "Time to the first event of a stream",
-                firstEventMillis));
+                firstEventMillis))) {
+      snapshots.metricSnapshot(snapshot);
+    }
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     try {
-      new PrometheusTextFormatWriter(false).write(out, snapshots);
+      new PrometheusTextFormatWriter(false).write(out, snapshots.build());
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
     return out.toByteArray();
   }
 
+  private static GaugeSnapshot gaugeSnapshot(String name, LongSupplier reading) {
+    return GaugeSnapshot.builder()
+        .name(name)
+        .help("As of now")
+        .dataPoint(
+            GaugeSnapshot.GaugeDataPointSnapshot.builder().value(reading.getAsLong()).build())
+        .build();
+  }
+
   private static CounterSnapshot counter(String name, String help, long count) {
     return CounterSnapshot.builder()
         .name(name)
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/ConfigurationFreshness.java
@@ -0,0 +1,122 @@
+package org.baykeel.gateway.tenancy;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.function.Consumer;
+import org.baykeel.gateway.runtime.EventLoop;
+
+/**
+ * Up to which moment the configuration in force is known to have been the newest one.
+ *
+ * <p>Invariant: the operator had no newer configuration acknowledged before that moment than the
+ * one that this process has adopted by now. It only ever rises, whatever becomes of the process or
+ * its path to the store; so a request that arrives within a bound after it was sent within that
+ * bound after every change that this process does not know.
+ */
+public final class ConfigurationFreshness {
+  private final EventLoop eventLoop;
+  private final List<Waiting> waiting = new ArrayList<>();
+  private Runnable comparison = () -> {};
+  private boolean proven;
+  private long provenNanos;
+
+  /** Somebody who needs the configuration to be proven as of some moment. */
+  private record Waiting(long sinceNanos, Consumer<Boolean> answer, EventLoop.Timer timeout) {}
+
+  /**
+   * Creates a freshness of which nothing is known.
+   *
+   * @param eventLoop the clock
+   */
+  public ConfigurationFreshness(EventLoop eventLoop) {
+    this.eventLoop = eventLoop;
+  }
+
+  /**
+   * Sets how the configuration is compared with the store's without waiting for changes.
+   *
+   * @param comparison begins a comparison; its result is told by {@link #proven}
+   */
+  public void checkBy(Runnable comparison) {
+    this.comparison = comparison;
+  }
+
+  /** Has the configuration compared with the store's now. */
+  public void check() {
+    comparison.run();
+  }
+
+  /**
+   * Notes a proof.
+   *
+   * @param nanos no newer configuration had been acknowledged before this moment
+   */
+  public void proven(long nanos) {
+    if (proven && nanos - provenNanos <= 0) {
+      return;
+    }
+    proven = true;
+    provenNanos = nanos;
+    List<Waiting> satisfied = new ArrayList<>();
+    for (Iterator<Waiting> each = waiting.iterator(); each.hasNext(); ) {
+      Waiting candidate = each.next();
+      if (provenSince(candidate.sinceNanos())) {
+        each.remove();
+        satisfied.add(candidate);
+      }
+    }
+    for (Waiting each : satisfied) {
+      each.timeout().cancel();
+      each.answer().accept(true);
+    }
+    if (!waiting.isEmpty()) {
+      check();
+    }
+  }
+
+  /** Nanoseconds since the proven moment; {@link Long#MAX_VALUE} if nothing is proven. */
+  public long ageNanos() {
+    return proven ? eventLoop.nanoTime() - provenNanos : Long.MAX_VALUE;
+  }
+
+  /**
+   * How long before a moment the configuration was proven last.
+   *
+   * @param nanos the moment
+   * @return nanoseconds; negative if it is proven as of a later moment, {@link Long#MAX_VALUE} if
+   *     nothing is proven
+   */
+  public long ageNanosAt(long nanos) {
+    return proven ? nanos - provenNanos : Long.MAX_VALUE;
+  }
+
+  private boolean provenSince(long nanos) {
+    return proven && provenNanos - nanos >= 0;
+  }
+
+  /**
+   * Waits until the configuration is proven as of a moment.
+   *
+   * @param sinceNanos the moment
+   * @param timeoutMillis the longest wait
+   * @param answer takes whether it is proven, exactly once
+   */
+  public void await(long sinceNanos, long timeoutMillis, Consumer<Boolean> answer) {
+    if (provenSince(sinceNanos)) {
+      answer.accept(true);
+      return;
+    }
+    Waiting[] self = new Waiting[1];
+    EventLoop.Timer timeout = eventLoop.schedule(timeoutMillis, () -> onTimeout(self[0]));
+    self[0] = new Waiting(sinceNanos, answer, timeout);
+    waiting.add(self[0]);
+    check();
+  }
+
+  private void onTimeout(Waiting late) {
+    if (waiting.remove(late)) {
+      late.answer().accept(false);
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/KeyAuthenticator.java
@@ -0,0 +1,166 @@
+package org.baykeel.gateway.tenancy;
+
+import java.util.LinkedHashSet;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Finds the tenant of a key, as far as the configuration is recent enough to say so.
+ *
+ * <p>Invariant: a key is accepted only if the configuration was proven to be the newest one at most
+ * {@link Bounds#acceptMillis} before the request arrived, judged by a clock that runs on while the
+ * process stands still. A key is ruled out only by a configuration proven as of the request's
+ * arrival, or by one proven shortly before if the key was ruled out earlier.
+ */
+public final class KeyAuthenticator {
+  /** How long a request waits for the store's word on a key that nobody knows here. */
+  private static final long CHECK_MILLIS = 200;
+
+  /** Keys that were ruled out and are remembered; all are forgotten beyond this. */
+  private static final int MAX_RULED_OUT = 2_048;
+
+  private final Supplier<TenantDirectory> directory;
+  private final ConfigurationFreshness freshness;
+  private final Bounds bounds;
+  private final Set<ApiKey> ruledOut = new LinkedHashSet<>();
+  private TenantDirectory lastDirectory = TenantDirectory.NONE;
+
+  /**
+   * How old the proof of the configuration may be.
+   *
+   * @param acceptMillis before the arrival of a request whose key is accepted
+   * @param ruleOutMillis before the arrival of a request whose key was ruled out earlier
+   */
+  public record Bounds(long acceptMillis, long ruleOutMillis) {
+    /**
+     * The part of the operator's bound within which keys are accepted. The store's feed may be
+     * silent about changes for a second after it forgot its history; the rest is for that.
+     */
+    private static final double PART_OF_REVOCATION = 0.75;
+
+    /** The part of the time within which a new key must work everywhere. */
+    private static final double PART_OF_APPLY = 0.5;
+
+    /**
+     * Derives the bounds from the operator's.
+     *
+     * @param revocationMillis time after which a key that was taken away must not work anywhere
+     * @param applyMillis time after which a new configuration must be in force
+     */
+    public static Bounds of(long revocationMillis, long applyMillis) {
+      return new Bounds(
+          Math.round(revocationMillis * PART_OF_REVOCATION),
+          Math.round(applyMillis * PART_OF_APPLY));
+    }
+  }
+
+  /** What is known of a key. */
+  public sealed interface Verdict {
+    /** It is a tenant's. */
+    record Accepted(Tenant tenant) implements Verdict {}
+
+    /** No tenant holds it. */
+    record RuledOut() implements Verdict {}
+
+    /**
+     * The configuration may be too old to tell.
+     *
+     * @param ageMillis how long before the request it was proven last; negative if never
+     */
+    record Undecided(long ageMillis) implements Verdict {}
+  }
+
+  /**
+   * Creates an authenticator.
+   *
+   * @param directory the tenants of the configuration in force
+   * @param freshness up to when that configuration is known to be the newest
+   * @param bounds how old that proof may be
+   */
+  public KeyAuthenticator(
+      Supplier<TenantDirectory> directory, ConfigurationFreshness freshness, Bounds bounds) {
+    this.directory = directory;
+    this.freshness = freshness;
+    this.bounds = bounds;
+  }
+
+  /** Whether keys can be accepted now. */
+  public boolean recentEnough() {
+    return toMillis(freshness.ageNanos()) <= bounds.acceptMillis();
+  }
+
+  /**
+   * Judges a key.
+   *
+   * @param key the key that a request carries; null if it carries none
+   * @param receivedNanos when the request arrived
+   * @param answer takes the verdict, exactly once, possibly before this returns
+   */
+  public void judge(ApiKey key, long receivedNanos, Consumer<Verdict> answer) {
+    long ageMillis = toMillis(freshness.ageNanosAt(receivedNanos));
+    if (ageMillis > bounds.acceptMillis()) {
+      answer.accept(undecided(ageMillis));
+      return;
+    }
+    rememberDropped();
+    Verdict known = known(key);
+    if (known != null) {
+      answer.accept(known);
+    } else if (ruledOut.contains(key) && ageMillis <= bounds.ruleOutMillis()) {
+      answer.accept(new Verdict.RuledOut());
+    } else {
+      freshness.await(
+          receivedNanos, CHECK_MILLIS, proven -> answer.accept(checked(key, proven, ageMillis)));
+    }
+  }
+
+  private Verdict known(ApiKey key) {
+    if (key == null) {
+      return new Verdict.RuledOut();
+    }
+    return directory.get().holderOf(key).map(Verdict.Accepted::new).orElse(null);
+  }
+
+  private Verdict checked(ApiKey key, boolean proven, long ageMillis) {
+    if (!proven) {
+      return undecided(ageMillis);
+    }
+    rememberDropped();
+    Verdict known = known(key);
+    if (known == null) {
+      ruleOut(key);
+    }
+    return Objects.requireNonNullElseGet(known, Verdict.RuledOut::new);
+  }
+
+  /** Keys that a newer configuration no longer holds need no question to the store. */
+  private void rememberDropped() {
+    TenantDirectory current = directory.get();
+    if (current == lastDirectory) {
+      return;
+    }
+    for (ApiKey key : lastDirectory.keys()) {
+      if (current.holderOf(key).isEmpty()) {
+        ruleOut(key);
+      }
+    }
+    lastDirectory = current;
+  }
+
+  private void ruleOut(ApiKey key) {
+    if (ruledOut.size() >= MAX_RULED_OUT) {
+      ruledOut.clear();
+    }
+    ruledOut.add(key);
+  }
+
+  private static Verdict undecided(long ageMillis) {
+    return new Verdict.Undecided(ageMillis == Long.MAX_VALUE ? -1 : ageMillis);
+  }
+
+  private static long toMillis(long nanos) {
+    return nanos == Long.MAX_VALUE ? Long.MAX_VALUE : nanos / 1_000_000;
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -24,6 +24,7 @@
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.history.TurnSource;
+import org.baykeel.gateway.ratelimit.RequestLimiter;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -33,6 +34,7 @@
 import org.baykeel.gateway.testing.TestingResponder;
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingStore.Fault;
+import org.baykeel.gateway.testing.TestingTenancy;
 import org.baykeel.gateway.testing.TestingTransport;
 import org.baykeel.gateway.testing.TestingTransport.Sent;
 import org.junit.jupiter.api.BeforeEach;
@@ -66,6 +68,8 @@
         new GatewayContext(
             eventLoop,
             state,
+            TestingTenancy.withoutKeys(eventLoop),
+            RequestLimiter.NONE,
             new EngineSelector(engines, "z", new Random(1)),
             new BackendChooser(),
             congestion,
@@ -104,7 +108,8 @@
         retained,
         60_000,
         true,
-        resumable);
+        resumable,
+        false);
   }
 
   private ClientCall call(String path) {
@@ -120,7 +125,7 @@
       String path, String id, String previousTurn, String program, String session, long budget) {
     CallAttributes attributes =
         new CallAttributes(
-            id, 3_000, -1, program, session, budget, 500, List.of(), previousTurn, -1, null);
+            id, 3_000, -1, program, session, budget, 500, List.of(), previousTurn, -1, null, null);
     CallRequest request =
         new CallRequest(
             "POST",
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/configuration/TestGatewayConfiguration.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/configuration/TestGatewayConfiguration.java
@@ -17,7 +17,7 @@
   private static Route route(String name, String host, String prefix) {
     List<Backend> backends = List.of(new Backend("s", 1));
     return new Route(
-        name, host, prefix, RouteKind.SAFE, 1, 1, 1, 0, backends, 1, false, 0, false, false);
+        name, host, prefix, RouteKind.SAFE, 1, 1, 1, 0, backends, 1, false, 0, false, false, false);
   }
 
   @Test
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -18,6 +18,7 @@
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.tenancy.Caller;
 import org.baykeel.gateway.testing.ScriptedEngine;
 import org.baykeel.gateway.testing.ScriptedEngine.After;
 import org.baykeel.gateway.testing.ScriptedEngine.Answer;
@@ -86,7 +87,11 @@
     group
         .next()
         .execute(
-            () -> transport.send(engine, new EngineRequest(source, new byte[3], 1, -1), listener));
+            () ->
+                transport.send(
+                    engine,
+                    new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1),
+                    listener));
     String result = end.get(20, TimeUnit.SECONDS);
     // The connection is given back after the read that completed the answer.
     group.next().submit(() -> {}).get();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -31,6 +31,7 @@
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.history.TurnSource;
+import org.baykeel.gateway.ratelimit.RequestLimiter;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -41,6 +42,7 @@
 import org.baykeel.gateway.testing.ScriptedEngine.Answer;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.testing.TestingTenancy;
 import org.baykeel.gateway.testing.TestingTranslator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -87,6 +89,7 @@
             false,
             0,
             false,
+            false,
             false);
     state.offer(new GatewayConfiguration(1, List.of(route), List.of(), LIMITS));
     TestingStore store = new TestingStore(new TestingEventLoop());
@@ -95,6 +98,8 @@
         new GatewayContext(
             eventLoop,
             state,
+            TestingTenancy.withoutKeys(eventLoop),
+            RequestLimiter.NONE,
             new EngineSelector(engines, "z", new Random(1)),
             new BackendChooser(),
             new CongestionMonitor(new Random(1)),
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestBackendChooser.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestBackendChooser.java
@@ -15,7 +15,21 @@
 
   private static Route route(Backend... backends) {
     return new Route(
-        "r", "h", "/", RouteKind.SAFE, 1, 1, 1, 0, List.of(backends), 1, false, 0, false, false);
+        "r",
+        "h",
+        "/",
+        RouteKind.SAFE,
+        1,
+        1,
+        1,
+        0,
+        List.of(backends),
+        1,
+        false,
+        0,
+        false,
+        false,
+        false);
   }
 
   private Map<String, Integer> shares(Route route, boolean keyed, int requests) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
@@ -15,6 +15,7 @@
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.ratelimit.RequestLimiter;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -23,6 +24,7 @@
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingHandover;
 import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.testing.TestingTenancy;
 
 /** One life of one node: everything but the store and the engines is lost with it. */
 final class SimulatedNode {
@@ -61,6 +63,8 @@
             new GatewayContext(
                 eventLoop,
                 state,
+                TestingTenancy.withoutKeys(eventLoop),
+                RequestLimiter.NONE,
                 new EngineSelector(directory, "z", random),
                 new BackendChooser(),
                 new CongestionMonitor(random),
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedProgram.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedProgram.java
@@ -160,7 +160,18 @@
     tries.add(current);
     CallAttributes attributes =
         new CallAttributes(
-            current.id, 3_000, -1, name, name, budget, TURN_TOKENS, List.of(), lastWhole, -1, null);
+            current.id,
+            3_000,
+            -1,
+            name,
+            name,
+            budget,
+            TURN_TOKENS,
+            List.of(),
+            lastWhole,
+            -1,
+            null,
+            null);
     node.accept(
         new CallRequest(
             "POST",
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
@@ -56,7 +56,8 @@
         retained,
         60_000,
         true,
-        resumable);
+        resumable,
+        false);
   }
 
   /** One schedule. */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
@@ -46,7 +46,7 @@
     for (String key : keys) {
       rows.add(new StoredRow(new RowAddress("t", "", key), new byte[0], version));
     }
-    return new ReadOutcome.Rows(rows, more, version);
+    return new ReadOutcome.Rows(rows, more, version, version);
   }
 
   /** Answers in the order of the script and notes the questions. */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
@@ -129,7 +129,8 @@
         found.add(row);
       }
     }
-    answerLater(answer, new ReadOutcome.Rows(found, false, version), ANSWER_MILLIS);
+    answerLater(
+        answer, new ReadOutcome.Rows(found, false, version, eventLoop.nanoTime()), ANSWER_MILLIS);
   }
 
   @Override
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTenancy.java
@@ -0,0 +1,47 @@
+package org.baykeel.gateway.testing;
+
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.function.Supplier;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.tenancy.ApiKey;
+import org.baykeel.gateway.tenancy.ConfigurationFreshness;
+import org.baykeel.gateway.tenancy.KeyAuthenticator;
+import org.baykeel.gateway.tenancy.RateLimit;
+import org.baykeel.gateway.tenancy.Tenant;
+import org.baykeel.gateway.tenancy.TenantDirectory;
+import org.baykeel.gateway.tenancy.TenantId;
+
+/** Tenants and keys for tests. */
+public final class TestingTenancy {
+  /** Bounds of the tests: keys are accepted for 3,750 ms after the last proof. */
+  public static final KeyAuthenticator.Bounds BOUNDS = KeyAuthenticator.Bounds.of(5_000, 3_000);
+
+  private TestingTenancy() {}
+
+  /** An authenticator for a deployment without tenants. */
+  public static KeyAuthenticator withoutKeys(EventLoop eventLoop) {
+    return authenticator(() -> TenantDirectory.NONE, new ConfigurationFreshness(eventLoop));
+  }
+
+  /** An authenticator with the bounds of the tests. */
+  public static KeyAuthenticator authenticator(
+      Supplier<TenantDirectory> directory, ConfigurationFreshness freshness) {
+    return new KeyAuthenticator(directory, freshness, BOUNDS);
+  }
+
+  /** A tenant with a limit. */
+  public static Tenant tenant(String name, double requestsPerSecond, double burst) {
+    return new Tenant(
+        new TenantId(name), OptionalInt.empty(), new RateLimit(requestsPerSecond, burst));
+  }
+
+  /** Tenants without limits, each with the key "key-NAME". */
+  public static TenantDirectory tenants(String... names) {
+    TenantDirectory.Builder builder = new TenantDirectory.Builder();
+    for (String name : names) {
+      builder.add(tenant(name, 0, 0), List.of(new ApiKey("key-" + name)));
+    }
+    return builder.build();
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTranslator.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTranslator.java
@@ -19,7 +19,7 @@
 
   /** Attributes of a request that carries nothing but its identifier. */
   public static CallAttributes attributesOf(String id) {
-    return new CallAttributes(id, -1, -1, null, null, -1, -1, List.of(), null, -1, null);
+    return new CallAttributes(id, -1, -1, null, null, -1, -1, List.of(), null, -1, null, null);
   }
 
   @Override
