Simulation of keys and limits; a spent budget takes nothing off a limit

Change: a turn whose budget is known to be spent is refused before its tenant's limit is asked. "Beyond its limit" means more than two standard deviations above the rate.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
@@ -91,6 +91,12 @@
     return reservation;
   }
 
+  /** Whether a turn is known to go beyond the budget without asking anybody. */
+  boolean exhausted(long budget, int tokens) {
+    budgetTokens = budget;
+    return waiting.isEmpty() && knownExhausted(tokens);
+  }
+
   boolean known() {
     return rowSeen;
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
@@ -43,6 +43,16 @@
     return account(program).reserve(budgetTokens, turnTokens, giveUpNanos, onDecided);
   }
 
+  /**
+   * Whether a turn would be refused at once because its program's budget is spent.
+   *
+   * @param turnTokens the most that the turn may generate
+   */
+  public boolean exhausted(String program, long budgetTokens, int turnTokens) {
+    ProgramAccount account = accounts.get(program);
+    return account != null && account.exhausted(budgetTokens, turnTokens);
+  }
+
   /** Whether this process has learnt of the program from the store. */
   public boolean knows(String program) {
     ProgramAccount account = accounts.get(program);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/Admission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/Admission.java
@@ -108,7 +108,24 @@
     }
   }
 
+  /** A turn that is refused for its budget does not run, so it takes nothing off the limit. */
+  private boolean budgetSpent(Tenant tenant) {
+    CallAttributes attributes = request.attributes();
+    return route.kind() == RouteKind.STREAMING
+        && attributes.budgeted()
+        && context
+            .budgets()
+            .exhausted(
+                Caller.of(tenant).scoped(attributes.programId()),
+                attributes.tokenBudget(),
+                attributes.maxOutputTokens());
+  }
+
   private void takeOffLimit(Tenant tenant) {
+    if (budgetSpent(tenant)) {
+      refuse(tenant, ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
+      return;
+    }
     long patience = request.attributes().patienceMillis(route.timeoutMillis());
     long limitPatience = Math.round(patience * LIMIT_PART_OF_PATIENCE);
     context
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionBuckets.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionBuckets.java
@@ -13,15 +13,18 @@
   /** The shortest time after which a refused program should come back. */
   private static final long OPENING_RETRY_MILLIS = 150;
 
+  private final double extraTokens;
   private final double firstTokens;
   private final Map<TenantId, TokenBucket> buckets = new HashMap<>();
 
   /**
    * Creates buckets.
    *
+   * @param extraTokens what a full bucket holds beyond the tenant's burst
    * @param firstTokens what a bucket holds at first
    */
-  PartitionBuckets(double firstTokens) {
+  PartitionBuckets(double extraTokens, double firstTokens) {
+    this.extraTokens = extraTokens;
     this.firstTokens = firstTokens;
   }
 
@@ -35,7 +38,7 @@
   TokenDecision decide(Tenant tenant, RequestClass kind, int wanted, long nowNanos) {
     TokenBucket bucket =
         buckets.computeIfAbsent(
-            tenant.id(), id -> new TokenBucket(tenant.limit(), firstTokens, nowNanos));
+            tenant.id(), id -> new TokenBucket(tenant.limit(), extraTokens, firstTokens, nowNanos));
     bucket.advance(tenant.limit(), nowNanos);
     double openingReserve =
         bucket.overdrawn() ? RequestClass.OPENING.reserve(bucket.capacity()) : 0;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -166,7 +166,7 @@
     HeldBuckets held = buckets.get(partition);
     if (held == null || !held.tenure().equals(tenure)) {
       double firstTokens = tenure.first() ? Double.MAX_VALUE : bounds.takeoverTokens();
-      held = new HeldBuckets(tenure, new PartitionBuckets(firstTokens));
+      held = new HeldBuckets(tenure, new PartitionBuckets(bounds.extraTokens(), firstTokens));
       buckets.put(partition, held);
     }
     return held.buckets();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/TokenBucket.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/TokenBucket.java
@@ -12,6 +12,10 @@
   /** The span over which the demand is averaged: long against the gaps of a slow tenant. */
   private static final double DEMAND_NANOS = 1e9;
 
+  /** Requests that come by chance pass their mean by this many standard deviations rarely. */
+  private static final double DEVIATIONS = 2;
+
+  private final double extraTokens;
   private RateLimit limit;
   private double tokens;
   private long filledNanos;
@@ -20,21 +24,19 @@
   /**
    * Creates a bucket.
    *
-   * @param tokens what it holds; no more than its capacity counts
+   * @param extraTokens what it holds beyond the limit's burst when it is full
+   * @param tokens what it holds now; no more than its capacity counts
    */
-  TokenBucket(RateLimit limit, double tokens, long nowNanos) {
+  TokenBucket(RateLimit limit, double extraTokens, double tokens, long nowNanos) {
     this.limit = limit;
-    this.tokens = Math.min(capacity(limit), tokens);
+    this.extraTokens = extraTokens;
+    this.tokens = Math.min(capacity(), tokens);
     this.filledNanos = nowNanos;
   }
 
-  /** A limit without a burst still lets one request run at a time. */
-  private static double capacity(RateLimit limit) {
-    return Math.max(1, limit.burst());
-  }
-
+  /** What it holds when it is full; without a burst still one request may run at a time. */
   double capacity() {
-    return capacity(limit);
+    return Math.max(1, limit.burst()) + extraTokens;
   }
 
   /** Fills the bucket for the time that passed and takes a changed limit into account. */
@@ -63,9 +65,10 @@
     return tokens;
   }
 
-  /** Whether more was asked for lately than the limit allows for long. */
+  /** Whether more was asked for lately than the limit allows for long, chance set aside. */
   boolean overdrawn() {
-    return demand > limit.requestsPerSecond() * (DEMAND_NANOS * 1e-9);
+    double allowed = limit.requestsPerSecond() * (DEMAND_NANOS * 1e-9);
+    return demand > allowed + DEVIATIONS * Math.sqrt(allowed);
   }
 
   /** When the bucket will hold so many tokens, if none is taken until then. */
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestTokenBucket.java
@@ -0,0 +1,114 @@
+package org.baykeel.gateway.ratelimit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.baykeel.gateway.tenancy.RateLimit;
+import org.baykeel.gateway.tenancy.Tenant;
+import org.baykeel.gateway.testing.TestingTenancy;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TestTokenBucket {
+  private static final long SECOND = 1_000_000_000L;
+
+  @Test
+  void givesItsBurstAndThenItsRate() {
+    RateLimit limit = new RateLimit(10, 5);
+    TokenBucket bucket = new TokenBucket(limit, 0, 100, 0);
+    assertEquals(5, bucket.take(50));
+    bucket.advance(limit, SECOND / 2);
+    assertEquals(5, bucket.take(50));
+    bucket.advance(limit, 60 * SECOND);
+    assertEquals(5, bucket.take(50));
+  }
+
+  @ParameterizedTest(name = "rate {0}, burst {1}, {2} ms apart")
+  @CsvSource({"10, 5, 7", "0.5, 0, 333", "264, 264, 1", "3, 40, 1000", "1000, 1, 3"})
+  void neverPassesBurstAndRate(double rate, double burst, long stepMillis) {
+    RateLimit limit = new RateLimit(rate, burst);
+    TokenBucket bucket = new TokenBucket(limit, 0, burst, 0);
+    long taken = 0;
+    for (long now = 0; now < 20 * SECOND; now += stepMillis * 1_000_000) {
+      bucket.advance(limit, now);
+      taken += bucket.take(3);
+      assertTrue(taken <= Math.max(1, burst) + rate * now / SECOND + 1e-6);
+    }
+    assertTrue(taken > 0);
+  }
+
+  @Test
+  void holdsSomeBeyondASmallBurst() {
+    RateLimit limit = new RateLimit(4, 4);
+    assertEquals(12, new TokenBucket(limit, 8, Double.MAX_VALUE, 0).take(50));
+    assertEquals(2, new TokenBucket(limit, 8, 2, 0).take(50));
+  }
+
+  @Test
+  void aClockThatStandsStillFillsNothing() {
+    RateLimit limit = new RateLimit(10, 5);
+    TokenBucket bucket = new TokenBucket(limit, 0, 0, SECOND);
+    bucket.advance(limit, SECOND);
+    bucket.advance(limit, 0);
+    assertEquals(0, bucket.take(1));
+  }
+
+  @Test
+  void aLowerLimitTakesTokensAwayAtOnce() {
+    TokenBucket bucket = new TokenBucket(new RateLimit(100, 100), 0, 100, 0);
+    bucket.advance(new RateLimit(2, 3), 0);
+    assertEquals(3, bucket.take(100));
+    bucket.advance(new RateLimit(2, 3), SECOND);
+    assertEquals(2, bucket.take(100));
+  }
+
+  @Test
+  void tellsWhenThereWillBeTokens() {
+    TokenBucket bucket = new TokenBucket(new RateLimit(4, 8), 0, 0, 0);
+    assertEquals(250, bucket.millisUntil(1));
+    assertEquals(1_000, bucket.millisUntil(4));
+  }
+
+  @Test
+  void programsBeginOnlyWhileATenantBeyondItsLimitHasRoomForThoseThatRun() {
+    Tenant tenant = TestingTenancy.tenant("t", 20, 20);
+    PartitionBuckets buckets = new PartitionBuckets(0, Double.MAX_VALUE);
+    int opened = 0;
+    int continued = 0;
+    for (long now = 0; now < 5 * SECOND; now += 10_000_000) {
+      opened += buckets.decide(tenant, RequestClass.OPENING, 1, now).tokens();
+      continued += buckets.decide(tenant, RequestClass.CONTINUING, 1, now).tokens();
+    }
+    assertTrue(opened + continued <= 120, opened + " " + continued);
+    assertTrue(continued > 4 * opened, opened + " " + continued);
+  }
+
+  @Test
+  void aTenantBelowItsLimitMayBeginProgramsWithItsLastToken() {
+    Tenant tenant = TestingTenancy.tenant("t", 20, 20);
+    PartitionBuckets buckets = new PartitionBuckets(0, 1);
+    assertEquals(1, buckets.decide(tenant, RequestClass.OPENING, 1, 0).tokens());
+  }
+
+  @Test
+  void aRefusalTellsWhenToComeBack() {
+    Tenant tenant = TestingTenancy.tenant("t", 10, 1);
+    PartitionBuckets buckets = new PartitionBuckets(0, 0);
+    TokenDecision refused = buckets.decide(tenant, RequestClass.CONTINUING, 1, 0);
+    assertEquals(0, refused.tokens());
+    assertFalse(refused.openingsAllowed());
+    assertEquals(100, refused.retryMillis());
+    long later = refused.retryMillis() * 1_000_000;
+    assertEquals(1, buckets.decide(tenant, RequestClass.CONTINUING, 1, later).tokens());
+  }
+
+  @Test
+  void aSliceIsAPartOfWhatIsLeft() {
+    Tenant tenant = TestingTenancy.tenant("t", 1, 40);
+    PartitionBuckets buckets = new PartitionBuckets(0, Double.MAX_VALUE);
+    assertEquals(10, buckets.decide(tenant, RequestClass.CONTINUING, 64, 0).tokens());
+    assertEquals(7, buckets.decide(tenant, RequestClass.CONTINUING, 64, 0).tokens());
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TenancyNode.java
@@ -0,0 +1,281 @@
+package org.baykeel.gateway.simulation;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerMessageCodec;
+import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.ratelimit.LimitBounds;
+import org.baykeel.gateway.ratelimit.PartitionLeases;
+import org.baykeel.gateway.ratelimit.PartitionOrder;
+import org.baykeel.gateway.ratelimit.RequestClass;
+import org.baykeel.gateway.ratelimit.RequestLimiter.Decision;
+import org.baykeel.gateway.ratelimit.SharedRequestLimiter;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.storage.DurableStore;
+import org.baykeel.gateway.storage.RangeRead;
+import org.baykeel.gateway.storage.ReadOutcome;
+import org.baykeel.gateway.storage.StoreClock;
+import org.baykeel.gateway.storage.StoredRow;
+import org.baykeel.gateway.storage.TableWatcher;
+import org.baykeel.gateway.storage.Transaction;
+import org.baykeel.gateway.storage.TransactionOutcome;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.tenancy.ApiKey;
+import org.baykeel.gateway.tenancy.ConfigurationFreshness;
+import org.baykeel.gateway.tenancy.KeyAuthenticator;
+import org.baykeel.gateway.tenancy.KeyAuthenticator.Verdict;
+import org.baykeel.gateway.tenancy.TenantDirectory;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.testing.TestingTenancy;
+
+/** One life of one node, as far as keys and limits go; it can lose power, freeze and be cut off. */
+final class TenancyNode implements PeerTransport.Receiver {
+  /** The store's clock is this far from the simulation's. */
+  private static final long STORE_OFFSET_MILLIS = 77_777;
+
+  private static final long LOST_MILLIS = 1_000;
+
+  private final PeerAddress address;
+  private final TestingEventLoop time;
+  private final TestingStore store;
+  private final Loop loop = new Loop();
+  private final StoreClock clock = new StoreClock();
+  private final ConfigurationFreshness freshness = new ConfigurationFreshness(loop);
+  private final KeyAuthenticator authenticator;
+  private final SharedRequestLimiter limiter;
+  private final PeerMessageCodec codec = new PeerMessageCodec();
+  private final ArrayDeque<Runnable> frozenTasks = new ArrayDeque<>();
+  private TenantDirectory directory = TenantDirectory.NONE;
+  private boolean configured;
+  private boolean dead;
+  private boolean frozen;
+  private boolean cutFromStore;
+
+  /** Reads the tenants of a version of the configuration. */
+  interface Catalogue {
+    TenantDirectory tenants(String version);
+  }
+
+  /** The node's own loop: what comes due while the process stands still runs when it goes on. */
+  private final class Loop implements EventLoop {
+    @Override
+    public long nanoTime() {
+      return time.nanoTime();
+    }
+
+    @Override
+    public Timer schedule(long delayMillis, Runnable task) {
+      boolean[] cancelled = new boolean[1];
+      time.schedule(
+          delayMillis,
+          () ->
+              runOrKeep(
+                  () -> {
+                    if (!cancelled[0]) {
+                      task.run();
+                    }
+                  }));
+      return () -> cancelled[0] = true;
+    }
+  }
+
+  /** The node's way to the store. */
+  private final class Path implements DurableStore {
+    private boolean broken(Consumer<?> answer, Runnable lost) {
+      if (cutFromStore) {
+        loop.schedule(LOST_MILLIS, lost);
+      }
+      return cutFromStore;
+    }
+
+    @Override
+    public void transact(Transaction transaction, Consumer<TransactionOutcome> answer) {
+      if (broken(answer, () -> answer.accept(new TransactionOutcome.Unknown("cut")))) {
+        return;
+      }
+      long sent = time.nanoTime();
+      store.transact(transaction, outcome -> arrive(sent, answer, outcome));
+    }
+
+    @Override
+    public void read(RangeRead read, Consumer<ReadOutcome> answer) {
+      if (broken(answer, () -> answer.accept(new ReadOutcome.Failed("cut")))) {
+        return;
+      }
+      long sent = time.nanoTime();
+      store.read(read, outcome -> arrive(sent, answer, outcome));
+    }
+
+    @Override
+    public void watch(String table, long after, int wait, Consumer<ReadOutcome> answer) {
+      if (broken(answer, () -> answer.accept(new ReadOutcome.Failed("cut")))) {
+        return;
+      }
+      long sent = time.nanoTime();
+      store.watch(table, after, wait, outcome -> arrive(sent, answer, outcome));
+    }
+
+    private <T> void arrive(long sentNanos, Consumer<T> answer, T outcome) {
+      long storeMillis = time.nanoTime() / 1_000_000 + STORE_OFFSET_MILLIS;
+      runOrKeep(
+          () -> {
+            clock.observe(sentNanos, time.nanoTime(), storeMillis);
+            answer.accept(outcome);
+          });
+    }
+  }
+
+  TenancyNode(
+      PeerAddress address,
+      TestingEventLoop time,
+      TestingStore store,
+      PeerTransport transport,
+      Collection<PeerAddress> others,
+      Catalogue catalogue,
+      Random random) {
+    this.address = address;
+    this.time = time;
+    this.store = store;
+    Path path = new Path();
+    authenticator = TestingTenancy.authenticator(() -> directory, freshness);
+    PartitionLeases leases =
+        new PartitionLeases(
+            address,
+            path,
+            clock,
+            loop,
+            random.nextLong(),
+            new PartitionOrder(address, () -> others),
+            (event, fields) -> {});
+    limiter =
+        new SharedRequestLimiter(
+            leases,
+            (receiver, datagram) -> {
+              if (!dead) {
+                transport.send(receiver, datagram);
+              }
+            },
+            codec,
+            loop,
+            LimitBounds.of(5, 0.1, 20),
+            id -> directory.find(id),
+            random.nextLong(),
+            new GatewayMetrics());
+    TableWatcher watcher =
+        new TableWatcher(
+            "op",
+            path,
+            1_500,
+            0,
+            (task, millis) -> loop.schedule(millis, task),
+            new Configuration(catalogue));
+    freshness.checkBy(watcher::check);
+    watcher.start();
+    limiter.start();
+  }
+
+  /** Follows the operator's configuration. */
+  private final class Configuration implements TableWatcher.Listener {
+    private final Catalogue catalogue;
+
+    Configuration(Catalogue catalogue) {
+      this.catalogue = catalogue;
+    }
+
+    @Override
+    public void onSnapshot(List<StoredRow> rows) {
+      onChanges(rows);
+      freshness.check();
+    }
+
+    @Override
+    public void onChanges(List<StoredRow> rows) {
+      for (StoredRow row : rows) {
+        directory = catalogue.tenants(new String(row.value(), StandardCharsets.US_ASCII));
+        configured = true;
+      }
+    }
+
+    @Override
+    public void onComplete(long nanos) {
+      freshness.proven(nanos);
+    }
+  }
+
+  private void runOrKeep(Runnable task) {
+    if (dead) {
+      return;
+    }
+    if (frozen) {
+      frozenTasks.add(task);
+    } else {
+      task.run();
+    }
+  }
+
+  @Override
+  public void receive(PeerAddress sender, byte[] datagram) {
+    runOrKeep(
+        () -> codec.decode(datagram).ifPresent(message -> limiter.onMessage(sender, message)));
+  }
+
+  /** Takes a request; {@code run} is called if it may run, {@code limited} if its limit is over. */
+  void request(ApiKey key, RequestClass kind, Runnable run, Runnable limited) {
+    runOrKeep(
+        () -> {
+          if (configured) {
+            authenticator.judge(
+                key, time.nanoTime(), verdict -> onVerdict(verdict, kind, run, limited));
+          }
+        });
+  }
+
+  private void onVerdict(Verdict verdict, RequestClass kind, Runnable run, Runnable limited) {
+    if (verdict instanceof Verdict.Accepted accepted) {
+      limiter.decide(
+          accepted.tenant(),
+          kind,
+          900,
+          decision -> {
+            if (decision instanceof Decision.Allowed) {
+              run.run();
+            } else if (decision instanceof Decision.Exceeded) {
+              limited.run();
+            }
+          });
+    }
+  }
+
+  PeerAddress address() {
+    return address;
+  }
+
+  void freeze(boolean freeze) {
+    frozen = freeze;
+    while (!frozen && !frozenTasks.isEmpty()) {
+      frozenTasks.poll().run();
+    }
+  }
+
+  boolean frozen() {
+    return frozen;
+  }
+
+  void cutFromStore(boolean cut) {
+    cutFromStore = cut;
+  }
+
+  void stopAsPlanned() {
+    runOrKeep(limiter::stop);
+  }
+
+  void losePower() {
+    dead = true;
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingPeerNetwork.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingPeerNetwork.java
@@ -1,17 +1,27 @@
 package org.baykeel.gateway.testing;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerTransport;
 import org.baykeel.gateway.runtime.EventLoop;
 
-/** Datagrams between nodes in memory and virtual time; none is lost unless its receiver is gone. */
+/**
+ * Datagrams between nodes in memory and virtual time; none is lost unless its receiver is gone or
+ * the test says so.
+ */
 public final class TestingPeerNetwork {
   private static final long WAY_MILLIS = 2;
+  private static final long DOUBLE_MILLIS = 70;
 
   private final EventLoop eventLoop;
   private final Map<PeerAddress, PeerTransport.Receiver> receivers = new HashMap<>();
+  private final Set<String> cutWays = new HashSet<>();
+  private double lossShare;
+  private Random random = new Random(0);
   private long sentBytes;
 
   public TestingPeerNetwork(EventLoop eventLoop) {
@@ -23,6 +33,21 @@
     receivers.put(address, receiver);
   }
 
+  /** Cuts or mends the way from one address to another; the way back is another one. */
+  public void cut(PeerAddress from, PeerAddress to, boolean cut) {
+    if (cut) {
+      cutWays.add(from + " " + to);
+    } else {
+      cutWays.remove(from + " " + to);
+    }
+  }
+
+  /** Loses a share of all datagrams, and doubles as many. */
+  public void lose(double share, Random newRandom) {
+    lossShare = share;
+    random = newRandom;
+  }
+
   /** Drops what is sent to an address from now on. */
   public void detach(PeerAddress address) {
     receivers.remove(address);
@@ -32,7 +57,13 @@
   public PeerTransport transportOf(PeerAddress sender) {
     return (receiver, datagram) -> {
       sentBytes += datagram.length;
+      if (cutWays.contains(sender + " " + receiver) || random.nextDouble() < lossShare) {
+        return;
+      }
       eventLoop.schedule(WAY_MILLIS, () -> deliver(sender, receiver, datagram));
+      if (random.nextDouble() < lossShare) {
+        eventLoop.schedule(DOUBLE_MILLIS, () -> deliver(sender, receiver, datagram));
+      }
     };
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.testing;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -31,6 +32,7 @@
   }
 
   private static final long LATE_MILLIS = 3_000;
+  private static final long WATCH_STEP_MILLIS = 10;
 
   private final EventLoop eventLoop;
   private final Map<String, StoredRow> rows = new TreeMap<>();
@@ -40,9 +42,12 @@
   private long version = 10;
   private int transactions;
   private int reads;
+  private long deafUntilNanos;
+  private long deafSinceVersion;
 
   public TestingStore(EventLoop eventLoop) {
     this.eventLoop = eventLoop;
+    this.deafUntilNanos = eventLoop.nanoTime();
   }
 
   /** Applies a fault to all transactions from now on. */
@@ -135,7 +140,42 @@
 
   @Override
   public void watch(String table, long afterVersion, int waitMillis, Consumer<ReadOutcome> answer) {
-    throw new UnsupportedOperationException("tests of the watcher script their own answers");
+    watchUntil(table, afterVersion, eventLoop.nanoTime() + waitMillis * 1_000_000L, answer);
+  }
+
+  private void watchUntil(
+      String table, long afterVersion, long endNanos, Consumer<ReadOutcome> answer) {
+    if (readsFail) {
+      answerLater(answer, new ReadOutcome.Failed("down"), ANSWER_MILLIS);
+      return;
+    }
+    boolean deaf = eventLoop.nanoTime() - deafUntilNanos < 0;
+    List<StoredRow> changed =
+        rows.values().stream()
+            .filter(row -> row.address().table().equals(table) && row.version() > afterVersion)
+            .filter(row -> !deaf || row.version() <= deafSinceVersion)
+            .sorted(Comparator.comparingLong(StoredRow::version))
+            .toList();
+    if (changed.isEmpty() && eventLoop.nanoTime() - endNanos < 0) {
+      eventLoop.schedule(
+          WATCH_STEP_MILLIS, () -> watchUntil(table, afterVersion, endNanos, answer));
+      return;
+    }
+    long told = deaf ? Math.max(afterVersion, deafSinceVersion) : version;
+    answerLater(
+        answer, new ReadOutcome.Rows(changed, false, told, eventLoop.nanoTime()), ANSWER_MILLIS);
+  }
+
+  /** Writes a row as the operator would, whatever happens to the nodes' transactions. */
+  public void put(RowAddress address, byte[] value) {
+    version++;
+    rows.put(key(address), new StoredRow(address, value, version));
+  }
+
+  /** Lets the feed tell nothing of the changes that are made from now on, for a while. */
+  public void deafen(long millis) {
+    deafUntilNanos = eventLoop.nanoTime() + millis * 1_000_000;
+    deafSinceVersion = version;
   }
 
   /** The value of a row, or null. */
