Proofs of the configuration travel with answers for tokens

Change: an answer for tokens carries the version and the proven moment of the node that answers, by the store's clock; the newest proof of 16 holders is some tens of milliseconds old, at no further message. Keys are accepted until 1.1 s before the bound (3.9 s of 5; 3.75 before). Leases last 4 s, renewed each 0.6 s. A holder knows which programs have begun, so that a program that moves is not taken for a new one. In an outage of the store for all, callers are told to come back after 1 s: their tries then outlast it.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/Admission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/Admission.java
@@ -1,10 +1,13 @@
 package org.baykeel.gateway.call;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.ratelimit.LimitedRequest;
 import org.baykeel.gateway.ratelimit.RequestClass;
 import org.baykeel.gateway.ratelimit.RequestLimiter.Decision;
 import org.baykeel.gateway.tenancy.Caller;
@@ -21,6 +24,12 @@
   /** Other nodes may have a configuration that is recent enough; the caller tries one of them. */
   private static final long STALE_RETRY_MILLIS = 100;
 
+  /**
+   * The store is silent for all nodes, as far as this one can tell. Callers wait no longer than a
+   * third of the time that they have, and their few tries should last until it is back.
+   */
+  private static final long OUTAGE_RETRY_MILLIS = 1_000;
+
   /** A bucket without a holder gets one within a lease. */
   private static final long NO_HOLDER_RETRY_MILLIS = 300;
 
@@ -101,7 +110,7 @@
     } else if (verdict instanceof Verdict.Undecided undecided) {
       context.metrics().keyJudged("undecided");
       String detail = "configuration too old, proven_ms_ago=" + undecided.ageMillis();
-      refuse(ErrorKind.NOT_READY, STALE_RETRY_MILLIS, detail);
+      refuse(ErrorKind.NOT_READY, retryMillis(STALE_RETRY_MILLIS), detail);
     } else {
       context.metrics().keyJudged("ruled_out");
       refuse(ErrorKind.UNAUTHORIZED, 0, "no tenant holds key " + request.attributes().apiKey());
@@ -121,6 +130,10 @@
                 attributes.maxOutputTokens());
   }
 
+  private long retryMillis(long whileOthersServe) {
+    return context.storeHealth().reachable() ? whileOthersServe : OUTAGE_RETRY_MILLIS;
+  }
+
   private void takeOffLimit(Tenant tenant) {
     if (budgetSpent(tenant)) {
       refuse(tenant, ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
@@ -130,14 +143,20 @@
     long limitPatience = Math.round(patience * LIMIT_PART_OF_PATIENCE);
     context
         .limiter()
-        .decide(tenant, kind(tenant), limitPatience, decision -> onDecision(tenant, decision));
+        .decide(limited(tenant), limitPatience, decision -> onDecision(tenant, decision));
   }
 
-  private RequestClass kind(Tenant tenant) {
+  private LimitedRequest limited(Tenant tenant) {
     CallAttributes attributes = request.attributes();
-    boolean known = context.budgets().knows(Caller.of(tenant).scoped(attributes.programId()));
-    boolean opening = route.kind() == RouteKind.STREAMING && attributes.firstLine() && !known;
-    return opening ? RequestClass.OPENING : RequestClass.CONTINUING;
+    String program = Caller.of(tenant).scoped(attributes.programId());
+    boolean opening =
+        route.kind() == RouteKind.STREAMING
+            && attributes.firstLine()
+            && !context.budgets().knows(program);
+    return new LimitedRequest(
+        tenant,
+        opening ? RequestClass.OPENING : RequestClass.CONTINUING,
+        Optional.ofNullable(program).map(ProgramId::new));
   }
 
   private void onDecision(Tenant tenant, Decision decision) {
@@ -153,7 +172,11 @@
               + exceeded.left();
       refuse(tenant, ErrorKind.RATE_LIMITED, exceeded.retryMillis(), detail);
     } else {
-      refuse(tenant, ErrorKind.NOT_READY, NO_HOLDER_RETRY_MILLIS, "nobody holds the limit");
+      refuse(
+          tenant,
+          ErrorKind.NOT_READY,
+          retryMillis(NO_HOLDER_RETRY_MILLIS),
+          "nobody holds the limit");
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.tenancy.ConfigurationProof;
 import org.baykeel.gateway.tenancy.TenantId;
 
 /** What nodes tell each other. */
@@ -46,10 +47,12 @@
    *
    * @param questionId chosen by the sender; the reply carries it
    * @param wanted how many tokens are wanted; one is enough
-   * @param opening whether a program begins with the request
+   * @param opening whether a program begins with the request, as far as the sender knows
+   * @param programHash a number of its program; 0 if it has none
    * @param tenant the tenant
    */
-  record LimitTokenRequest(long questionId, int wanted, boolean opening, TenantId tenant)
+  record LimitTokenRequest(
+      long questionId, int wanted, boolean opening, int programHash, TenantId tenant)
       implements PeerMessage {}
 
   /**
@@ -61,6 +64,7 @@
    * @param openingsAllowed whether programs may begin with them
    * @param retryMillis when there will be some; 0 if some were given
    * @param left what the bucket still holds
+   * @param proof what proves the sender's configuration, if it has any proof
    */
   record LimitTokenReply(
       long questionId,
@@ -68,12 +72,20 @@
       int tokens,
       boolean openingsAllowed,
       long retryMillis,
-      float left)
+      float left,
+      Optional<ConfigurationProof> proof)
       implements PeerMessage {
 
+    /** The same reply with a proof of the sender's configuration as of now. */
+    public LimitTokenReply with(Optional<ConfigurationProof> own) {
+      return new LimitTokenReply(
+          questionId, outcome, tokens, openingsAllowed, retryMillis, left, own);
+    }
+
     /** The reply of a node that does not hold the tenant's bucket. */
     public static LimitTokenReply notHeld(long questionId) {
-      return new LimitTokenReply(questionId, LimitTokenOutcome.NOT_HELD, 0, false, 0, 0);
+      return new LimitTokenReply(
+          questionId, LimitTokenOutcome.NOT_HELD, 0, false, 0, 0, Optional.empty());
     }
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -5,6 +5,7 @@
 import org.agrona.concurrent.UnsafeBuffer;
 import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.tenancy.ConfigurationProof;
 import org.baykeel.gateway.tenancy.TenantId;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeEncoder;
@@ -76,6 +77,7 @@
           .questionId(request.questionId())
           .wanted(request.wanted())
           .opening((short) (request.opening() ? 1 : 0))
+          .programHash(request.programHash())
           .tenant(request.tenant().value())
           .encodedLength();
     }
@@ -88,6 +90,9 @@
           .openingsAllowed((short) (reply.openingsAllowed() ? 1 : 0))
           .retryMillis(Math.min(MAX_RETRY_MILLIS, reply.retryMillis()))
           .left(reply.left())
+          .proven((short) (reply.proof().isPresent() ? 1 : 0))
+          .configurationVersion(reply.proof().map(ConfigurationProof::version).orElse(0L))
+          .provenStoreMillis(reply.proof().map(ConfigurationProof::storeMillis).orElse(0L))
           .encodedLength();
     }
     return new NodeAnnouncementEncoder().wrapAndApplyHeader(buffer, 0, header).encodedLength();
@@ -116,6 +121,14 @@
     }
   }
 
+  private static Optional<ConfigurationProof> proof(LimitTokenReplyDecoder decoder) {
+    if (decoder.proven() == 0) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new ConfigurationProof(decoder.configurationVersion(), decoder.provenStoreMillis()));
+  }
+
   private static Optional<PeerMessage> decodeBody(
       MessageHeaderDecoder header, UnsafeBuffer received) {
     return switch (header.templateId()) {
@@ -153,6 +166,7 @@
                 decoder.questionId(),
                 decoder.wanted(),
                 decoder.opening() != 0,
+                decoder.programHash(),
                 new TenantId(decoder.tenant())));
       }
       case LimitTokenReplyDecoder.TEMPLATE_ID -> {
@@ -167,7 +181,8 @@
                         decoder.tokens(),
                         decoder.openingsAllowed() != 0,
                         decoder.retryMillis(),
-                        decoder.left()));
+                        decoder.left(),
+                        proof(decoder)));
       }
       default -> Optional.empty();
     };
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionBuckets.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionBuckets.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.ratelimit;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.baykeel.gateway.tenancy.Tenant;
 import org.baykeel.gateway.tenancy.TenantId;
@@ -10,12 +11,24 @@
   /** A share of the tokens that are left, so that many nodes that ask for slices all get some. */
   private static final double LARGEST_SLICE = 0.25;
 
+  /** Programs that have begun, as they are known here; those unheard of for longest go first. */
+  private static final int MAX_PROGRAMS = 4_096;
+
   /** The shortest time after which a refused program should come back. */
   private static final long OPENING_RETRY_MILLIS = 150;
 
   private final double extraTokens;
   private final double firstTokens;
   private final Map<TenantId, TokenBucket> buckets = new HashMap<>();
+  private final Map<Integer, Boolean> begunPrograms =
+      new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Integer, Boolean> eldest) {
+          return size() > MAX_PROGRAMS;
+        }
+      };
 
   /**
    * Creates buckets.
@@ -32,10 +45,14 @@
    * Decides on a request for tokens.
    *
    * @param tenant a tenant with a limit
-   * @param kind what the first of the tokens is for
+   * @param asked what the first of the tokens is for, as far as the node that asks knows
+   * @param programHash of its program; a program that has begun elsewhere is known here by it
    * @param wanted how many tokens are wanted; one is enough
    */
-  TokenDecision decide(Tenant tenant, RequestClass kind, int wanted, long nowNanos) {
+  TokenDecision decide(
+      Tenant tenant, RequestClass asked, int programHash, int wanted, long nowNanos) {
+    boolean begun = begunPrograms.get(programHash) != null;
+    RequestClass kind = begun ? RequestClass.CONTINUING : asked;
     TokenBucket bucket =
         buckets.computeIfAbsent(
             tenant.id(), id -> new TokenBucket(tenant.limit(), extraTokens, firstTokens, nowNanos));
@@ -53,6 +70,9 @@
     }
     int slice = (int) Math.max(1, Math.min(wanted, bucket.tokens() * LARGEST_SLICE));
     int taken = bucket.take(slice);
+    if (programHash != LimitedRequest.NO_PROGRAM) {
+      begunPrograms.put(programHash, true);
+    }
     bucket.asked(taken);
     boolean openingsAllowed = bucket.tokens() >= openingReserve;
     return new TokenDecision(taken, openingsAllowed, 0, bucket.tokens());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionLeases.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionLeases.java
@@ -33,10 +33,13 @@
    * outage of the store stops tenants that might still be served, whose keys count for about as
    * long.
    */
-  static final long LEASE_MILLIS = 3_000;
+  static final long LEASE_MILLIS = 4_000;
 
-  /** Three renewals may fail before a lease is over. */
-  private static final long RENEW_MILLIS = 900;
+  /**
+   * Renewals are more frequent than the safety of a lease asks for: what is left of the leases when
+   * the store falls silent is how long tenants with limits are served in the outage.
+   */
+  private static final long RENEW_MILLIS = 600;
 
   /** Between two reads of the rows while some partition is free. */
   private static final long REFRESH_MILLIS = 60;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/RequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/RequestLimiter.java
@@ -1,14 +1,12 @@
 package org.baykeel.gateway.ratelimit;
 
 import java.util.function.Consumer;
-import org.baykeel.gateway.tenancy.Tenant;
 
 /** Decides whether a request of a tenant may run within the tenant's limit. */
 @FunctionalInterface
 public interface RequestLimiter {
   /** Lets every request run. */
-  RequestLimiter NONE =
-      (tenant, kind, patienceMillis, answer) -> answer.accept(new Decision.Allowed());
+  RequestLimiter NONE = (request, patienceMillis, answer) -> answer.accept(new Decision.Allowed());
 
   /** What was decided on a request. */
   sealed interface Decision {
@@ -30,10 +28,9 @@
   /**
    * Decides on one request.
    *
-   * @param tenant its tenant
-   * @param kind its place in its program
+   * @param request what is known of it
    * @param patienceMillis the longest time that the decision may take
    * @param answer takes the decision, exactly once, possibly before this returns
    */
-  void decide(Tenant tenant, RequestClass kind, long patienceMillis, Consumer<Decision> answer);
+  void decide(LimitedRequest request, long patienceMillis, Consumer<Decision> answer);
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -15,6 +15,7 @@
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.telemetry.GatewayMetrics.LimitFigure;
+import org.baykeel.gateway.tenancy.ProofExchange;
 import org.baykeel.gateway.tenancy.Tenant;
 import org.baykeel.gateway.tenancy.TenantId;
 
@@ -54,6 +55,7 @@
   private final EventLoop eventLoop;
   private final LimitBounds bounds;
   private final Function<TenantId, Optional<Tenant>> tenants;
+  private final ProofExchange proofs;
   private final GatewayMetrics metrics;
   private final Map<LimitPartition, HeldBuckets> buckets = new HashMap<>();
   private final Map<TenantId, OwnUse> ownUse = new HashMap<>();
@@ -96,6 +98,7 @@
    * @param transport the way to the other nodes
    * @param bounds how exactly limits are kept
    * @param tenants the tenants of the configuration in force
+   * @param proofs what proves the configuration; answers carry it along
    * @param firstQuestionId a random number, so that no question is like one of an earlier life
    */
   @SuppressWarnings("ParameterNumber")
@@ -106,6 +109,7 @@
       EventLoop eventLoop,
       LimitBounds bounds,
       Function<TenantId, Optional<Tenant>> tenants,
+      ProofExchange proofs,
       long firstQuestionId,
       GatewayMetrics metrics) {
     this.leases = leases;
@@ -115,6 +119,7 @@
     this.bounds = bounds;
     this.tenants = tenants;
     this.lastQuestionId = firstQuestionId;
+    this.proofs = proofs;
     this.metrics = metrics;
   }
 
@@ -134,8 +139,8 @@
   }
 
   @Override
-  public void decide(
-      Tenant tenant, RequestClass kind, long patienceMillis, Consumer<Decision> answer) {
+  public void decide(LimitedRequest request, long patienceMillis, Consumer<Decision> answer) {
+    Tenant tenant = request.tenant();
     if (tenant.limit().unlimited()) {
       answer.accept(new Decision.Allowed());
       return;
@@ -143,23 +148,24 @@
     long now = eventLoop.nanoTime();
     OwnUse use = ownUse.computeIfAbsent(tenant.id(), id -> new OwnUse());
     double demand = use.asked(now);
-    if (use.slice.take(kind, now)) {
+    if (use.slice.take(request.kind(), now)) {
       metrics.limitCounted(LimitFigure.FROM_SLICE, 1);
       answer.accept(new Decision.Allowed());
       return;
     }
     double ahead = demand * (bounds.holdMillis() / 1e3) * SLICE_PART_OF_HOLD;
     int wanted = (int) Math.min(MAX_SLICE, 1 + ahead);
-    new Question(++lastQuestionId, tenant, kind, wanted, patienceMillis, answer).proceed();
+    new Question(++lastQuestionId, request, wanted, patienceMillis, answer).proceed();
   }
 
   /** Decides from this node's own bucket; nothing if it does not hold the partition. */
-  private Optional<TokenDecision> decideHere(Tenant tenant, RequestClass kind, int wanted) {
+  private Optional<TokenDecision> decideHere(
+      Tenant tenant, RequestClass kind, int programHash, int wanted) {
     LimitPartition partition = LimitPartition.of(tenant.id());
     return leases
         .tenure(partition)
         .map(tenure -> bucketsOf(partition, tenure))
-        .map(held -> held.decide(tenant, kind, wanted, eventLoop.nanoTime()));
+        .map(held -> held.decide(tenant, kind, programHash, wanted, eventLoop.nanoTime()));
   }
 
   private PartitionBuckets bucketsOf(LimitPartition partition, PartitionLeases.Tenure tenure) {
@@ -193,7 +199,7 @@
         answers.put(asked, reply);
       }
     }
-    transport.send(sender, codec.encode(reply));
+    transport.send(sender, codec.encode(reply.with(proofs.own())));
   }
 
   private PeerMessage.LimitTokenReply answerTo(PeerMessage.LimitTokenRequest request) {
@@ -204,7 +210,7 @@
     }
     int wanted = Math.max(1, Math.min(MAX_SLICE, request.wanted()));
     RequestClass kind = request.opening() ? RequestClass.OPENING : RequestClass.CONTINUING;
-    return decideHere(tenant, kind, wanted)
+    return decideHere(tenant, kind, request.programHash(), wanted)
         .map(decision -> replyOf(request.questionId(), decision))
         .orElseGet(() -> PeerMessage.LimitTokenReply.notHeld(request.questionId()));
   }
@@ -217,15 +223,15 @@
         decision.tokens(),
         decision.openingsAllowed(),
         decision.retryMillis(),
-        (float) decision.left());
+        (float) decision.left(),
+        Optional.empty());
   }
 
   /** A request that waits for a token. */
   private final class Question {
     private final long id;
-    private final Tenant tenant;
+    private final LimitedRequest request;
     private final LimitPartition partition;
-    private final RequestClass kind;
     private final int wanted;
     private final Consumer<Decision> answer;
     private final long endNanos;
@@ -236,22 +242,21 @@
 
     Question(
         long id,
-        Tenant tenant,
-        RequestClass kind,
+        LimitedRequest request,
         int wanted,
         long patienceMillis,
         Consumer<Decision> answer) {
       this.id = id;
-      this.tenant = tenant;
-      this.partition = LimitPartition.of(tenant.id());
-      this.kind = kind;
+      this.request = request;
+      this.partition = LimitPartition.of(request.tenant().id());
       this.wanted = wanted;
       this.answer = answer;
       this.endNanos = eventLoop.nanoTime() + patienceMillis * 1_000_000;
     }
 
     void proceed() {
-      Optional<TokenDecision> here = decideHere(tenant, kind, 1);
+      Optional<TokenDecision> here =
+          decideHere(request.tenant(), request.kind(), request.programHash(), 1);
       if (here.isPresent()) {
         metrics.limitCounted(LimitFigure.FROM_OWN_BUCKET, here.get().tokens());
         onDecision(here.get());
@@ -280,10 +285,12 @@
         firstSentNanos = eventLoop.nanoTime();
       }
       tries++;
-      boolean opening = kind == RequestClass.OPENING;
+      boolean opening = request.kind() == RequestClass.OPENING;
       transport.send(
           holder,
-          codec.encode(new PeerMessage.LimitTokenRequest(id, wanted, opening, tenant.id())));
+          codec.encode(
+              new PeerMessage.LimitTokenRequest(
+                  id, wanted, opening, request.programHash(), request.tenant().id())));
       retryIn(FIRST_RETRY_MILLIS * tries);
     }
 
@@ -296,6 +303,7 @@
       if (!sender.equals(asked)) {
         return;
       }
+      reply.proof().ifPresent(proofs::told);
       switch (reply.outcome()) {
         case GIVEN -> onTokens(Math.min(wanted, reply.tokens()), reply.openingsAllowed());
         case REFUSED -> onDecision(new TokenDecision(0, false, reply.retryMillis(), reply.left()));
@@ -311,7 +319,7 @@
         return;
       }
       if (tokens > 1) {
-        TokenSlice slice = ownUse.computeIfAbsent(tenant.id(), key -> new OwnUse()).slice;
+        TokenSlice slice = ownUse.computeIfAbsent(request.tenant().id(), key -> new OwnUse()).slice;
         metrics.limitCounted(
             LimitFigure.LOST, slice.add(tokens - 1, expires, openingsAllowed, now));
       }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/KeyAuthenticator.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/KeyAuthenticator.java
@@ -35,10 +35,16 @@
    */
   public record Bounds(long acceptMillis, long ruleOutMillis) {
     /**
-     * The part of the operator's bound within which keys are accepted. The store's feed may be
-     * silent about changes for a second after it forgot its history; the rest is for that.
+     * For how long the store's feed may be silent about changes before it says that it has
+     * forgotten its history.
      */
-    private static final double PART_OF_REVOCATION = 0.75;
+    private static final long FEED_SILENCE_MILLIS = 1_000;
+
+    /** For clocks that are read in whole milliseconds and work between the reading and the use. */
+    private static final long MARGIN_MILLIS = 100;
+
+    /** What is left of a bound that is hardly longer than the feed's silence. */
+    private static final double LEAST_PART_OF_REVOCATION = 0.25;
 
     /** The part of the time within which a new key must work everywhere. */
     private static final double PART_OF_APPLY = 0.5;
@@ -50,9 +56,10 @@
      * @param applyMillis time after which a new configuration must be in force
      */
     public static Bounds of(long revocationMillis, long applyMillis) {
+      long acceptMillis = revocationMillis - FEED_SILENCE_MILLIS - MARGIN_MILLIS;
+      long leastMillis = Math.round(revocationMillis * LEAST_PART_OF_REVOCATION);
       return new Bounds(
-          Math.round(revocationMillis * PART_OF_REVOCATION),
-          Math.round(applyMillis * PART_OF_APPLY));
+          Math.max(leastMillis, acceptMillis), Math.round(applyMillis * PART_OF_APPLY));
     }
   }
 
