--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestAdmission.java
@@ -0,0 +1,239 @@
+package org.baykeel.gateway.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.budget.GrantIds;
+import org.baykeel.gateway.budget.GrantSource;
+import org.baykeel.gateway.budget.ProgramBudgets;
+import org.baykeel.gateway.call.Admission.Outcome;
+import org.baykeel.gateway.configuration.Backend;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.configuration.RequestLimits;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.history.TurnSource;
+import org.baykeel.gateway.ratelimit.LimitedRequest;
+import org.baykeel.gateway.ratelimit.RequestClass;
+import org.baykeel.gateway.ratelimit.RequestLimiter.Decision;
+import org.baykeel.gateway.scheduling.BackendChooser;
+import org.baykeel.gateway.scheduling.CongestionMonitor;
+import org.baykeel.gateway.scheduling.EngineSelector;
+import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.tenancy.ApiKey;
+import org.baykeel.gateway.tenancy.ConfigurationFreshness;
+import org.baykeel.gateway.tenancy.TenantDirectory;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.testing.TestingTenancy;
+import org.baykeel.gateway.testing.TestingTransport;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class TestAdmission {
+  private final TestingEventLoop eventLoop = new TestingEventLoop();
+  private final TestingStore store = new TestingStore(eventLoop);
+  private final StoreHealth storeHealth = new StoreHealth();
+  private final EngineDirectory engines = new EngineDirectory(1);
+  private final GatewayState state =
+      new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
+  private final ConfigurationFreshness freshness = new ConfigurationFreshness(eventLoop);
+  private final ProgramBudgets budgets =
+      new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE);
+  private final List<LimitedRequest> limited = new ArrayList<>();
+  private final List<Outcome> outcomes = new ArrayList<>();
+  private Decision decision = new Decision.Allowed();
+
+  @BeforeEach
+  void configure() {
+    storeHealth.answered(eventLoop.nanoTime());
+    freshness.proven(eventLoop.nanoTime());
+    offer(1, TestingTenancy.tenants("a", "b"));
+  }
+
+  private void offer(long version, TenantDirectory tenants) {
+    List<Route> routes =
+        List.of(
+            route("/turn/", RouteKind.STREAMING, false),
+            route("/tool/", RouteKind.UNSAFE, false),
+            route("/open/", RouteKind.UNSAFE, true));
+    state.offer(
+        new GatewayConfiguration(version, routes, List.of(), RequestLimits.DEFAULT, tenants));
+  }
+
+  private static Route route(String prefix, RouteKind kind, boolean anonymous) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        kind,
+        3_000,
+        200,
+        300,
+        1,
+        List.of(new Backend("s", 1)),
+        1,
+        false,
+        0,
+        false,
+        false,
+        anonymous);
+  }
+
+  private Outcome begin(String path, String key, String program) {
+    CallAttributes attributes =
+        new CallAttributes(
+            "r",
+            3_000,
+            -1,
+            program,
+            program,
+            program == null ? -1 : 100,
+            program == null ? -1 : 40,
+            List.of(),
+            null,
+            -1,
+            null,
+            key == null ? null : new ApiKey(key));
+    CallRequest request =
+        new CallRequest(
+            "POST",
+            path + "x",
+            "h",
+            new DefaultHttpHeaders(),
+            new byte[0],
+            attributes,
+            eventLoop.nanoTime());
+    outcomes.clear();
+    new Admission(context(), request, outcomes::add).begin();
+    return outcomes.isEmpty() ? null : outcomes.get(0);
+  }
+
+  private GatewayContext context() {
+    return new GatewayContext(
+        eventLoop,
+        state,
+        TestingTenancy.authenticator(() -> state.configuration().tenants(), freshness),
+        this::limit,
+        new EngineSelector(engines, "z", new Random(1)),
+        new BackendChooser(),
+        new CongestionMonitor(new Random(1)),
+        budgets,
+        new TurnHistory(store, eventLoop, 1_000, TurnSource.NONE),
+        new TestingTransport(),
+        storeHealth,
+        (event, fields) -> {},
+        new GatewayMetrics());
+  }
+
+  private void limit(LimitedRequest request, long patience, Consumer<Decision> answer) {
+    limited.add(request);
+    answer.accept(decision);
+  }
+
+  private Refusal refusal(Outcome outcome) {
+    return assertInstanceOf(Outcome.Refused.class, outcome).refusal();
+  }
+
+  @Test
+  void aKnownKeyIsItsTenants() {
+    Outcome.Admitted admitted = (Outcome.Admitted) begin("/tool/", "key-b", null);
+    assertEquals("b", admitted.caller().name());
+    assertEquals("b/p", admitted.caller().scoped("p"));
+  }
+
+  @Test
+  void aRouteThatNeedsNoKeyTakesNothingOffALimit() {
+    Outcome.Admitted admitted = (Outcome.Admitted) begin("/open/", "key-b", null);
+    assertEquals("none", admitted.caller().name());
+    assertTrue(admitted.caller().keysInForce());
+    assertTrue(limited.isEmpty());
+  }
+
+  @Test
+  void withoutTenantsKeysMeanNothing() {
+    offer(2, TenantDirectory.NONE);
+    Outcome.Admitted admitted = (Outcome.Admitted) begin("/tool/", "nobody", null);
+    assertEquals("p", admitted.caller().scoped("p"));
+    assertTrue(limited.isEmpty());
+  }
+
+  @Test
+  void anUnknownKeyIsRefusedForGoodOnlyByTheNewestConfiguration() {
+    eventLoop.advance(1_000);
+    assertNull(begin("/tool/", "nobody", null));
+    freshness.proven(eventLoop.nanoTime());
+    Refusal refusal = refusal(outcomes.get(0));
+    assertEquals(ErrorKind.UNAUTHORIZED, refusal.kind());
+    assertTrue(!refusal.detail().contains("nobody"), refusal.detail());
+  }
+
+  @Test
+  void withAnOldConfigurationEveryKeyIsRefusedForAWhile() {
+    eventLoop.advance(4_000);
+    assertEquals(ErrorKind.NOT_READY, refusal(begin("/tool/", "key-a", null)).kind());
+    assertEquals(ErrorKind.NOT_READY, refusal(begin("/tool/", "nobody", null)).kind());
+    assertTrue(limited.isEmpty());
+  }
+
+  @Test
+  void aCallerComesBackSoonerWhereOtherNodesMayServe() {
+    eventLoop.advance(4_000);
+    long whileOthersServe = refusal(begin("/tool/", "key-a", null)).retryAfterMillis();
+    storeHealth.failed(eventLoop.nanoTime());
+    storeHealth.failed(eventLoop.nanoTime());
+    long inAnOutage = refusal(begin("/tool/", "key-a", null)).retryAfterMillis();
+    assertTrue(whileOthersServe < inAnOutage, whileOthersServe + " " + inAnOutage);
+  }
+
+  @Test
+  void aTenantBeyondItsLimitIsToldWhenToComeBack() {
+    decision = new Decision.Exceeded(123, 0.5);
+    Refusal refusal = refusal(begin("/tool/", "key-a", null));
+    assertEquals(ErrorKind.RATE_LIMITED, refusal.kind());
+    assertEquals(429, refusal.kind().httpStatus());
+    assertEquals(123, refusal.retryAfterMillis());
+    assertTrue(refusal.detail().contains("left=0.5"), refusal.detail());
+  }
+
+  @Test
+  void whereNobodyHoldsTheLimitNothingIsSaidOfIt() {
+    decision = new Decision.Undecided();
+    assertEquals(ErrorKind.NOT_READY, refusal(begin("/tool/", "key-a", null)).kind());
+  }
+
+  @Test
+  void aProgramOpensWithItsFirstTurnOnly() {
+    begin("/turn/", "key-a", "p");
+    assertEquals(RequestClass.OPENING, limited.get(0).kind());
+    budgets.reserve("a/p", 100, 40, eventLoop.nanoTime() + 1_000_000_000L, () -> {});
+    eventLoop.advance(100);
+    begin("/turn/", "key-a", "p");
+    begin("/tool/", "key-a", "q");
+    assertEquals(RequestClass.CONTINUING, limited.get(1).kind());
+    assertEquals(RequestClass.CONTINUING, limited.get(2).kind());
+    assertEquals(limited.get(0).program(), limited.get(1).program());
+  }
+
+  @Test
+  void aTurnBeyondItsBudgetTakesNothingOffTheLimit() {
+    for (int i = 0; i < 4; i++) {
+      budgets.reserve("a/p", 100, 40, eventLoop.nanoTime() + 1_000_000_000L, () -> {});
+      eventLoop.advance(100);
+    }
+    assertEquals(ErrorKind.BUDGET_EXCEEDED, refusal(begin("/turn/", "key-a", "p")).kind());
+    assertTrue(limited.isEmpty());
+    assertInstanceOf(Outcome.Admitted.class, begin("/turn/", "key-b", "p"));
+  }
+}
