The configuration is proven again as soon as the store is back

Change: the first question after a failure is answered at once; when the direct way works again the configuration is compared and leases are renewed without waiting for their timers.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionLeases.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionLeases.java
@@ -332,15 +332,19 @@
   }
 
   private void renew() {
-    if (stopped) {
-      return;
+    if (!stopped) {
+      renewAll();
+      eventLoop.schedule(RENEW_MILLIS, this::renew);
     }
+  }
+
+  /** Renews this node's leases now, since the store has just come back. */
+  void renewAll() {
     for (Partition partition : partitions.values()) {
       if (partition.tenure != null && !partition.writing) {
         write(partition);
       }
     }
-    eventLoop.schedule(RENEW_MILLIS, this::renew);
   }
 
   /** Gives all leases back, for a planned stop. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -133,6 +133,11 @@
     leases.stop();
   }
 
+  /** The store answers again after a time without. */
+  public void storeIsBack() {
+    leases.renewAll();
+  }
+
   /** How many partitions this node holds. */
   public int partitionsHeld() {
     return leases.held();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/FailoverStoreCaller.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/FailoverStoreCaller.java
@@ -35,6 +35,7 @@
   private final EventLoop eventLoop;
   private final DecisionLog log;
   private final DirectPath directPath = new DirectPath();
+  private Runnable onDirectPathBack = () -> {};
   private boolean probing;
 
   /**
@@ -62,6 +63,11 @@
     this.log = log;
   }
 
+  /** Sets what runs each time after the direct way works again. */
+  public void onDirectPathBack(Runnable action) {
+    onDirectPathBack = action;
+  }
+
   @Override
   public void call(StoreCall call, Consumer<StoreReply> answer) {
     new PendingCall(call, answer).start();
@@ -100,6 +106,7 @@
     }
     if (!worked) {
       log.write(GatewayEvent.STORE_PATH_CHANGED, "path", "direct");
+      onDirectPathBack.run();
     }
     return true;
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableWatcher.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableWatcher.java
@@ -134,6 +134,11 @@
     store.watch(table, knownVersion, waitMillis, this::onFeed);
   }
 
+  /** After a failure the first answer is to come soon, whether or not there are changes. */
+  private void followAgain() {
+    store.watch(table, knownVersion, CHECK_WAIT_MILLIS, this::onFeed);
+  }
+
   private void adopt(ReadOutcome.Rows changes) {
     knownVersion = Math.max(knownVersion, changes.version());
     if (!changes.rows().isEmpty()) {
@@ -156,7 +161,7 @@
     } else if (outcome instanceof ReadOutcome.HistoryGone) {
       readFrom(null);
     } else {
-      retryLater(this::follow);
+      retryLater(this::followAgain);
     }
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
@@ -15,6 +15,7 @@
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final ScriptedStore store = new ScriptedStore();
   private final List<String> heard = new ArrayList<>();
+  private final List<Long> complete = new ArrayList<>();
   private final TableWatcher watcher = watcher(0);
 
   private TableWatcher watcher(long pauseMillis) {
@@ -34,6 +35,11 @@
           public void onChanges(List<StoredRow> rows) {
             heard.add("changes " + keys(rows));
           }
+
+          @Override
+          public void onComplete(long nanos) {
+            complete.add(nanos);
+          }
         });
   }
 
@@ -53,6 +59,7 @@
   private static final class ScriptedStore implements DurableStore {
     private final ArrayDeque<ReadOutcome> answers = new ArrayDeque<>();
     private final List<String> questions = new ArrayList<>();
+    private final List<Integer> waits = new ArrayList<>();
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionOutcome> answer) {
@@ -69,6 +76,7 @@
     public void watch(
         String table, long afterVersion, int waitMillis, Consumer<ReadOutcome> answer) {
       questions.add("watch " + afterVersion);
+      waits.add(waitMillis);
       reply(answer);
     }
 
@@ -89,6 +97,44 @@
     assertEquals(List.of("read null", "read b\0", "watch 5", "watch 11"), store.questions);
   }
 
+  /**
+   * A store that has just recovered may answer reads from an old state; the feed tells the rest.
+   */
+  @Test
+  void onlyTheFeedProvesThatAllChangesAreKnown() {
+    store.answers.add(rows(5, false, "a"));
+    watcher.start();
+    assertEquals(List.of(), complete);
+    store.answers.add(rows(6, true, "b"));
+    watcher.check();
+    assertEquals(List.of(), complete);
+    store.answers.add(rows(7, false));
+    watcher.check();
+    assertEquals(List.of(7L), complete);
+    assertEquals(List.of("snapshot [a]", "changes [b]"), heard);
+  }
+
+  @Test
+  void oneCheckAtATime() {
+    store.answers.add(rows(5, false, "a"));
+    watcher.check();
+    watcher.start();
+    watcher.check();
+    watcher.check();
+    assertEquals(List.of("read null", "watch 5", "watch 5"), store.questions);
+    assertEquals(List.of(2_000, 1), store.waits);
+  }
+
+  @Test
+  void asksForAnAnswerAtOnceAfterAFailure() {
+    store.answers.add(rows(5, false, "a"));
+    store.answers.add(new ReadOutcome.Failed("down"));
+    store.answers.add(rows(5, false));
+    watcher.start();
+    eventLoop.advance(100);
+    assertEquals(List.of(2_000, 1, 2_000), store.waits);
+  }
+
   @Test
   void readsAgainWhenHistoryIsGone() {
     store.answers.add(rows(5, false, "a"));
