--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.ratelimit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -31,6 +32,8 @@
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingTenancy;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Two nodes and strangers: leases, questions and answers, and whatever else may arrive. */
 class TestSharedRequestLimiter {
@@ -149,6 +152,44 @@
     assertInstanceOf(Decision.Undecided.class, decisions.get(0));
   }
 
+  /** The rows are those of a node that died just after it had written them. */
+  @Test
+  void aLeaseIsTakenOnlyWhenItIsCertainlyOver() {
+    long expiresMillis = eventLoop.nanoTime() / 1_000_000 + PartitionLeases.LEASE_MILLIS;
+    byte[] row = new LeaseRow(STRANGER, 1, expiresMillis).encode();
+    for (int i = 0; i < LimitPartition.COUNT; i++) {
+      store.put(new RowAddress(PartitionLeases.TABLE, "", new LimitPartition(i).key()), row);
+    }
+    start(OTHER);
+    for (int millis = 0; millis < 5_000; millis += 20) {
+      ask(OTHER, 1);
+      eventLoop.advance(20);
+      boolean over = eventLoop.nanoTime() / 1_000_000 > expiresMillis;
+      assertTrue(over || nodes.get(OTHER).partitionsHeld() == 0, "held at " + millis);
+    }
+    assertTrue(nodes.get(OTHER).partitionsHeld() > 0);
+    assertTrue(allowed() > 0);
+  }
+
+  @ParameterizedTest(name = "a token of a slice {0} ms later: usable {1}")
+  @CsvSource({"0, true", "399, true", "400, false", "9000, false"})
+  void aTokenOfASliceIsUsedOnlyForAWhile(long laterMillis, boolean usable) {
+    TokenSlice slice = new TokenSlice();
+    slice.add(2, 400_000_000, true, 0);
+    assertEquals(usable, slice.take(RequestClass.CONTINUING, laterMillis * 1_000_000));
+  }
+
+  @Test
+  void programsBeginWithASliceOnlyWhereItsHolderAllowsIt() {
+    TokenSlice slice = new TokenSlice();
+    slice.add(2, 400_000_000, false, 0);
+    assertFalse(slice.take(RequestClass.OPENING, 0));
+    assertTrue(slice.take(RequestClass.CONTINUING, 0));
+    assertEquals(1, slice.add(1, 900_000_000, true, 500_000_000));
+    assertTrue(slice.take(RequestClass.OPENING, 500_000_000));
+    assertFalse(slice.take(RequestClass.OPENING, 500_000_000));
+  }
+
   @Test
   void aRestartedNodeTakesItsLeasesBackAndBeginsNearlyEmpty() {
     startBoth();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/remote/TestFailoverStoreCaller.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/remote/TestFailoverStoreCaller.java
@@ -198,6 +198,33 @@
     assertTrue(served(callAndWait(ANSWER_MILLIS)));
   }
 
+  /** A cut way says nothing; a question that should have been answered goes another way. */
+  @Test
+  void aLongPollThatIsOverdueGoesThroughAnotherNode() {
+    knowPeer(FIRST_PEER, Way.SERVES);
+    direct.way = Way.SILENT;
+    caller.call(StoreCall.longPoll("/watch", 1_000), replies::add);
+    eventLoop.advance(1_000);
+    assertTrue(replies.isEmpty());
+    eventLoop.advance(200);
+    assertTrue(served(replies.get(0)));
+  }
+
+  @Test
+  void tellsThatTheDirectWayIsBack() {
+    int[] back = new int[1];
+    caller.onDirectPathBack(() -> back[0]++);
+    callAndWait(50);
+    direct.way = Way.REFUSES_CONNECTIONS;
+    callAndWait(10);
+    callAndWait(10);
+    eventLoop.advance(1_000);
+    assertEquals(0, back[0]);
+    direct.way = Way.SERVES;
+    eventLoop.advance(300);
+    assertEquals(1, back[0]);
+  }
+
   @Test
   void aBriefFailureIsOverWithTheFirstProbe() {
     direct.way = Way.REFUSES_CONNECTIONS;
