--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
@@ -171,6 +171,25 @@
     assertTrue(allowed() > 0);
   }
 
+  /** What the other holder gave in between is not known; the bucket may have been emptied. */
+  @Test
+  void aBucketThatWasElsewhereInBetweenBeginsNearlyEmpty() {
+    start(HOLDER);
+    eventLoop.advance(3_000);
+    ask(HOLDER, 1);
+    byte[] row = new LeaseRow(STRANGER, 1, eventLoop.nanoTime() / 1_000_000 + 800).encode();
+    for (int i = 0; i < LimitPartition.COUNT; i++) {
+      store.put(new RowAddress(PartitionLeases.TABLE, "", new LimitPartition(i).key()), row);
+    }
+    eventLoop.advance(700);
+    assertEquals(0, nodes.get(HOLDER).partitionsHeld());
+    decisions.clear();
+    ask(HOLDER, 30);
+    eventLoop.advance(900);
+    assertEquals(30, decisions.size());
+    assertTrue(allowed() > 0 && allowed() < 10, "allowed " + allowed());
+  }
+
   @ParameterizedTest(name = "a token of a slice {0} ms later: usable {1}")
   @CsvSource({"0, true", "399, true", "400, false", "9000, false"})
   void aTokenOfASliceIsUsedOnlyForAWhile(long laterMillis, boolean usable) {
