--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.budget.Grant;
-import org.baykeel.gateway.budget.Reservation;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
 import org.baykeel.gateway.configuration.ServiceProfile;
@@ -49,7 +48,7 @@
   private AnswerRelay relay;
   private byte[] engineBody;
   private List<String> ancestors = List.of();
-  private Reservation reservation;
+  private TurnBudget budget;
   private EngineAttempt attempt;
   private EventLoop.Timer deadlineTimer;
   private RoomWait roomWait;
@@ -58,8 +57,6 @@
   private int sends;
   private int sendsInRound;
   private int runs;
-  private boolean programKnown;
-  private boolean congested;
   private boolean streamComplete;
   private boolean over;
 
@@ -92,6 +89,7 @@
   private void begin(Admission.Outcome.Admitted admitted) {
     route = admitted.route();
     caller = admitted.caller();
+    budget = new TurnBudget(context, attributes(), route, caller);
     record.tenant(caller.name());
     long patience = attributes().patienceMillis(route.timeoutMillis());
     deadlineNanos = request.receivedNanos() + patience * 1_000_000;
@@ -134,33 +132,16 @@
   }
 
   private boolean budgetAdmits() {
-    String program = caller.scoped(attributes().programId());
-    programKnown = context.budgets().knows(program);
-    congested =
-        !context
-            .congestion()
-            .admits(
-                caller.priority(route.priority()) == 0,
-                route.targetLatencyMillis(),
-                eventLoop.nanoTime());
-    reservation =
-        context
-            .budgets()
-            .reserve(
-                program,
-                attributes().tokenBudget(),
-                attributes().maxOutputTokens(),
-                deadlineNanos,
-                this::onGrantDecided);
-    if (reservation.grant() == Grant.EXHAUSTED) {
+    Grant grant = budget.reserve(deadlineNanos, this::onGrantDecided);
+    if (grant == Grant.EXHAUSTED) {
       refuse(ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
       return false;
     }
-    if (reservation.grant() == Grant.PENDING && mustNotWaitForStore()) {
+    if (grant == Grant.PENDING && mustNotWaitForStore()) {
       refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "no grant without store");
       return false;
     }
-    if (reservation.grant() == Grant.GRANTED) {
+    if (grant == Grant.GRANTED) {
       relay.open();
     } else {
       record.waitBegan(CallRecord.Wait.GRANT);
@@ -207,12 +188,7 @@
 
   private void onReadyToSend(byte[] body) {
     engineBody = body;
-    boolean undecided = reservation != null && reservation.grant() == Grant.PENDING;
-    // The first line of a program that is new here is most likely new altogether, and surely
-    // affordable then. Its sub-agents are not: a program that loops starts one after the other.
-    boolean likelyNew = !programKnown && attributes().firstLine();
-    boolean likelyGranted = likelyNew || !context.storeHealth().reachable();
-    if (!undecided || likelyGranted && !congested) {
+    if (budget.allowsSending()) {
       dispatch();
     }
   }
@@ -222,7 +198,7 @@
       return;
     }
     record.waitEnded(CallRecord.Wait.GRANT);
-    switch (reservation.grant()) {
+    switch (budget.grant()) {
       case GRANTED -> onGranted();
       case EXHAUSTED -> onNotGranted(ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
       default -> onNotGranted(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "grant unknown");
@@ -237,7 +213,7 @@
     }
     if (streamComplete) {
       finishStream();
-    } else if (congested && !programKnown && reservation.programOpenedHere() && sends == 0) {
+    } else if (budget.opensInCongestion() && sends == 0) {
       refuse(ErrorKind.OVERLOADED, OVERLOADED_RETRY_MILLIS, "engines keep work waiting");
     } else if (engineBody != null && sends == 0) {
       dispatch();
@@ -341,7 +317,7 @@
   public void onStreamComplete() {
     endAttempt("complete");
     streamComplete = true;
-    if (reservation == null || reservation.grant() == Grant.GRANTED) {
+    if (budget.grant() == Grant.GRANTED) {
       finishStream();
     }
   }
@@ -401,9 +377,7 @@
   }
 
   private void noteEventsPassed(int events) {
-    if (reservation != null) {
-      reservation.use(events * tokensPerEvent);
-    }
+    budget.used(events * tokensPerEvent);
   }
 
   // Ends.
@@ -497,8 +471,8 @@
       silenceWatch.end();
       firstEventNanos = silenceWatch.firstEventNanos();
     }
-    if (reservation != null) {
-      reservation.close();
+    if (budget != null) {
+      budget.close();
     }
     int events = relay == null ? 0 : relay.eventsPassed();
     record.callEnded(
