The table is read again after the feed failed, before the configuration counts as proven

A node's questions to the feed failed while the key went; when the feed worked again it had just fallen silent (as it does for a second before it says that its history is gone), and its empty answer was taken for a proof.

Change: after a failed question the operator's table is read anew before an answer of the feed proves anything. Costs a read of the configuration for each node and outage. Test: TestTableWatcher.provesNothingAfterAFailureBeforeTheTableWasReadAgain.

--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TenancyNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TenancyNode.java
@@ -178,6 +178,7 @@
             path,
             1_500,
             0,
+            TableWatcher.Recovery.REREAD,
             (task, millis) -> loop.schedule(millis, task),
             new Configuration(catalogue));
     freshness.checkBy(watcher::check);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
@@ -19,11 +19,16 @@
   private final TableWatcher watcher = watcher(0);
 
   private TableWatcher watcher(long pauseMillis) {
+    return watcher(pauseMillis, TableWatcher.Recovery.FOLLOW);
+  }
+
+  private TableWatcher watcher(long pauseMillis, TableWatcher.Recovery recovery) {
     return new TableWatcher(
         "t",
         store,
         2_000,
         pauseMillis,
+        recovery,
         (task, millis) -> eventLoop.schedule(millis, task),
         new TableWatcher.Listener() {
           @Override
@@ -125,6 +130,22 @@
     assertEquals(List.of(2_000, 1), store.waits);
   }
 
+  /** A simulated schedule: the feed fell silent just after it had recovered (seed 8835). */
+  @Test
+  void provesNothingAfterAFailureBeforeTheTableWasReadAgain() {
+    TableWatcher careful = watcher(0, TableWatcher.Recovery.REREAD);
+    store.answers.add(rows(5, false, "a"));
+    store.answers.add(new ReadOutcome.Failed("down"));
+    careful.start();
+    careful.check();
+    assertEquals(List.of("read null", "watch 5"), store.questions);
+    store.answers.add(rows(8, false, "b"));
+    store.answers.add(rows(8, false));
+    eventLoop.advance(60);
+    assertEquals(List.of("snapshot [a]", "snapshot [b]"), heard);
+    assertEquals(List.of(8L), complete);
+  }
+
   @Test
   void asksForAnAnswerAtOnceAfterAFailure() {
     store.answers.add(rows(5, false, "a"));
