--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineId.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineId.java
@@ -11,4 +11,15 @@
   public EngineId {
     requireNonNull(value, "value");
   }
+
+  /** Written out: the methods of a record are linked at run time, which costs each start. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof EngineId id && value.equals(id.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerAddress.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerAddress.java
@@ -31,4 +31,17 @@
   public String toString() {
     return host + ':' + port;
   }
+
+  /** Written out: the methods of a record are linked at run time, which costs each start. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof PeerAddress address
+        && port == address.port
+        && host.equals(address.host);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + port;
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/LimitPartition.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/LimitPartition.java
@@ -44,4 +44,15 @@
   static LimitPartition ofKey(String key) {
     return new LimitPartition(Integer.parseInt(key.substring(1)));
   }
+
+  /** Written out: the methods of a record are linked at run time, which costs each start. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof LimitPartition partition && number == partition.number;
+  }
+
+  @Override
+  public int hashCode() {
+    return number;
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -72,7 +72,19 @@
   private long lastQuestionId;
 
   /** A question of another node. */
-  private record Asked(PeerAddress sender, long questionId) {}
+  private record Asked(PeerAddress sender, long questionId) {
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Asked asked
+          && questionId == asked.questionId
+          && sender.equals(asked.sender);
+    }
+
+    @Override
+    public int hashCode() {
+      return Long.hashCode(questionId) ^ sender.hashCode();
+    }
+  }
 
   /** What this node itself uses of a tenant's limit. */
   private static final class OwnUse {
@@ -175,7 +187,7 @@
 
   private PartitionBuckets bucketsOf(LimitPartition partition, PartitionLeases.Tenure tenure) {
     HeldBuckets held = buckets.get(partition);
-    if (held == null || !held.tenure().equals(tenure)) {
+    if (held == null || held.tenure() != tenure) {
       double firstTokens = tenure.first() ? Double.MAX_VALUE : bounds.takeoverTokens();
       held = new HeldBuckets(tenure, new PartitionBuckets(bounds.extraTokens(), firstTokens));
       buckets.put(partition, held);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/TenantId.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/TenantId.java
@@ -17,4 +17,15 @@
       throw new IllegalArgumentException("a tenant's name of " + value.length() + " characters");
     }
   }
+
+  /** Written out: the methods of a record are linked at run time, which costs each start. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TenantId id && value.equals(id.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
