--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -70,6 +70,7 @@
         }
       };
   private long lastQuestionId;
+  private boolean started;
 
   /** A question of another node. */
   private record Asked(PeerAddress sender, long questionId) {
@@ -135,9 +136,15 @@
     this.metrics = metrics;
   }
 
-  /** Begins to take part in holding buckets. */
+  /**
+   * Begins to take part in holding buckets, if it has not yet. It costs calls to the store, so it
+   * is done only where a tenant has a limit.
+   */
   public void start() {
-    leases.start();
+    if (!started) {
+      started = true;
+      leases.start();
+    }
   }
 
   /** Gives back what this node holds, for a planned stop. */
@@ -162,6 +169,7 @@
       answer.accept(new Decision.Allowed());
       return;
     }
+    start();
     long now = eventLoop.nanoTime();
     OwnUse use = ownUse.computeIfAbsent(tenant.id(), id -> new OwnUse());
     double demand = use.asked(now);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/TenantDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/TenantDirectory.java
@@ -12,10 +12,12 @@
 
   private final Map<ApiKey, Tenant> byKey;
   private final Map<TenantId, Tenant> byId;
+  private final boolean limited;
 
   private TenantDirectory(Builder builder) {
     this.byKey = Map.copyOf(builder.byKey);
     this.byId = Map.copyOf(builder.byId);
+    this.limited = byId.values().stream().anyMatch(tenant -> !tenant.limit().unlimited());
   }
 
   /** Collects tenants. */
@@ -54,6 +56,11 @@
     return !byId.isEmpty();
   }
 
+  /** Whether any tenant has a limit. */
+  public boolean limited() {
+    return limited;
+  }
+
   /** The tenant that holds a key. */
   public Optional<Tenant> holderOf(ApiKey key) {
     return Optional.ofNullable(byKey.get(key));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
@@ -51,6 +51,12 @@
   private final List<Decision> decisions = new ArrayList<>();
 
   private SharedRequestLimiter start(PeerAddress address, PeerAddress... others) {
+    SharedRequestLimiter limiter = create(address, others);
+    limiter.start();
+    return limiter;
+  }
+
+  private SharedRequestLimiter create(PeerAddress address, PeerAddress... others) {
     StoreClock clock = new StoreClock();
     clock.observe(eventLoop.nanoTime(), eventLoop.nanoTime(), eventLoop.nanoTime() / 1_000_000);
     PartitionLeases leases =
@@ -79,7 +85,6 @@
         address,
         (sender, datagram) ->
             codec.decode(datagram).ifPresent(message -> limiter.onMessage(sender, message)));
-    limiter.start();
     return limiter;
   }
 
@@ -121,9 +126,20 @@
     assertTrue(refused.retryMillis() > 0 && refused.retryMillis() <= 1_000);
   }
 
+  /** Deployments without tenants pay nothing for limits. */
+  @Test
+  void nothingIsAskedOfTheStoreBeforeATenantHasALimit() {
+    create(OTHER);
+    eventLoop.advance(5_000);
+    assertEquals(0, store.reads() + store.transactions());
+    ask(OTHER, 1);
+    eventLoop.advance(500);
+    assertEquals(1, allowed());
+  }
+
   @Test
   void aTenantWithoutALimitAsksNobody() {
-    start(OTHER);
+    create(OTHER);
     Tenant free = TestingTenancy.tenant("free", 0, 0);
     nodes
         .get(OTHER)
