--- a/baykeel-core/src/main/java/org/baykeel/core/error/ErrorKind.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/error/ErrorKind.java
@@ -35,7 +35,8 @@
   UNAUTHORIZED(24, 401, NOT_RUN, RetryAdvice.NEVER, "The API key belongs to no tenant."),
   TOO_MANY_PROGRAMS(25, 429, NOT_RUN, RetryAdvice.AFTER_DELAY, "The tenant's limit is reached."),
   RETRY_REFUSED(26, 409, RAN, RetryAdvice.NEVER, "It ran, failed, and may not be tried again."),
-  RATE_LIMITED(27, 429, NOT_RUN, RetryAdvice.AFTER_DELAY, "The tenant's rate limit is reached.");
+  RATE_LIMITED(27, 429, NOT_RUN, RetryAdvice.AFTER_DELAY, "The tenant's rate limit is reached."),
+  RESIDENCY(28, 503, NOT_RUN, RetryAdvice.AFTER_DELAY, "No back end in an allowed region.");
 
   /** What a caller should do with the same request. */
   public enum RetryAdvice {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -6,6 +6,7 @@
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.telemetry.DecisionLog;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
@@ -84,9 +85,25 @@
     return waitedMillis.getOrDefault(wait, 0L);
   }
 
-  void sentTo(Engine engine, List<PromptPart> prompt) {
+  void sentTo(EngineSelector.Choice choice, List<PromptPart> prompt) {
+    Engine engine = choice.engine();
     lastEngine = engine.record().id();
     unreadTokens = engine.cachedPrefixes().uncachedTokens(prompt);
+    metrics.requestSent(choice.locality());
+    if (!choice.locality().inRegion()) {
+      log.write(
+          GatewayEvent.SPILLED_TO_REGION,
+          "id",
+          request.attributes().requestId(),
+          "engine",
+          lastEngine,
+          "zone",
+          engine.record().zone(),
+          "predicted_ms",
+          Math.round(choice.predictedMillis()),
+          "here_ms",
+          Math.round(choice.nearMillis()));
+    }
   }
 
   void attemptEnded(EngineAttempt attempt, String outcome, int eventsPassed) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -13,6 +13,7 @@
 import org.baykeel.gateway.history.KeptTurn;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
 import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.residency.AllowedRegions;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.tenancy.Caller;
@@ -238,17 +239,19 @@
             service,
             attributes().prompt(),
             attributes().programOrObject(stream()),
-            route.repeatable());
-    Engine engine =
-        sendsInRound >= MAX_SENDS ? null : context.selector().select(criteria, triedEngines, now);
-    if (engine == null) {
+            route.repeatable(),
+            allowedRegions());
+    EngineSelector.Choice choice =
+        sendsInRound >= MAX_SENDS ? null : context.selector().choose(criteria, triedEngines, now);
+    if (choice == null) {
       onNoEngine();
       return;
     }
+    Engine engine = choice.engine();
     sends++;
     sendsInRound++;
     runs++;
-    record.sentTo(engine, attributes().prompt());
+    record.sentTo(choice, attributes().prompt());
     triedEngines.add(engine.record().id());
     attempt =
         new EngineAttempt(
@@ -260,12 +263,25 @@
     silenceWatch.sent();
   }
 
+  private AllowedRegions allowedRegions() {
+    return route.allowedRegions().and(caller.allowedRegions());
+  }
+
   private void onNoEngine() {
     if (relay.begun()) {
       abort("no engine left");
     } else if (runs > 0) {
       refuse(ErrorKind.BACKEND_FAILED, 0, "no engine left");
     } else if (!roomWait.begin(this::tryAgain)) {
+      refuseWithoutEngine();
+    }
+  }
+
+  private void refuseWithoutEngine() {
+    AllowedRegions allowed = allowedRegions();
+    if (allowed.bound()) {
+      refuse(ErrorKind.RESIDENCY, BUSY_RETRY_MILLIS, "no engine takes work in " + allowed);
+    } else {
       refuse(ErrorKind.NO_BACKEND, BUSY_RETRY_MILLIS, "no engine takes work");
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
@@ -72,13 +72,15 @@
 
   /** Adopts an engine's new record. */
   public void putEngine(EngineRecord record) {
-    engines.put(record);
+    engines.put(record, eventLoop.nanoTime());
     log.write(
         GatewayEvent.ENGINES_CHANGED,
         "engine",
         record.id(),
         "draining",
         record.draining(),
+        "cold_ms",
+        record.coldMillis(),
         "known",
         engines.size());
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/GatewayConfiguration.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/GatewayConfiguration.java
@@ -14,6 +14,7 @@
   private final RequestLimits limits;
   private final TenantDirectory tenants;
   private final int routeCount;
+  private final boolean boundToRegions;
 
   /**
    * Creates a configuration.
@@ -41,6 +42,9 @@
     this.tenants = tenants;
     this.limits = limits;
     this.routeCount = routes.size();
+    this.boundToRegions =
+        tenants.boundToRegions()
+            || routes.stream().anyMatch(route -> route.allowedRegions().bound());
     this.routesByHost = indexByHost(routes);
     this.services = new HashMap<>();
     for (ServiceProfile service : services) {
@@ -69,6 +73,11 @@
     return routeCount;
   }
 
+  /** Whether any route or tenant is bound to regions. */
+  public boolean boundToRegions() {
+    return boundToRegions;
+  }
+
   /** Who may call. */
   public TenantDirectory tenants() {
     return tenants;
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/cordon/CordonPolicy.java
@@ -0,0 +1,27 @@
+package org.baykeel.gateway.cordon;
+
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.scheduling.EnginePolicy;
+import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
+import org.baykeel.gateway.scheduling.StableHash;
+
+/** Keeps requests away from zones out of service. */
+public final class CordonPolicy implements EnginePolicy {
+  private final ZoneCordons cordons;
+
+  /** Creates a policy that follows the operator's state. */
+  public CordonPolicy(ZoneCordons cordons) {
+    this.cordons = cordons;
+  }
+
+  @Override
+  public boolean allows(Engine engine, Criteria criteria, long nowNanos) {
+    String zone = engine.record().zone();
+    if (cordons.open(zone)) {
+      return true;
+    }
+    return criteria.homeKey() != null
+        && engine.cachedPrefixes().containsOwnPart(criteria.prompt())
+        && cordons.openToLine(zone, StableHash.of(criteria.homeKey()), nowNanos);
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -24,6 +24,8 @@
   private long waitObservedNanos;
   private double gapMillis;
   private boolean gapObserved;
+  private boolean everCold;
+  private long coldUntilNanos;
 
   Engine(
       EngineRecord record,
@@ -44,6 +46,26 @@
     this.removed = false;
   }
 
+  /** Adopts what its record says about its warmth, as of now. */
+  void noteWarmth(long nowNanos) {
+    if (record.coldMillis() > 0) {
+      everCold = true;
+      coldUntilNanos = nowNanos + record.coldMillis() * 1_000_000;
+    } else if (cold(nowNanos)) {
+      coldUntilNanos = nowNanos;
+    }
+  }
+
+  /** Whether it bears few requests at the moment, as far as it has said. */
+  public boolean cold(long nowNanos) {
+    return everCold && nowNanos - coldUntilNanos < 0;
+  }
+
+  /** Nanoseconds since it was cold last; {@link Long#MAX_VALUE} if it never was. */
+  public long warmNanos(long nowNanos) {
+    return everCold ? Math.max(0, nowNanos - coldUntilNanos) : Long.MAX_VALUE;
+  }
+
   void markRemoved() {
     removed = true;
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -59,7 +59,7 @@
     Set<String> present = new HashSet<>();
     for (EngineRecord record : records) {
       present.add(record.id());
-      put(record);
+      put(record, nowNanos);
     }
     for (String id : new ArrayList<>(byId.keySet())) {
       if (!present.contains(id)) {
@@ -68,12 +68,22 @@
     }
   }
 
-  /** Adds an engine or adopts its new record. */
+  /** Adds an engine that is warm, or adopts its new record. */
   public void put(EngineRecord record) {
+    put(record, 0);
+  }
+
+  /**
+   * Adds an engine or adopts its new record.
+   *
+   * @param nowNanos the moment from which on its cold time is counted
+   */
+  public void put(EngineRecord record, long nowNanos) {
     lapsedUntilNanos.remove(record.id());
     Engine known = byId.get(record.id());
     if (known != null) {
       known.update(record);
+      known.noteWarmth(nowNanos);
       return;
     }
     Engine engine =
@@ -81,6 +91,7 @@
             record,
             performanceOf(record.service()),
             suspected -> suspicionListener.engineSuspected(suspected));
+    engine.noteWarmth(nowNanos);
     byId.put(record.id(), engine);
     byService.computeIfAbsent(record.service(), service -> new ArrayList<>()).add(engine);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/handover/HolderDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/handover/HolderDirectory.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.PeerDistance;
 import org.baykeel.gateway.peer.PeerMessage;
 import org.baykeel.gateway.peer.PeerMessageCodec;
 import org.baykeel.gateway.peer.PeerMessageListener;
@@ -18,10 +19,10 @@
 import org.baykeel.gateway.scheduling.StableHash;
 
 /**
- * Which node served a program last. Each program has a registrar among the nodes, found by
- * rendezvous hashing; a node that takes a program over tells it, and a node that needs the
- * program's state asks it. Soft state: an answer that is missing or wrong costs a call to the
- * store, no more.
+ * Which node served a program last. Each program has a registrar among the nodes of a region, found
+ * by rendezvous hashing, so that no turn asks across regions; a node that takes a program over
+ * tells it, and a node that needs the program's state asks it. Soft state: an answer that is
+ * missing or wrong costs a call to the store, no more.
  */
 public final class HolderDirectory implements PeerMessageListener {
   /** Programs for which this node is registrar; those unused longest are forgotten first. */
@@ -30,7 +31,10 @@
   /** Longer identifiers don't fit a datagram; their programs are not handed over. */
   private static final int MAX_ID_LENGTH = 128;
 
-  /** A few ways between nodes; after it the store is asked. */
+  /**
+   * A few ways within a region and a little work at a slow node; after it the store is asked. What
+   * the way itself takes, as measured, comes on top.
+   */
   private static final long QUERY_MILLIS = 25;
 
   /** How long a registrar that did not answer is not asked. */
@@ -41,6 +45,7 @@
   private final PeerTransport transport;
   private final PeerMessageCodec codec;
   private final EventLoop eventLoop;
+  private final PeerDistance distance;
   private final Map<ProgramId, PeerAddress> holders =
       new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -62,18 +67,21 @@
    * Creates a directory.
    *
    * @param ownAddress where this node is reached by the others
+   * @param distance how far the registrars are
    */
   public HolderDirectory(
       PeerAddress ownAddress,
       PeerDirectory peers,
       PeerTransport transport,
       PeerMessageCodec codec,
-      EventLoop eventLoop) {
+      EventLoop eventLoop,
+      PeerDistance distance) {
     this.ownAddress = ownAddress;
     this.peers = peers;
     this.transport = transport;
     this.codec = codec;
     this.eventLoop = eventLoop;
+    this.distance = distance;
   }
 
   /** Tells the program's registrar that this node serves it now. */
@@ -117,7 +125,8 @@
     queries.put(query.id(), query);
     queriesByProgram.put(program, query);
     transport.send(registrar, codec.encode(new PeerMessage.HolderQuery(query.id(), program)));
-    eventLoop.schedule(QUERY_MILLIS, () -> onSilence(query.id(), registrar));
+    long patience = QUERY_MILLIS + distance.roundTripMillis(registrar);
+    eventLoop.schedule(patience, () -> onSilence(query.id(), registrar));
   }
 
   private static boolean fits(ProgramId program) {
@@ -167,7 +176,7 @@
   private PeerAddress registrar(ProgramId program) {
     PeerAddress best = ownAddress;
     int highest = rank(ownAddress, program);
-    for (PeerAddress peer : peers.peers()) {
+    for (PeerAddress peer : peers.nearby()) {
       int rank = rank(peer, program);
       if (rank > highest) {
         best = peer;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -22,6 +22,12 @@
   private static final long DEFAULT_IDLE_MILLIS = 1_000;
   private static final long IDLE_MARGIN_MILLIS = 400;
 
+  /**
+   * A request on a kept connection that is given up after this time without one byte says something
+   * about the connection; callers that leave sooner don't.
+   */
+  private static final long SILENT_NANOS = 500_000_000L;
+
   private final EngineConnections owner;
   private final CallTranslator translator;
   private Channel channel;
@@ -36,6 +42,7 @@
   private boolean closedNoted;
   private long idleMillis = DEFAULT_IDLE_MILLIS;
   private long idleUntilNanos;
+  private long sentNanos;
   private String failure = "closed";
 
   EngineConnection(EngineConnections owner, CallTranslator translator) {
@@ -62,10 +69,27 @@
     channel.close();
   }
 
+  /**
+   * The request under way is given up.
+   *
+   * @return milliseconds for which nothing came on a connection that was kept; 0 if that is not so
+   */
+  long giveUp() {
+    long nanos = System.nanoTime() - sentNanos;
+    boolean silent = used && current != null && !answerBegun && nanos >= SILENT_NANOS;
+    close();
+    return silent ? nanos / 1_000_000 : 0;
+  }
+
+  EngineConnections owner() {
+    return owner;
+  }
+
   void send(PendingExchange exchange) {
     current = exchange;
     exchange.attach(this);
     answerBegun = false;
+    sentNanos = System.nanoTime();
     written = channel.writeAndFlush(exchange.request());
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnections.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnections.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.List;
 import org.baykeel.gateway.directory.Engine;
 
 /** The connections of this process to one engine. */
@@ -42,6 +43,19 @@
     idle.addLast(connection);
   }
 
+  /**
+   * A kept connection brought nothing at all: those that rested as long may have fallen silent with
+   * it, and a request that may run only once must not be lost on one of them.
+   *
+   * @return how many are given up
+   */
+  int dropIdle() {
+    List<EngineConnection> resting = new ArrayList<>(idle);
+    idle.clear();
+    resting.forEach(EngineConnection::close);
+    return resting.size();
+  }
+
   void closed(EngineConnection connection) {
     if (connection.markClosed()) {
       open--;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpCaller.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpCaller.java
@@ -1,15 +1,12 @@
 package org.baykeel.gateway.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -27,6 +24,8 @@
 import org.baykeel.gateway.remote.StoreCall;
 import org.baykeel.gateway.remote.StoreCaller;
 import org.baykeel.gateway.remote.StoreReply;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
 
 /** Makes HTTP calls to one address over kept connections, one call at a time on each. */
 public final class HttpCaller implements StoreCaller {
@@ -37,11 +36,19 @@
 
   private final EventLoopGroup group;
   private final InetSocketAddress address;
+  private final DecisionLog log;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
 
-  public HttpCaller(EventLoopGroup group, InetSocketAddress address) {
+  /**
+   * Creates a caller without connections.
+   *
+   * @param group the event loop
+   * @param address the only address that it calls
+   */
+  public HttpCaller(EventLoopGroup group, InetSocketAddress address, DecisionLog log) {
     this.group = group;
     this.address = address;
+    this.log = log;
   }
 
   @Override
@@ -81,11 +88,7 @@
 
   private void connect(FullHttpRequest request, long timeoutMillis, Consumer<StoreReply> answer) {
     Connection connection = new Connection();
-    new Bootstrap()
-        .group(group)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-        .option(ChannelOption.TCP_NODELAY, true)
+    KeptConnections.bootstrap(group, CONNECT_TIMEOUT_MILLIS)
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
@@ -126,7 +129,7 @@
       timeout =
           channel
               .eventLoop()
-              .schedule(() -> lose("time-out"), timeoutMillis, TimeUnit.MILLISECONDS);
+              .schedule(() -> onTimeout(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
       channel.writeAndFlush(request);
     }
 
@@ -157,6 +160,24 @@
       return answer;
     }
 
+    /** The connection may have fallen silent for good, and those that rest with it. */
+    private void onTimeout(long timeoutMillis) {
+      int resting = idle.size();
+      idle.forEach(connection -> connection.channel.close());
+      idle.clear();
+      log.write(
+          GatewayEvent.CONNECTION_SILENT,
+          "kind",
+          "store",
+          "address",
+          address,
+          "ms",
+          timeoutMillis,
+          "resting",
+          resting);
+      lose("time-out");
+    }
+
     private void lose(String reason) {
       idle.remove(this);
       channel.close();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -1,12 +1,9 @@
 package org.baykeel.gateway.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -21,7 +18,10 @@
 import org.baykeel.gateway.call.EngineRequest;
 import org.baykeel.gateway.call.EngineTransport;
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.topology.RoundTrips;
 
 /** Sends requests to engines over kept connections, one request at a time on each. */
 public final class NettyEngineTransport implements EngineTransport {
@@ -32,18 +32,27 @@
   private final EventLoopGroup group;
   private final CallTranslator translator;
   private final GatewayMetrics metrics;
+  private final RoundTrips roundTrips;
+  private final DecisionLog log;
   private final Map<String, EngineConnections> byEngine = new HashMap<>();
 
   /**
    * Creates a transport without connections.
    *
    * @param metrics counts the connections that are opened
+   * @param roundTrips learns from connections how far engines are
    */
   public NettyEngineTransport(
-      EventLoopGroup group, CallTranslator translator, GatewayMetrics metrics) {
+      EventLoopGroup group,
+      CallTranslator translator,
+      GatewayMetrics metrics,
+      RoundTrips roundTrips,
+      DecisionLog log) {
     this.group = group;
     this.translator = translator;
     this.metrics = metrics;
+    this.roundTrips = roundTrips;
+    this.log = log;
     group
         .next()
         .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -55,7 +64,10 @@
         byEngine.computeIfAbsent(engine.record().id(), id -> new EngineConnections(engine));
     PendingExchange exchange =
         new PendingExchange(
-            request.source().attributes().requestId(), encode(request, engine), listener);
+            request.source().attributes().requestId(),
+            encode(request, engine),
+            listener,
+            this::onSilence);
     EngineConnection idle = connections.takeIdle(System.nanoTime());
     if (idle != null) {
       idle.send(exchange);
@@ -68,6 +80,20 @@
     return exchange;
   }
 
+  private void onSilence(EngineConnections connections, long millis) {
+    int resting = connections.dropIdle();
+    log.write(
+        GatewayEvent.CONNECTION_SILENT,
+        "kind",
+        "engine",
+        "address",
+        connections.engine().record().id(),
+        "ms",
+        millis,
+        "resting",
+        resting);
+  }
+
   private FullHttpRequest encode(EngineRequest request, Engine engine) {
     FullHttpRequest encoded =
         new DefaultFullHttpRequest(
@@ -86,11 +112,8 @@
     EngineConnection connection = new EngineConnection(connections, translator);
     connections.opened();
     metrics.engineConnectionOpened();
-    new Bootstrap()
-        .group(group)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-        .option(ChannelOption.TCP_NODELAY, true)
+    long begunNanos = System.nanoTime();
+    KeptConnections.bootstrap(group, CONNECT_TIMEOUT_MILLIS)
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
@@ -105,6 +128,9 @@
         .connect(engine.record().host(), engine.record().port())
         .addListener(
             future -> {
+              if (future.isSuccess()) {
+                noteRoundTrip(engine, begunNanos);
+              }
               if (!future.isSuccess()) {
                 connections.closed(connection);
                 exchange.fail(Failure.NOT_SENT, "connect " + future.cause().getMessage());
@@ -116,6 +142,11 @@
             });
   }
 
+  private void noteRoundTrip(Engine engine, long begunNanos) {
+    long now = System.nanoTime();
+    roundTrips.observe(engine.record().zone(), (now - begunNanos) / 1e6, now);
+  }
+
   private void sweep() {
     long now = System.nanoTime();
     Iterator<EngineConnections> all = byEngine.values().iterator();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
@@ -9,14 +9,31 @@
   private final String requestId;
   private final FullHttpRequest request;
   private final EngineTransport.Listener listener;
+  private final SilenceListener onSilence;
   private EngineConnection connection;
   private boolean cancelled;
   private boolean ended;
 
-  PendingExchange(String requestId, FullHttpRequest request, EngineTransport.Listener listener) {
+  /** Hears of kept connections on which nothing came. */
+  interface SilenceListener {
+    /**
+     * A request was given up.
+     *
+     * @param connections those to the same engine
+     * @param millis how long nothing came
+     */
+    void silent(EngineConnections connections, long millis);
+  }
+
+  PendingExchange(
+      String requestId,
+      FullHttpRequest request,
+      EngineTransport.Listener listener,
+      SilenceListener onSilence) {
     this.requestId = requestId;
     this.request = request;
     this.listener = listener;
+    this.onSilence = onSilence;
   }
 
   String requestId() {
@@ -39,7 +56,10 @@
   public void cancel() {
     cancelled = true;
     if (connection != null && !ended) {
-      connection.close();
+      long silentMillis = connection.giveUp();
+      if (silentMillis > 0) {
+        onSilence.silent(connection.owner(), silentMillis);
+      }
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkClient.java
@@ -1,13 +1,10 @@
 package org.baykeel.gateway.link;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,32 +17,46 @@
 import org.baykeel.gateway.budget.GrantTransfer;
 import org.baykeel.gateway.handover.HandoverTransport;
 import org.baykeel.gateway.history.KeptTurn;
+import org.baykeel.gateway.http.KeptConnections;
 import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDistance;
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.remote.RelayTransport;
 import org.baykeel.gateway.remote.StoreCall;
 import org.baykeel.gateway.remote.StoreReply;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
 
 /** Asks other nodes, over one connection to each that was asked lately. */
 public final class LinkClient implements RelayTransport, HandoverTransport {
   private static final int CONNECT_TIMEOUT_MILLIS = 200;
 
-  /** A few ways between nodes; after it the store is asked. */
+  /**
+   * A little work at a slow node; after it the store is asked. Two ways there and back, as
+   * measured, come on top: one to connect and one to ask.
+   */
   private static final long HANDOVER_MILLIS = 50;
 
+  private static final int HANDOVER_ROUND_TRIPS = 2;
+
   private static final long IDLE_NANOS = 10_000_000_000L;
   private static final long SWEEP_MILLIS = 2_000;
 
   private final EventLoopGroup group;
+  private final PeerDistance distance;
+  private final DecisionLog log;
   private final Map<PeerAddress, Link> links = new HashMap<>();
 
   /**
    * Creates a client without connections.
    *
    * @param group the event loop
+   * @param distance how far other nodes are
    */
-  public LinkClient(EventLoopGroup group) {
+  public LinkClient(EventLoopGroup group, PeerDistance distance, DecisionLog log) {
     this.group = group;
+    this.distance = distance;
+    this.log = log;
     group
         .next()
         .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -66,7 +77,7 @@
     link(peer)
         .ask(
             id -> new LinkMessage.GrantRequest(id, program),
-            HANDOVER_MILLIS,
+            handoverMillis(peer),
             outcome -> answer.accept(outcome.transfer()));
   }
 
@@ -75,10 +86,14 @@
     link(peer)
         .ask(
             id -> new LinkMessage.TurnsRequest(id, turnId),
-            HANDOVER_MILLIS,
+            handoverMillis(peer),
             outcome -> answer.accept(outcome.turns()));
   }
 
+  private long handoverMillis(PeerAddress peer) {
+    return HANDOVER_MILLIS + HANDOVER_ROUND_TRIPS * distance.roundTripMillis(peer);
+  }
+
   private Link link(PeerAddress peer) {
     return links.computeIfAbsent(peer, Link::new);
   }
@@ -125,6 +140,7 @@
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private long lastCorrelationId;
     private long usedNanos = System.nanoTime();
+    private long heardNanos = System.nanoTime();
     private Channel channel;
 
     Link(PeerAddress peer) {
@@ -137,10 +153,7 @@
       Future<?> timeout =
           group
               .next()
-              .schedule(
-                  () -> end(id, new Outcome(null, true, "time-out at " + peer)),
-                  timeoutMillis,
-                  TimeUnit.MILLISECONDS);
+              .schedule(() -> onTimeout(id, timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
       waiting.put(id, new Waiting(onOutcome, timeout));
       if (channel != null) {
         channel.writeAndFlush(LinkChannel.frame(request.apply(id)));
@@ -159,19 +172,13 @@
 
     private ChannelFuture connect() {
       ChannelFuture connecting =
-          new Bootstrap()
-              .group(group)
-              .channel(NioSocketChannel.class)
-              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-              .option(ChannelOption.TCP_NODELAY, true)
+          KeptConnections.bootstrap(group, CONNECT_TIMEOUT_MILLIS)
               .handler(
                   new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel opened) {
                       LinkChannel.prepare(
-                          opened.pipeline(),
-                          message -> end(message.correlationId(), new Outcome(message, true, "")),
-                          () -> onClosed(opened));
+                          opened.pipeline(), Link.this::onMessage, () -> onClosed(opened));
                     }
                   })
               .connect(peer.host(), peer.port());
@@ -186,11 +193,39 @@
       }
       if (channel == null) {
         channel = connected.channel();
+        heardNanos = System.nanoTime();
       } else {
         connected.channel().close();
       }
     }
 
+    private void onMessage(LinkMessage message) {
+      heardNanos = System.nanoTime();
+      end(message.correlationId(), new Outcome(message, true, ""));
+    }
+
+    /**
+     * Nothing was heard for the whole time of a request: the connection may have fallen silent for
+     * good, so the next request gets a new one.
+     */
+    private void onTimeout(long id, long timeoutMillis) {
+      end(id, new Outcome(null, true, "time-out at " + peer));
+      long silentMillis = (System.nanoTime() - heardNanos) / 1_000_000;
+      if (channel != null && silentMillis >= timeoutMillis) {
+        log.write(
+            GatewayEvent.CONNECTION_SILENT,
+            "kind",
+            "node",
+            "address",
+            peer,
+            "ms",
+            silentMillis,
+            "under_way",
+            waiting.size());
+        channel.close();
+      }
+    }
+
     private void end(long id, Outcome outcome) {
       Waiting ended = waiting.remove(id);
       if (ended != null) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineSuspicionGossip.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineSuspicionGossip.java
@@ -50,9 +50,9 @@
   public void engineSuspected(Engine engine) {
     EngineId id = new EngineId(engine.record().id());
     byte[] notice = codec.encode(new PeerMessage.EngineSuspicion(id));
-    long bytes = (long) (notice.length + OVERHEAD_BYTES) * peers.peers().size();
+    long bytes = (long) (notice.length + OVERHEAD_BYTES) * peers.nearby().size();
     if (takeBytes(bytes)) {
-      peers.peers().forEach(peer -> transport.send(peer, notice));
+      peers.nearby().forEach(peer -> transport.send(peer, notice));
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
@@ -3,8 +3,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.storage.DurableStore;
@@ -16,11 +19,16 @@
 import org.baykeel.gateway.storage.TransactionOutcome;
 import org.baykeel.gateway.telemetry.DecisionLog;
 import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.topology.Locality;
+import org.baykeel.gateway.topology.Topology;
 
 /**
  * The nodes that datagrams go to. A node writes its address into the store when it starts, reads
  * the others' once, and announces itself to them; later starters announce themselves to it. Nothing
  * depends on the list being complete: what nodes tell each other only saves requests.
+ *
+ * <p>Each node also tells its zone, so that others can prefer the nodes of their own region. A node
+ * whose zone is not known yet counts as one of another region where there are several.
  */
 public final class PeerDirectory {
   private static final String TABLE = "node";
@@ -32,21 +40,30 @@
   private static final long RETRY_MILLIS = 1_000;
   private static final int MAX_PEERS = 1_024;
 
+  /** Between a node's address and its zone in its row. */
+  private static final char ZONE_SEPARATOR = ' ';
+
+  private static final String UNKNOWN_ZONE = "";
+
   private final RowAddress ownRow;
   private final PeerAddress ownAddress;
   private final DurableStore store;
   private final EventLoop eventLoop;
   private final PeerTransport transport;
   private final PeerMessageCodec codec;
+  private final Topology topology;
   private final DecisionLog log;
-  private final Set<PeerAddress> peers = new LinkedHashSet<>();
+  private final Map<PeerAddress, String> zoneByPeer = new LinkedHashMap<>();
+  private final Set<PeerAddress> nearby = new LinkedHashSet<>();
   private long ownRowVersion = Transaction.ABSENT;
+  private boolean read;
 
   /**
    * Creates a directory that knows nobody yet.
    *
    * @param nodeName the name of this node, its key in the store
    * @param ownAddress where this node takes datagrams
+   * @param topology where this node and the zones are
    */
   public PeerDirectory(
       String nodeName,
@@ -55,6 +72,7 @@
       EventLoop eventLoop,
       PeerTransport transport,
       PeerMessageCodec codec,
+      Topology topology,
       DecisionLog log) {
     this.ownRow = new RowAddress(TABLE, "", nodeName);
     this.ownAddress = ownAddress;
@@ -62,6 +80,7 @@
     this.eventLoop = eventLoop;
     this.transport = transport;
     this.codec = codec;
+    this.topology = topology;
     this.log = log;
   }
 
@@ -71,7 +90,8 @@
   }
 
   private void writeOwnRow() {
-    byte[] value = ownAddress.toString().getBytes(StandardCharsets.US_ASCII);
+    String text = ownAddress.toString() + ZONE_SEPARATOR + topology.ownZone();
+    byte[] value = text.getBytes(StandardCharsets.UTF_8);
     Transaction put =
         new Transaction(List.of(), List.of(new Transaction.Put(ownRow, value)), List.of());
     store.transact(put, this::onOwnRow);
@@ -100,9 +120,10 @@
       readPeers(page.rows().get(page.rows().size() - 1).address().key() + '\0');
       return;
     }
-    byte[] announcement = codec.encode(new PeerMessage.NodeAnnouncement());
-    peers.forEach(peer -> transport.send(peer, announcement));
-    log.write(GatewayEvent.PEERS_KNOWN, "peers", peers.size());
+    read = true;
+    byte[] announcement = codec.encode(new PeerMessage.NodeAnnouncement(topology.ownZone()));
+    zoneByPeer.keySet().forEach(peer -> transport.send(peer, announcement));
+    log.write(GatewayEvent.PEERS_KNOWN, "peers", zoneByPeer.size(), "in_region", nearby.size());
   }
 
   private void adopt(StoredRow row) {
@@ -110,7 +131,11 @@
       return;
     }
     try {
-      add(PeerAddress.parse(new String(row.value(), StandardCharsets.US_ASCII)));
+      String text = new String(row.value(), StandardCharsets.UTF_8);
+      int separator = text.indexOf(ZONE_SEPARATOR);
+      String address = separator < 0 ? text : text.substring(0, separator);
+      String zone = separator < 0 ? UNKNOWN_ZONE : text.substring(separator + 1);
+      add(PeerAddress.parse(address), zone);
     } catch (IllegalArgumentException e) {
       log.write(GatewayEvent.FAULT, "where", "node row", "key", row.address().key(), "error", e);
     }
@@ -122,13 +147,44 @@
    * @param peer its address
    */
   public void heardFrom(PeerAddress peer) {
-    add(peer);
+    if (!zoneByPeer.containsKey(peer)) {
+      add(peer, UNKNOWN_ZONE);
+    }
   }
 
-  private void add(PeerAddress peer) {
-    if (!peer.equals(ownAddress) && peers.size() < MAX_PEERS) {
-      peers.add(peer);
+  /**
+   * Notes that a node has said where it is.
+   *
+   * @param peer its address
+   * @param zone its zone; empty if it did not say
+   */
+  public void announced(PeerAddress peer, String zone) {
+    add(peer, zone);
+  }
+
+  private void add(PeerAddress peer, String zone) {
+    if (peer.equals(ownAddress)
+        || zoneByPeer.size() >= MAX_PEERS && !zoneByPeer.containsKey(peer)) {
+      return;
     }
+    if (zone.isEmpty() && zoneByPeer.containsKey(peer)) {
+      return;
+    }
+    zoneByPeer.put(peer, zone);
+    if (localityOf(peer).inRegion()) {
+      nearby.add(peer);
+    } else {
+      nearby.remove(peer);
+    }
+  }
+
+  /** Where a node is; another region if it is not known and there are several. */
+  public Locality localityOf(PeerAddress peer) {
+    String zone = zoneByPeer.getOrDefault(peer, UNKNOWN_ZONE);
+    if (zone.isEmpty()) {
+      return topology.severalRegions() ? Locality.OTHER_REGION : Locality.SAME_REGION;
+    }
+    return topology.localityOf(zone);
   }
 
   /** Takes this node's row out of the store; a later start writes it again. */
@@ -148,6 +204,16 @@
 
   /** The nodes known now, this one not among them. */
   public Collection<PeerAddress> peers() {
-    return Collections.unmodifiableSet(peers);
+    return Collections.unmodifiableSet(zoneByPeer.keySet());
+  }
+
+  /** The nodes of this node's region that are known now, this one not among them. */
+  public Collection<PeerAddress> nearby() {
+    return Collections.unmodifiableSet(nearby);
+  }
+
+  /** The nodes known now; nothing until they have been read from the store once. */
+  public Optional<Collection<PeerAddress>> ifRead() {
+    return read ? Optional.of(peers()) : Optional.empty();
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -9,8 +9,12 @@
 /** What nodes tell each other. */
 public sealed interface PeerMessage {
 
-  /** The sender has started and wants to hear of others' findings. */
-  record NodeAnnouncement() implements PeerMessage {}
+  /**
+   * The sender has started and wants to hear of others' findings.
+   *
+   * @param zone where it is; empty if it did not say
+   */
+  record NodeAnnouncement(String zone) implements PeerMessage {}
 
   /**
    * Requests of the sender have just failed in a row at an engine.
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -95,7 +95,10 @@
           .provenStoreMillis(reply.proof().map(ConfigurationProof::storeMillis).orElse(0L))
           .encodedLength();
     }
-    return new NodeAnnouncementEncoder().wrapAndApplyHeader(buffer, 0, header).encodedLength();
+    return new NodeAnnouncementEncoder()
+        .wrapAndApplyHeader(buffer, 0, header)
+        .zone(((PeerMessage.NodeAnnouncement) message).zone())
+        .encodedLength();
   }
 
   /**
@@ -132,7 +135,11 @@
   private static Optional<PeerMessage> decodeBody(
       MessageHeaderDecoder header, UnsafeBuffer received) {
     return switch (header.templateId()) {
-      case NodeAnnouncementDecoder.TEMPLATE_ID -> Optional.of(new PeerMessage.NodeAnnouncement());
+      case NodeAnnouncementDecoder.TEMPLATE_ID -> {
+        NodeAnnouncementDecoder decoder = new NodeAnnouncementDecoder();
+        decoder.wrapAndApplyHeader(received, 0, header);
+        yield Optional.of(new PeerMessage.NodeAnnouncement(decoder.zone()));
+      }
       case EngineSuspicionNoticeDecoder.TEMPLATE_ID -> {
         EngineSuspicionNoticeDecoder decoder = new EngineSuspicionNoticeDecoder();
         decoder.wrapAndApplyHeader(received, 0, header);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageDispatcher.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageDispatcher.java
@@ -27,8 +27,16 @@
         .decode(datagram)
         .ifPresent(
             message -> {
-              peers.heardFrom(sender);
+              noteSender(sender, message);
               listeners.forEach(listener -> listener.onMessage(sender, message));
             });
   }
+
+  private void noteSender(PeerAddress sender, PeerMessage message) {
+    if (message instanceof PeerMessage.NodeAnnouncement announcement) {
+      peers.announced(sender, announcement.zone());
+    } else {
+      peers.heardFrom(sender);
+    }
+  }
 }
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/placement/Placement.java
@@ -0,0 +1,101 @@
+package org.baykeel.gateway.placement;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.baykeel.gateway.configuration.ServiceProfile;
+import org.baykeel.gateway.cordon.CordonPolicy;
+import org.baykeel.gateway.cordon.ZoneCordons;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.residency.ResidencyPolicy;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.scheduling.EngineSelector;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.topology.Locality;
+import org.baykeel.gateway.topology.RoundTrips;
+import org.baykeel.gateway.topology.Topology;
+import org.baykeel.gateway.warmup.WarmupPolicy;
+
+/** One node's choice of engines and the state behind it. */
+public final class Placement {
+  private final Topology topology;
+  private final RoundTrips roundTrips;
+  private final ZoneCordons cordons;
+  private final EngineSelector selector;
+
+  /**
+   * Creates a placement that knows of no cordon and has measured nothing.
+   *
+   * @param topology where this node and the zones are
+   * @param services what the configuration in force says about a service
+   * @param self this node
+   * @param peers the other nodes; nothing until they have been read
+   * @param random settles ties
+   * @param metrics gets figures of distances, cordons and cold engines
+   */
+  @SuppressWarnings("ParameterNumber")
+  public Placement(
+      Topology topology,
+      PlacementBounds bounds,
+      EngineDirectory engines,
+      Function<String, Optional<ServiceProfile>> services,
+      PeerAddress self,
+      Supplier<Optional<Collection<PeerAddress>>> peers,
+      EventLoop eventLoop,
+      RandomGenerator random,
+      GatewayMetrics metrics,
+      DecisionLog log) {
+    this.topology = topology;
+    this.roundTrips = new RoundTrips(topology);
+    this.cordons = new ZoneCordons(bounds.cordonMillis(), eventLoop, log);
+    WarmupPolicy warmup = new WarmupPolicy(bounds.cold(), services, cordons, self, peers, log);
+    this.selector =
+        new EngineSelector(
+            engines,
+            topology,
+            roundTrips,
+            List.of(new CordonPolicy(cordons), new ResidencyPolicy(topology), warmup),
+            random);
+    register(metrics, warmup, eventLoop);
+  }
+
+  private void register(GatewayMetrics metrics, WarmupPolicy warmup, EventLoop eventLoop) {
+    metrics.gauge("baykeel_gateway_zones_cordoned", cordons::count);
+    metrics.gauge("baykeel_gateway_cold_engine_sends", warmup::sentWhileCold);
+    metrics.gauge("baykeel_gateway_cold_engine_held_back", warmup::heldBack);
+    for (Locality locality : Locality.values()) {
+      String name = "baykeel_gateway_round_trip_" + locality.name().toLowerCase(Locale.ROOT);
+      metrics.gauge(
+          name + "_microseconds", () -> Math.round(roundTrips.millisTo(locality) * 1_000));
+      metrics.gauge(
+          name + "_age_milliseconds",
+          () -> roundTrips.agesMillis(eventLoop.nanoTime()).getOrDefault(locality, -1L));
+    }
+  }
+
+  /** Where this node and the zones are. */
+  public Topology topology() {
+    return topology;
+  }
+
+  /** How far the zones are. */
+  public RoundTrips roundTrips() {
+    return roundTrips;
+  }
+
+  /** The zones out of service. */
+  public ZoneCordons cordons() {
+    return cordons;
+  }
+
+  /** Picks engines. */
+  public EngineSelector selector() {
+    return selector;
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import org.baykeel.gateway.peer.LimitTokenOutcome;
 import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDistance;
 import org.baykeel.gateway.peer.PeerMessage;
 import org.baykeel.gateway.peer.PeerMessageCodec;
 import org.baykeel.gateway.peer.PeerMessageListener;
@@ -28,7 +29,7 @@
  * answer.
  */
 public final class SharedRequestLimiter implements RequestLimiter, PeerMessageListener {
-  /** Two ways between nodes and a little work at a slow one. */
+  /** A little work at a slow node; what the way there and back takes comes on top. */
   private static final long FIRST_RETRY_MILLIS = 30;
 
   /** Between two tries while nobody holds the partition. */
@@ -56,6 +57,7 @@
   private final LimitBounds bounds;
   private final Function<TenantId, Optional<Tenant>> tenants;
   private final ProofExchange proofs;
+  private final PeerDistance distance;
   private final GatewayMetrics metrics;
   private final Map<LimitPartition, HeldBuckets> buckets = new HashMap<>();
   private final Map<TenantId, OwnUse> ownUse = new HashMap<>();
@@ -112,6 +114,7 @@
    * @param bounds how exactly limits are kept
    * @param tenants the tenants of the configuration in force
    * @param proofs what proves the configuration; answers carry it along
+   * @param distance how far the holders are
    * @param firstQuestionId a random number, so that no question is like one of an earlier life
    */
   @SuppressWarnings("ParameterNumber")
@@ -123,6 +126,7 @@
       LimitBounds bounds,
       Function<TenantId, Optional<Tenant>> tenants,
       ProofExchange proofs,
+      PeerDistance distance,
       long firstQuestionId,
       GatewayMetrics metrics) {
     this.leases = leases;
@@ -133,6 +137,7 @@
     this.tenants = tenants;
     this.lastQuestionId = firstQuestionId;
     this.proofs = proofs;
+    this.distance = distance;
     this.metrics = metrics;
   }
 
@@ -316,7 +321,7 @@
           codec.encode(
               new PeerMessage.LimitTokenRequest(
                   id, wanted, opening, request.programHash(), request.tenant().id())));
-      retryIn(FIRST_RETRY_MILLIS * tries);
+      retryIn(FIRST_RETRY_MILLIS * tries + distance.roundTripMillis(holder));
     }
 
     private void retryIn(long millis) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/FailoverStoreCaller.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/FailoverStoreCaller.java
@@ -1,10 +1,8 @@
 package org.baykeel.gateway.remote;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.runtime.EventLoop;
@@ -43,21 +41,21 @@
    *
    * @param direct the direct way
    * @param relays the way to other nodes
-   * @param knownPeers the other nodes known now
+   * @param candidates the nodes that may relay
    * @param probe a cheap read
    * @param random picks relays
    */
   public FailoverStoreCaller(
       StoreCaller direct,
       RelayTransport relays,
-      Supplier<Collection<PeerAddress>> knownPeers,
+      RelayCandidates candidates,
       StoreCall probe,
       EventLoop eventLoop,
       RandomGenerator random,
       DecisionLog log) {
     this.direct = direct;
     this.relays = relays;
-    this.relayPeers = new RelayPeers(knownPeers, random);
+    this.relayPeers = new RelayPeers(candidates, random);
     this.probe = probe;
     this.eventLoop = eventLoop;
     this.log = log;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/RelayPeers.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/RelayPeers.java
@@ -3,14 +3,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.baykeel.gateway.peer.PeerAddress;
 
 /**
  * Which node relays calls to the store: one that has done so keeps the task until it fails; then
- * another is picked at random. After several failures in a row, no node is asked for a while, since
- * the store is probably away for all.
+ * another is picked at random, one of this node's region while there is any. After several failures
+ * in a row, no node is asked for a while, since the store is probably away for all.
  */
 final class RelayPeers {
   /** Consecutive failures after which no node is asked for a while. */
@@ -18,13 +17,13 @@
 
   private static final long PAUSE_NANOS = 1_000_000_000L;
 
-  private final Supplier<Collection<PeerAddress>> known;
+  private final RelayCandidates known;
   private final RandomGenerator random;
   private PeerAddress current;
   private int consecutiveFailures;
   private long pausedUntilNanos;
 
-  RelayPeers(Supplier<Collection<PeerAddress>> known, RandomGenerator random) {
+  RelayPeers(RelayCandidates known, RandomGenerator random) {
     this.known = known;
     this.random = random;
   }
@@ -42,7 +41,12 @@
     if (current != null && !asked.contains(current)) {
       return current;
     }
-    List<PeerAddress> candidates = new ArrayList<>(known.get());
+    PeerAddress near = anyOf(known.near(), asked);
+    return near != null ? near : anyOf(known.far(), asked);
+  }
+
+  private PeerAddress anyOf(Collection<PeerAddress> nodes, Collection<PeerAddress> asked) {
+    List<PeerAddress> candidates = new ArrayList<>(nodes);
     candidates.removeAll(asked);
     return candidates.isEmpty() ? null : candidates.get(random.nextInt(candidates.size()));
   }
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/residency/AllowedRegions.java
@@ -0,0 +1,74 @@
+package org.baykeel.gateway.residency;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.baykeel.gateway.topology.RegionId;
+
+/**
+ * The regions to which a route or a tenant is bound.
+ *
+ * <p>Invariant: an intersection never allows what one of its parts does not; two bindings without a
+ * common region allow none at all, which is not the same as no binding.
+ */
+public final class AllowedRegions {
+  /** No binding. */
+  public static final AllowedRegions ANY = new AllowedRegions(false, Set.of());
+
+  private final boolean bound;
+  private final Set<RegionId> regions;
+
+  private AllowedRegions(boolean bound, Set<RegionId> regions) {
+    this.bound = bound;
+    this.regions = regions;
+  }
+
+  /**
+   * A binding to some regions.
+   *
+   * @param regions the regions; an empty list binds to nothing
+   */
+  public static AllowedRegions of(List<RegionId> regions) {
+    return regions.isEmpty() ? ANY : new AllowedRegions(true, Set.copyOf(regions));
+  }
+
+  /** Whether there is a binding. */
+  public boolean bound() {
+    return bound;
+  }
+
+  /** Whether a request may be in a region. */
+  public boolean allows(RegionId region) {
+    return !bound || regions.contains(region);
+  }
+
+  /** What both bindings allow. */
+  public AllowedRegions and(AllowedRegions other) {
+    if (!other.bound) {
+      return this;
+    }
+    if (!bound) {
+      return other;
+    }
+    Set<RegionId> common = new HashSet<>(regions);
+    common.retainAll(other.regions);
+    return new AllowedRegions(true, common);
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof AllowedRegions allowed
+        && bound == allowed.bound
+        && regions.equals(allowed.regions);
+  }
+
+  @Override
+  public int hashCode() {
+    return regions.hashCode();
+  }
+
+  @Override
+  public String toString() {
+    return bound ? regions.toString() : "any";
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/residency/ResidencyPolicy.java
@@ -0,0 +1,26 @@
+package org.baykeel.gateway.residency;
+
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.scheduling.EnginePolicy;
+import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
+import org.baykeel.gateway.topology.Topology;
+
+/**
+ * Keeps requests in the regions to which their route and their tenant are bound. An engine whose
+ * region is not known runs no request that is bound.
+ */
+public final class ResidencyPolicy implements EnginePolicy {
+  private final Topology topology;
+
+  /** Creates a policy that knows where zones lie. */
+  public ResidencyPolicy(Topology topology) {
+    this.topology = topology;
+  }
+
+  @Override
+  public boolean allows(Engine engine, Criteria criteria, long nowNanos) {
+    AllowedRegions allowed = criteria.allowedRegions();
+    return !allowed.bound()
+        || topology.knownRegionOf(engine.record().zone()).filter(allowed::allows).isPresent();
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.scheduling;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -7,11 +8,15 @@
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.directory.ServicePerformance;
+import org.baykeel.gateway.residency.AllowedRegions;
+import org.baykeel.gateway.topology.Locality;
+import org.baykeel.gateway.topology.RoundTrips;
+import org.baykeel.gateway.topology.Topology;
 
 /**
  * Picks the engine at which a request is predicted to end first: its wait, reading what the engine
  * does not keep, the events of an ordinary answer at the engine's present pace, the way to another
- * zone.
+ * zone or region. Which engines may run it at all is a matter of policies.
  *
  * <p>Every request has a home among the engines, the same at each process: a program's turns find
  * what they share there even when they arrive through different processes.
@@ -36,8 +41,16 @@
    */
   private static final double STREAM_IN_FLIGHT_WEIGHT = 1.0 / 200;
 
+  /** What bytes between zones and the way there count for. */
   private static final double OTHER_ZONE_MILLIS = 4.0;
 
+  /**
+   * What the way to another region and back counts for a stream, as a multiple of itself. A line of
+   * turns that moves reads its prompt anew once and then pays the way with each turn, so it leaves
+   * its region for a wait that is longer than several ways, and returns when that is over.
+   */
+  private static final double REGION_WAY_WEIGHT = 2.0;
+
   /** What a home is worth, in prompts of one turn that need not be read again. */
   private static final double HOME_BONUS_TURNS = 4.0;
 
@@ -45,20 +58,41 @@
   private static final double TIE_WIDTH = 0.5;
 
   private final EngineDirectory directory;
-  private final String ownZone;
+  private final Topology topology;
+  private final RoundTrips roundTrips;
+  private final List<EnginePolicy> policies;
   private final RandomGenerator random;
 
   /**
    * Creates a selector.
    *
+   * @param topology tells how near engines are
+   * @param roundTrips how long the way to them is
+   * @param policies all of them must allow an engine
    * @param random settles ties, so that nodes that know the same don't all pick the same engine
    */
-  public EngineSelector(EngineDirectory directory, String ownZone, RandomGenerator random) {
+  public EngineSelector(
+      EngineDirectory directory,
+      Topology topology,
+      RoundTrips roundTrips,
+      List<EnginePolicy> policies,
+      RandomGenerator random) {
     this.directory = directory;
-    this.ownZone = ownZone;
+    this.topology = topology;
+    this.roundTrips = roundTrips;
+    this.policies = List.copyOf(policies);
     this.random = random;
   }
 
+  /** Creates a selector for zones of one region, without policies. */
+  public EngineSelector(EngineDirectory directory, String ownZone, RandomGenerator random) {
+    this(directory, Topology.ofOneRegion(ownZone), random);
+  }
+
+  private EngineSelector(EngineDirectory directory, Topology topology, RandomGenerator random) {
+    this(directory, topology, new RoundTrips(topology), List.of(), random);
+  }
+
   /**
    * What the choice depends on.
    *
@@ -66,26 +100,60 @@
    * @param prompt the parts of its prompt, or none
    * @param homeKey what the request belongs together with, or null
    * @param repeatable whether it may be sent to another engine after an unknown outcome
+   * @param allowedRegions where it may run
    */
   public record Criteria(
-      String service, List<PromptPart> prompt, String homeKey, boolean repeatable) {}
+      String service,
+      List<PromptPart> prompt,
+      String homeKey,
+      boolean repeatable,
+      AllowedRegions allowedRegions) {
+
+    /** What a request depends on that may run anywhere. */
+    public Criteria(String service, List<PromptPart> prompt, String homeKey, boolean repeatable) {
+      this(service, prompt, homeKey, repeatable, AllowedRegions.ANY);
+    }
+  }
+
+  /**
+   * What was chosen.
+   *
+   * @param engine the engine
+   * @param predictedMillis what speaks against it, in milliseconds
+   * @param nearMillis the same for the best engine of this node's region; negative if none may run
+   *     the request
+   * @param locality where the engine is
+   */
+  public record Choice(
+      Engine engine, double predictedMillis, double nearMillis, Locality locality) {}
 
   /**
-   * The best engine that is not excluded.
+   * The best engine that is not excluded; the request counts as sent to it.
    *
    * @param excluded identifiers of engines that have had this request
    * @return an engine, or null if none takes work
    */
   public Engine select(Criteria criteria, Set<String> excluded, long nowNanos) {
-    Engine best = null;
-    double bestMillis = 0;
-    Engine home = home(criteria, excluded);
+    Choice choice = choose(criteria, excluded, nowNanos);
+    return choice == null ? null : choice.engine();
+  }
+
+  /**
+   * The best engine that is not excluded, and how it compares with those of this node's region; the
+   * request counts as sent to it.
+   *
+   * @param excluded identifiers of engines that have had this request
+   * @return a choice, or null if no engine takes work
+   */
+  public Choice choose(Criteria criteria, Set<String> excluded, long nowNanos) {
+    List<Engine> candidates = candidates(criteria, excluded, nowNanos);
+    Engine home = home(criteria, candidates, nowNanos);
     boolean keptSomewhere = keptSomewhere(criteria);
     double usualGapMillis = usualGapMillis(criteria.service());
-    for (Engine engine : directory.ofService(criteria.service())) {
-      if (!takesWork(engine, excluded)) {
-        continue;
-      }
+    Engine best = null;
+    double bestMillis = 0;
+    double nearMillis = -1;
+    for (Engine engine : candidates) {
       double millis = predictedMillis(engine, criteria, usualGapMillis, nowNanos);
       if (engine == home) {
         millis -= keptSomewhere ? homeBonusMillis(engine) : assumedAtHomeMillis(engine, criteria);
@@ -94,14 +162,47 @@
         best = engine;
         bestMillis = millis;
       }
+      if (locality(engine).inRegion() && (nearMillis < 0 || millis < nearMillis)) {
+        nearMillis = Math.max(0, millis);
+      }
     }
-    return best;
+    if (best == null) {
+      return null;
+    }
+    for (EnginePolicy policy : policies) {
+      policy.chosen(best, nowNanos);
+    }
+    return new Choice(best, bestMillis, nearMillis, locality(best));
+  }
+
+  private List<Engine> candidates(Criteria criteria, Set<String> excluded, long nowNanos) {
+    List<Engine> engines = directory.ofService(criteria.service());
+    List<Engine> candidates = new ArrayList<>(engines.size());
+    for (Engine engine : engines) {
+      if (takesWork(engine, excluded) && allowed(engine, criteria, nowNanos)) {
+        candidates.add(engine);
+      }
+    }
+    return candidates;
+  }
+
+  private boolean allowed(Engine engine, Criteria criteria, long nowNanos) {
+    for (EnginePolicy policy : policies) {
+      if (!policy.allows(engine, criteria, nowNanos)) {
+        return false;
+      }
+    }
+    return true;
   }
 
   private static boolean takesWork(Engine engine, Set<String> excluded) {
     return !engine.record().draining() && !excluded.contains(engine.record().id());
   }
 
+  private Locality locality(Engine engine) {
+    return topology.localityOf(engine.record().zone());
+  }
+
   /** The median time between events over the engines of a service. */
   private double usualGapMillis(String service) {
     double[] gaps =
@@ -125,12 +226,23 @@
     } else {
       millis += engine.inFlight() * placeMillis(engine);
     }
-    if (!engine.record().zone().equals(ownZone)) {
-      millis += OTHER_ZONE_MILLIS;
+    millis += wayMillis(engine, stream);
+    for (EnginePolicy policy : policies) {
+      millis += policy.penaltyMillis(engine, nowNanos);
     }
     return millis + engine.standing(nowNanos).penaltyMillis(criteria.repeatable(), answerMillis);
   }
 
+  private double wayMillis(Engine engine, boolean stream) {
+    return switch (locality(engine)) {
+      case SAME_ZONE -> 0;
+      case SAME_REGION -> OTHER_ZONE_MILLIS;
+      case OTHER_REGION ->
+          OTHER_ZONE_MILLIS
+              + roundTrips.millisTo(engine.record().zone()) * (stream ? REGION_WAY_WEIGHT : 1);
+    };
+  }
+
   /** The time after which an engine that is full is expected to have a place again. */
   private static double placeMillis(Engine engine) {
     return engine.performance().workMillis() / Math.max(1, engine.record().slots());
@@ -162,23 +274,41 @@
     return homeBonusMillis(home) + performance.readingMillis(assumedKept) * READING_WEIGHT;
   }
 
-  /** Rendezvous hashing: the engine with the highest rank for the key. */
-  private Engine home(Criteria criteria, Set<String> excluded) {
+  /**
+   * Rendezvous hashing over the engines of this node's region, or over all if it has none: each
+   * node of a region finds the same home, and a program whose region stays the same keeps it.
+   */
+  private Engine home(Criteria criteria, List<Engine> candidates, long nowNanos) {
     if (criteria.homeKey() == null) {
       return null;
     }
-    Engine home = null;
+    Engine near = null;
+    Engine anywhere = null;
+    int highestNear = 0;
     int highest = 0;
-    for (Engine engine : directory.ofService(criteria.service())) {
-      if (!takesWork(engine, excluded)) {
+    for (Engine engine : candidates) {
+      if (!mayBeHome(engine, criteria, nowNanos)) {
         continue;
       }
       int rank = StableHash.of(engine.record().id(), criteria.homeKey());
-      if (home == null || rank > highest) {
-        home = engine;
+      if (locality(engine).inRegion() && (near == null || rank > highestNear)) {
+        near = engine;
+        highestNear = rank;
+      }
+      if (anywhere == null || rank > highest) {
+        anywhere = engine;
         highest = rank;
       }
     }
-    return home;
+    return near != null ? near : anywhere;
+  }
+
+  private boolean mayBeHome(Engine engine, Criteria criteria, long nowNanos) {
+    for (EnginePolicy policy : policies) {
+      if (!policy.allowsHome(engine, criteria, nowNanos)) {
+        return false;
+      }
+    }
+    return true;
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -21,6 +21,7 @@
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import org.HdrHistogram.Histogram;
+import org.baykeel.gateway.topology.Locality;
 
 /**
  * Counters and latency histograms of the gateway. Counted on the event loop in plain numbers; the
@@ -38,6 +39,7 @@
   private final Map<String, long[]> storeCallsToReport = new TreeMap<>();
   private final Map<String, long[]> limitFigures = new TreeMap<>();
   private final Map<String, long[]> keyVerdicts = new TreeMap<>();
+  private final Map<String, long[]> sendsByLocality = new TreeMap<>();
   private final Map<String, LongSupplier> gauges = new TreeMap<>();
   private long engineConnections;
   private long engineConnectionsToReport;
@@ -58,6 +60,12 @@
     }
   }
 
+  /** Counts a send to an engine by where that is, as seen from this node. */
+  public void requestSent(Locality locality) {
+    sendsByLocality
+        .computeIfAbsent(locality.name().toLowerCase(Locale.ROOT), key -> new long[1])[0]++;
+  }
+
   /** Counts a send to an engine that brought no whole answer. */
   public void attemptFailed() {
     failedAttempts++;
@@ -158,6 +166,11 @@
                 "state",
                 limitFigures),
             counters("baykeel_gateway_keys", "Keys judged, by verdict", "verdict", keyVerdicts),
+            counters(
+                "baykeel_gateway_sends",
+                "Sends to engines by where they are, as seen from this node",
+                "locality",
+                sendsByLocality),
             counter(
                 "baykeel_gateway_failed_attempts",
                 "Sends to engines without a whole answer",
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/Caller.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/Caller.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.tenancy;
 
 import java.util.Optional;
+import org.baykeel.gateway.residency.AllowedRegions;
 
 /**
  * On whose behalf a request runs.
@@ -42,6 +43,11 @@
     return tenant.isPresent() ? tenant.get().priority().orElse(routePriority) : routePriority;
   }
 
+  /** Where its tenant's requests may run. */
+  public AllowedRegions allowedRegions() {
+    return tenant.map(Tenant::allowedRegions).orElse(AllowedRegions.ANY);
+  }
+
   /** The tenant's name for the log; "none" if there is no tenant. */
   public String name() {
     return tenant.map(Tenant::id).map(TenantId::value).orElse("none");
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/Tenant.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/Tenant.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.tenancy;
 
 import java.util.OptionalInt;
+import org.baykeel.gateway.residency.AllowedRegions;
 
 /**
  * A tenant as the configuration describes it.
@@ -8,5 +9,13 @@
  * @param id its name
  * @param priority its rank, which goes before that of a route; nothing if it has none of its own
  * @param limit how many requests it may run
+ * @param allowedRegions where its requests may run, be cached and be kept
  */
-public record Tenant(TenantId id, OptionalInt priority, RateLimit limit) {}
+public record Tenant(
+    TenantId id, OptionalInt priority, RateLimit limit, AllowedRegions allowedRegions) {
+
+  /** A tenant that is bound to no region. */
+  public Tenant(TenantId id, OptionalInt priority, RateLimit limit) {
+    this(id, priority, limit, AllowedRegions.ANY);
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/TenantDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/TenantDirectory.java
@@ -13,11 +13,14 @@
   private final Map<ApiKey, Tenant> byKey;
   private final Map<TenantId, Tenant> byId;
   private final boolean limited;
+  private final boolean boundToRegions;
 
   private TenantDirectory(Builder builder) {
     this.byKey = Map.copyOf(builder.byKey);
     this.byId = Map.copyOf(builder.byId);
     this.limited = byId.values().stream().anyMatch(tenant -> !tenant.limit().unlimited());
+    this.boundToRegions =
+        byId.values().stream().anyMatch(tenant -> tenant.allowedRegions().bound());
   }
 
   /** Collects tenants. */
@@ -61,6 +64,11 @@
     return limited;
   }
 
+  /** Whether any tenant is bound to regions. */
+  public boolean boundToRegions() {
+    return boundToRegions;
+  }
+
   /** The tenant that holds a key. */
   public Optional<Tenant> holderOf(ApiKey key) {
     return Optional.ofNullable(byKey.get(key));
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/warmup/WarmupPolicy.java
@@ -0,0 +1,201 @@
+package org.baykeel.gateway.warmup;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.baykeel.gateway.configuration.ServiceProfile;
+import org.baykeel.gateway.cordon.ZoneCordons;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.scheduling.EnginePolicy;
+import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
+import org.baykeel.gateway.scheduling.StableHash;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+
+/**
+ * Spares engines that are cold. While a warm engine takes work, a cold one gets nothing. Where all
+ * are cold, each has a few nodes that may send to it, and each of these sends it a few requests.
+ * When an engine is warm again, the programs whose home it is come back one after the other over
+ * its own time to warm up; so do those of a zone that is given back.
+ *
+ * <p>Invariant: within any second the nodes that know an engine to be cold, and of the same peers,
+ * send it no more than its bound: at most {@link ColdBounds#nodes} of them send at most {@link
+ * ColdBounds#PER_NODE} each. A node that does not know its peers yet sends nothing to a cold
+ * engine.
+ */
+public final class WarmupPolicy implements EnginePolicy {
+  /**
+   * More than any wait at a warm engine, less than what speaks against one that has just failed.
+   */
+  private static final double COLD_PENALTY_MILLIS = 50_000;
+
+  private static final long LOG_NANOS = 1_000_000_000L;
+
+  private final ColdBounds bounds;
+  private final Function<String, Optional<ServiceProfile>> services;
+  private final ZoneCordons cordons;
+  private final PeerAddress self;
+  private final Supplier<Optional<Collection<PeerAddress>>> peers;
+  private final DecisionLog log;
+  private final Map<String, ColdEngine> coldEngines = new HashMap<>();
+  private long sentWhileCold;
+  private long heldBack;
+
+  /** This node's part of one cold engine. */
+  private static final class ColdEngine {
+    private final ColdSends sends = new ColdSends();
+    private int peersRanked = -1;
+    private boolean sender;
+    private long loggedNanos;
+    private boolean logged;
+  }
+
+  /**
+   * Creates a policy.
+   *
+   * @param services what is known of a service
+   * @param cordons tells when a zone came back
+   * @param self this node
+   * @param peers the other nodes; nothing until they have been read
+   */
+  public WarmupPolicy(
+      ColdBounds bounds,
+      Function<String, Optional<ServiceProfile>> services,
+      ZoneCordons cordons,
+      PeerAddress self,
+      Supplier<Optional<Collection<PeerAddress>>> peers,
+      DecisionLog log) {
+    this.bounds = bounds;
+    this.services = services;
+    this.cordons = cordons;
+    this.self = self;
+    this.peers = peers;
+    this.log = log;
+  }
+
+  @Override
+  public boolean allows(Engine engine, Criteria criteria, long nowNanos) {
+    if (!engine.cold(nowNanos)) {
+      return true;
+    }
+    ColdEngine cold = coldEngines.computeIfAbsent(engine.record().id(), id -> new ColdEngine());
+    boolean allowed = sender(engine, cold) && cold.sends.room(nowNanos);
+    if (!allowed) {
+      heldBack++;
+      logOnceASecond(engine, cold, nowNanos);
+    }
+    return allowed;
+  }
+
+  @Override
+  public double penaltyMillis(Engine engine, long nowNanos) {
+    return engine.cold(nowNanos) ? COLD_PENALTY_MILLIS : 0;
+  }
+
+  /** Homes return in the order of the program's hash over the engine's time to warm up. */
+  @Override
+  public boolean allowsHome(Engine engine, Criteria criteria, long nowNanos) {
+    if (engine.cold(nowNanos)) {
+      return false;
+    }
+    long backNanos = Math.min(engine.warmNanos(nowNanos), zoneBackNanos(engine, nowNanos));
+    if (backNanos == Long.MAX_VALUE) {
+      return true;
+    }
+    long rampNanos = coldStartMillis(engine) * 1_000_000;
+    double part = Integer.toUnsignedLong(StableHash.of(criteria.homeKey())) / 0x1p32;
+    return backNanos >= rampNanos * part;
+  }
+
+  private long zoneBackNanos(Engine engine, long nowNanos) {
+    Long lifted = cordons.liftedNanos(engine.record().zone());
+    return lifted == null ? Long.MAX_VALUE : nowNanos - lifted;
+  }
+
+  private long coldStartMillis(Engine engine) {
+    return services
+        .apply(engine.record().service())
+        .map(ServiceProfile::coldStartMillis)
+        .orElse(0L);
+  }
+
+  @Override
+  public void chosen(Engine engine, long nowNanos) {
+    if (!engine.cold(nowNanos)) {
+      if (!coldEngines.isEmpty()) {
+        coldEngines.remove(engine.record().id());
+      }
+      return;
+    }
+    ColdEngine cold = coldEngines.computeIfAbsent(engine.record().id(), id -> new ColdEngine());
+    cold.sends.sent(nowNanos);
+    sentWhileCold++;
+    logOnceASecond(engine, cold, nowNanos);
+  }
+
+  /** Whether this node is among those that may send to a cold engine; the same at each node. */
+  private boolean sender(Engine engine, ColdEngine cold) {
+    Optional<Collection<PeerAddress>> known = peers.get();
+    if (known.isEmpty()) {
+      return false;
+    }
+    if (cold.peersRanked != known.get().size()) {
+      cold.peersRanked = known.get().size();
+      cold.sender = place(engine, known.get()) < nodes(engine);
+    }
+    return cold.sender;
+  }
+
+  private int place(Engine engine, Collection<PeerAddress> others) {
+    String id = engine.record().id();
+    int own = StableHash.of(self.toString(), id);
+    int before = 0;
+    for (PeerAddress peer : others) {
+      if (StableHash.of(peer.toString(), id) > own) {
+        before++;
+      }
+    }
+    return before;
+  }
+
+  private int nodes(Engine engine) {
+    double rate =
+        services
+            .apply(engine.record().service())
+            .map(ServiceProfile::coldRequestsPerSecond)
+            .orElse(0.0);
+    return bounds.nodes(rate);
+  }
+
+  private void logOnceASecond(Engine engine, ColdEngine cold, long nowNanos) {
+    if (cold.logged && nowNanos - cold.loggedNanos < LOG_NANOS) {
+      return;
+    }
+    cold.logged = true;
+    cold.loggedNanos = nowNanos;
+    log.write(
+        GatewayEvent.ENGINE_COLD,
+        "engine",
+        engine.record().id(),
+        "sent",
+        cold.sends.within(nowNanos),
+        "bound",
+        cold.sender ? ColdBounds.PER_NODE : 0,
+        "nodes",
+        nodes(engine));
+  }
+
+  /** Requests sent to cold engines so far. */
+  public long sentWhileCold() {
+    return sentWhileCold;
+  }
+
+  /** How often a cold engine was passed over so far. */
+  public long heldBack() {
+    return heldBack;
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.PeerDistance;
 import org.baykeel.gateway.peer.PeerMessage;
 import org.baykeel.gateway.peer.PeerMessageCodec;
 import org.baykeel.gateway.peer.PeerMessageDispatcher;
@@ -17,6 +18,7 @@
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingPeerNetwork;
 import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.topology.Topology;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -39,8 +41,16 @@
       PeerTransport transport = network.transportOf(address);
       PeerDirectory peers =
           new PeerDirectory(
-              "n" + i, address, store, eventLoop, transport, codec, (event, fields) -> {});
-      HolderDirectory holders = new HolderDirectory(address, peers, transport, codec, eventLoop);
+              "n" + i,
+              address,
+              store,
+              eventLoop,
+              transport,
+              codec,
+              Topology.ofOneRegion("z"),
+              (event, fields) -> {});
+      HolderDirectory holders =
+          new HolderDirectory(address, peers, transport, codec, eventLoop, PeerDistance.NONE);
       network.attach(address, new PeerMessageDispatcher(codec, peers, List.of(holders)));
       peers.join();
       addresses.add(address);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -23,6 +23,8 @@
 import org.baykeel.gateway.testing.ScriptedEngine.After;
 import org.baykeel.gateway.testing.ScriptedEngine.Answer;
 import org.baykeel.gateway.testing.TestingTranslator;
+import org.baykeel.gateway.topology.RoundTrips;
+import org.baykeel.gateway.topology.Topology;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,7 +40,12 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final NettyEngineTransport transport =
-      new NettyEngineTransport(group, new TestingTranslator(), new GatewayMetrics());
+      new NettyEngineTransport(
+          group,
+          new TestingTranslator(),
+          new GatewayMetrics(),
+          new RoundTrips(Topology.ofOneRegion("z")),
+          (event, fields) -> {});
 
   @AfterEach
   void stop() {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -44,6 +44,8 @@
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingTenancy;
 import org.baykeel.gateway.testing.TestingTranslator;
+import org.baykeel.gateway.topology.RoundTrips;
+import org.baykeel.gateway.topology.Topology;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -105,7 +107,12 @@
             new CongestionMonitor(new Random(1)),
             new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
             new TurnHistory(store, eventLoop, 1_000, TurnSource.NONE),
-            new NettyEngineTransport(group, translator, new GatewayMetrics()),
+            new NettyEngineTransport(
+                group,
+                translator,
+                new GatewayMetrics(),
+                new RoundTrips(Topology.ofOneRegion("z")),
+                (event, fields) -> {}),
             health,
             (event, fields) -> {},
             new GatewayMetrics());
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineSuspicionGossip.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineSuspicionGossip.java
@@ -19,6 +19,7 @@
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingPeerNetwork;
 import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.topology.Topology;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,7 +44,14 @@
       PeerTransport transport = network.transportOf(address);
       peers =
           new PeerDirectory(
-              name, address, store, eventLoop, transport, codec, (event, fields) -> {});
+              name,
+              address,
+              store,
+              eventLoop,
+              transport,
+              codec,
+              Topology.ofOneRegion("z"),
+              (event, fields) -> {});
       EngineSuspicionGossip gossip =
           new EngineSuspicionGossip(
               engines, peers, transport, codec, eventLoop, (event, fields) -> {});
@@ -188,7 +196,7 @@
   void messagesAreReadAsTheyWereWritten() {
     PeerMessageCodec codec = new PeerMessageCodec();
     for (PeerMessage message :
-        List.of(new PeerMessage.NodeAnnouncement(), new PeerMessage.EngineSuspicion(ENGINE))) {
+        List.of(new PeerMessage.NodeAnnouncement("z"), new PeerMessage.EngineSuspicion(ENGINE))) {
       assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
     }
   }
@@ -198,7 +206,7 @@
     RowAddress row = new RowAddress("node", "", "first");
     Node before = started("first", 1);
     eventLoop.advance(2_000);
-    assertEquals("10.0.0.1:1", new String(store.value(row), StandardCharsets.US_ASCII));
+    assertEquals("10.0.0.1:1 z", new String(store.value(row), StandardCharsets.US_ASCII));
     Node next = started("first", 1);
     eventLoop.advance(2_000);
     before.peers.leave();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
@@ -15,6 +15,7 @@
 import java.util.Random;
 import org.baykeel.gateway.peer.LimitTokenOutcome;
 import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDistance;
 import org.baykeel.gateway.peer.PeerMessage;
 import org.baykeel.gateway.peer.PeerMessage.LimitTokenReply;
 import org.baykeel.gateway.peer.PeerMessage.LimitTokenRequest;
@@ -78,6 +79,7 @@
             id -> id.equals(TENANT.id()) ? Optional.of(TENANT) : Optional.empty(),
             new ProofExchange(
                 OptionalLong::empty, new ConfigurationFreshness(eventLoop), clock, eventLoop),
+            PeerDistance.NONE,
             address.hashCode() * 1_000L,
             new GatewayMetrics());
     nodes.put(address, limiter);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/remote/TestFailoverStoreCaller.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/remote/TestFailoverStoreCaller.java
@@ -34,7 +34,7 @@
       new FailoverStoreCaller(
           direct,
           (peer, call, answer) -> scripts.get(peer).call(call, answer),
-          () -> peers,
+          RelayCandidates.near(peers),
           PROBE,
           eventLoop,
           new Random(1),
@@ -263,7 +263,7 @@
               scripts.get(peer).calls++;
               slow.call(call, answer);
             },
-            () -> peers,
+            RelayCandidates.near(peers),
             PROBE,
             eventLoop,
             new Random(1),
