--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkClient.java
@@ -42,6 +42,9 @@
   private static final long IDLE_NANOS = 10_000_000_000L;
   private static final long SWEEP_MILLIS = 2_000;
 
+  /** How long a silent connection is left open; longer than any call made through another node. */
+  private static final long ABANDONED_MILLIS = 4_000;
+
   private final EventLoopGroup group;
   private final PeerDistance distance;
   private final DecisionLog log;
@@ -204,26 +207,32 @@
       end(message.correlationId(), new Outcome(message, true, ""));
     }
 
-    /**
-     * Nothing was heard for the whole time of a request: the connection may have fallen silent for
-     * good, so the next request gets a new one.
-     */
     private void onTimeout(long id, long timeoutMillis) {
-      end(id, new Outcome(null, true, "time-out at " + peer));
       long silentMillis = (System.nanoTime() - heardNanos) / 1_000_000;
       if (channel != null && silentMillis >= timeoutMillis) {
-        log.write(
-            GatewayEvent.CONNECTION_SILENT,
-            "kind",
-            "node",
-            "address",
-            peer,
-            "ms",
-            silentMillis,
-            "under_way",
-            waiting.size());
-        channel.close();
+        abandon(silentMillis);
       }
+      end(id, new Outcome(null, true, "time-out at " + peer));
+    }
+
+    /**
+     * Nothing was heard for the whole time of a request: the connection may have fallen silent for
+     * good, so the next request gets a new one. Others that wait may still be answered on it.
+     */
+    private void abandon(long silentMillis) {
+      log.write(
+          GatewayEvent.CONNECTION_SILENT,
+          "kind",
+          "node",
+          "address",
+          peer,
+          "ms",
+          silentMillis,
+          "under_way",
+          waiting.size());
+      Channel silent = channel;
+      channel = null;
+      group.next().schedule(() -> silent.close(), ABANDONED_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void end(long id, Outcome outcome) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
@@ -5,8 +5,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntFunction;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerDirectory;
 import org.baykeel.gateway.peer.PeerDistance;
@@ -18,6 +20,7 @@
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingPeerNetwork;
 import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.topology.RegionId;
 import org.baykeel.gateway.topology.Topology;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,6 +38,10 @@
   private final List<HolderDirectory> nodes = new ArrayList<>();
 
   private void startAll() {
+    startAll(i -> Topology.ofOneRegion("z"));
+  }
+
+  private void startAll(IntFunction<Topology> topologies) {
     for (int i = 0; i < NODES; i++) {
       PeerAddress address = new PeerAddress("10.0.0." + i, 7_000);
       PeerMessageCodec codec = new PeerMessageCodec();
@@ -47,7 +54,7 @@
               eventLoop,
               transport,
               codec,
-              Topology.ofOneRegion("z"),
+              topologies.apply(i),
               (event, fields) -> {});
       HolderDirectory holders =
           new HolderDirectory(address, peers, transport, codec, eventLoop, PeerDistance.NONE);
@@ -84,6 +91,30 @@
     }
   }
 
+  /** Nodes 0, 2 and 4 are in the east, 1 and 3 in the west. */
+  private void startInTwoRegions() {
+    Map<String, RegionId> regions = Map.of("e", new RegionId("east"), "w", new RegionId("west"));
+    startAll(i -> new Topology(i % 2 == 0 ? "e" : "w", regions));
+  }
+
+  @Test
+  void aProgramIsFoundWithinItsRegionWithoutAskingAnother() {
+    startInTwoRegions();
+    for (int from = 0; from < NODES; from++) {
+      for (int to = 1 - from % 2; to < NODES; to += 2) {
+        network.cut(addresses.get(from), addresses.get(to), true);
+      }
+    }
+    for (int i = 0; i < PROGRAMS; i++) {
+      ProgramId program = new ProgramId("p" + i);
+      nodes.get(0).announce(program);
+      eventLoop.advance(10);
+      assertEquals(Optional.of(addresses.get(0)), locate(2, program));
+      assertEquals(Optional.of(addresses.get(0)), locate(4, program));
+      assertEquals(Optional.empty(), locate(1, program), "the other region asks the store");
+    }
+  }
+
   @Test
   void aProgramThatNobodyServedHasNoHolder() {
     startAll();
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
@@ -0,0 +1,205 @@
+package org.baykeel.gateway.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.baykeel.gateway.budget.GrantTransfer;
+import org.baykeel.gateway.call.AnswerHead;
+import org.baykeel.gateway.call.CallRequest;
+import org.baykeel.gateway.call.EngineRequest;
+import org.baykeel.gateway.call.EngineTransport;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.history.KeptTurn;
+import org.baykeel.gateway.link.LinkClient;
+import org.baykeel.gateway.link.LinkServer;
+import org.baykeel.gateway.link.LinkServices;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDistance;
+import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.remote.StoreCall;
+import org.baykeel.gateway.remote.StoreReply;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.tenancy.Caller;
+import org.baykeel.gateway.testing.ScriptedEngine;
+import org.baykeel.gateway.testing.SilencingProxy;
+import org.baykeel.gateway.testing.TestingTranslator;
+import org.baykeel.gateway.topology.RoundTrips;
+import org.baykeel.gateway.topology.Topology;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Open connections fall silent for good, without being closed, while new ones work. */
+class TestSilentConnections {
+  private static final ScriptedEngine.Answer ANSWER =
+      new ScriptedEngine.Answer(
+          "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok",
+          ScriptedEngine.After.KEEP);
+  private static final long SILENT_MILLIS = 700;
+  private static final GrantTransfer TRANSFER = new GrantTransfer(500, 2_000, 17, 99);
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<GatewayEvent> events = new CopyOnWriteArrayList<>();
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  /** A request to an engine under way. */
+  private static final class Sent implements EngineTransport.Listener {
+    private final CompletableFuture<String> end = new CompletableFuture<>();
+    private final CompletableFuture<EngineTransport.Exchange> exchange = new CompletableFuture<>();
+
+    @Override
+    public void onHead(AnswerHead head) {}
+
+    @Override
+    public void onBody(byte[] bytes) {}
+
+    @Override
+    public void onComplete() {
+      end.complete("whole");
+    }
+
+    @Override
+    public void onFailure(EngineTransport.Failure failure, String detail) {
+      end.complete(failure.name());
+    }
+
+    String outcome() throws Exception {
+      return end.get(20, TimeUnit.SECONDS);
+    }
+  }
+
+  private Sent send(EngineTransport transport, Engine engine, String id) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("Host", "h");
+    CallRequest source =
+        new CallRequest(
+            "POST", "/x", "h", headers, new byte[3], TestingTranslator.attributesOf(id), 0);
+    EngineRequest request = new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1);
+    Sent sent = new Sent();
+    group.next().execute(() -> sent.exchange.complete(transport.send(engine, request, sent)));
+    return sent;
+  }
+
+  @Test
+  void anEnginesOtherKeptConnectionsAreNotTrustedEither() throws Exception {
+    try (ScriptedEngine server = new ScriptedEngine(ANSWER);
+        SilencingProxy proxy = new SilencingProxy(server.port())) {
+      EngineDirectory directory = new EngineDirectory(1);
+      directory.put(new EngineRecord("e", "s", "127.0.0.1", proxy.port(), "z", 4, false));
+      Engine engine = directory.ofService("s").get(0);
+      EngineTransport transport =
+          new NettyEngineTransport(
+              group,
+              new TestingTranslator(),
+              new GatewayMetrics(),
+              new RoundTrips(Topology.ofOneRegion("z")),
+              (event, fields) -> events.add(event));
+      Sent first = send(transport, engine, "r1");
+      Sent second = send(transport, engine, "r2");
+      assertEquals("whole whole", first.outcome() + ' ' + second.outcome());
+      assertEquals(2, proxy.connections());
+      proxy.silence();
+      Sent lost = send(transport, engine, "r3");
+      Thread.sleep(SILENT_MILLIS);
+      group.next().submit(() -> lost.exchange.join().cancel()).get();
+      assertEquals("whole", send(transport, engine, "r4").outcome());
+      assertEquals(3, proxy.connections());
+      assertEquals(List.of(GatewayEvent.CONNECTION_SILENT), events);
+    }
+  }
+
+  private StoreReply call(HttpCaller caller, long timeoutMillis) throws Exception {
+    return begin(caller, timeoutMillis).get(20, TimeUnit.SECONDS);
+  }
+
+  private CompletableFuture<StoreReply> begin(HttpCaller caller, long timeoutMillis) {
+    CompletableFuture<StoreReply> reply = new CompletableFuture<>();
+    StoreCall call = new StoreCall(StoreCall.Method.GET, "/x", null, timeoutMillis, false);
+    group.next().execute(() -> caller.call(call, reply::complete));
+    return reply;
+  }
+
+  @Test
+  void theStoresOtherKeptConnectionsAreNotTrustedEither() throws Exception {
+    try (ScriptedEngine server = new ScriptedEngine(ANSWER);
+        SilencingProxy proxy = new SilencingProxy(server.port())) {
+      HttpCaller caller =
+          new HttpCaller(
+              group,
+              new InetSocketAddress("127.0.0.1", proxy.port()),
+              (event, fields) -> events.add(event));
+      CompletableFuture<StoreReply> first = begin(caller, 5_000);
+      CompletableFuture<StoreReply> second = begin(caller, 5_000);
+      assertInstanceOf(StoreReply.Answered.class, first.get(20, TimeUnit.SECONDS));
+      assertInstanceOf(StoreReply.Answered.class, second.get(20, TimeUnit.SECONDS));
+      proxy.silence();
+      assertInstanceOf(StoreReply.Lost.class, call(caller, 300));
+      assertInstanceOf(StoreReply.Answered.class, call(caller, 5_000));
+      assertEquals(List.of(GatewayEvent.CONNECTION_SILENT), events);
+    }
+  }
+
+  private static final LinkServices SERVICES =
+      new LinkServices() {
+        @Override
+        public void callStore(StoreCall call, Consumer<StoreReply> answer) {
+          answer.accept(new StoreReply.Answered(200, new byte[0]));
+        }
+
+        @Override
+        public Optional<GrantTransfer> releaseGrant(ProgramId program) {
+          return Optional.of(TRANSFER);
+        }
+
+        @Override
+        public List<KeptTurn> turnsInMemory(String turnId) {
+          return List.of();
+        }
+      };
+
+  private Optional<GrantTransfer> grant(LinkClient client, PeerAddress peer) throws Exception {
+    CompletableFuture<Optional<GrantTransfer>> grant = new CompletableFuture<>();
+    ProgramId program = new ProgramId("p");
+    group.next().execute(() -> client.requestGrant(peer, program, grant::complete));
+    return grant.get(20, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void aLinkThatFellSilentIsMadeAnew() throws Exception {
+    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+    var bound = new LinkServer(SERVICES).listen(group, any).syncUninterruptibly();
+    int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+    // Long enough for a busy machine to answer in.
+    PeerDistance distance = peer -> 1_000;
+    LinkClient client = new LinkClient(group, distance, (event, fields) -> events.add(event));
+    try (SilencingProxy proxy = new SilencingProxy(port)) {
+      PeerAddress peer = new PeerAddress("127.0.0.1", proxy.port());
+      assertTrue(grant(client, peer).isPresent());
+      proxy.silence();
+      assertTrue(grant(client, peer).isEmpty());
+      assertTrue(grant(client, peer).isPresent());
+      assertEquals(2, proxy.connections());
+      assertEquals(List.of(GatewayEvent.CONNECTION_SILENT), events);
+    }
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineSuspicionGossip.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineSuspicionGossip.java
@@ -192,6 +192,13 @@
     assertEquals(Optional.empty(), new PeerMessageCodec().decode(HexFormat.of().parseHex(hex)));
   }
 
+  @Test
+  void anAnnouncementOfAnOlderVersionTellsNoZone() {
+    byte[] older = HexFormat.of().parseHex("00003c00c6020000");
+    assertEquals(
+        Optional.of(new PeerMessage.NodeAnnouncement("")), new PeerMessageCodec().decode(older));
+  }
+
   @Test
   void messagesAreReadAsTheyWereWritten() {
     PeerMessageCodec codec = new PeerMessageCodec();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/remote/TestFailoverStoreCaller.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/remote/TestFailoverStoreCaller.java
@@ -1,10 +1,12 @@
 package org.baykeel.gateway.remote;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,11 +32,24 @@
   private final List<StoreReply> replies = new ArrayList<>();
   private final Script direct = new Script();
   private final Map<PeerAddress, Script> scripts = new HashMap<>();
+  private final List<PeerAddress> far = new ArrayList<>();
+  private final RelayCandidates candidates =
+      new RelayCandidates() {
+        @Override
+        public Collection<PeerAddress> near() {
+          return peers;
+        }
+
+        @Override
+        public Collection<PeerAddress> far() {
+          return far;
+        }
+      };
   private final FailoverStoreCaller caller =
       new FailoverStoreCaller(
           direct,
           (peer, call, answer) -> scripts.get(peer).call(call, answer),
-          RelayCandidates.near(peers),
+          candidates,
           PROBE,
           eventLoop,
           new Random(1),
@@ -97,6 +112,31 @@
     scripts.get(peer).way = way;
   }
 
+  @Test
+  void aNodeOfAnotherRegionRelaysOnlyIfNoNearOneIsLeft() {
+    PeerAddress near = new PeerAddress("10.0.0.1", 1);
+    PeerAddress distant = new PeerAddress("10.9.0.1", 1);
+    knowPeer(near, Way.SERVES);
+    scripts.put(distant, new Script());
+    far.add(distant);
+    direct.way = Way.CUTS;
+    for (int i = 0; i < 5; i++) {
+      assertTrue(served(callAndWait(500)));
+    }
+    assertEquals(0, scripts.get(distant).calls);
+    scripts.get(near).way = Way.CUTS;
+    assertTrue(served(callAndWait(500)));
+    assertEquals(1, scripts.get(distant).calls);
+  }
+
+  @Test
+  void withoutLeaveToPassOtherRegionsACallStaysInItsOwn() {
+    PeerAddress near = new PeerAddress("10.0.0.1", 1);
+    knowPeer(near, Way.CUTS);
+    direct.way = Way.CUTS;
+    assertFalse(served(callAndWait(500)));
+  }
+
   private StoreReply callAndWait(long millis) {
     int before = replies.size();
     caller.call(CHANGE, replies::add);
