--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/BeliefLog.java
@@ -0,0 +1,56 @@
+package org.baykeel.gateway.telemetry;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+
+/** Writes a line whenever a process comes to believe something else about itself or its store. */
+public final class BeliefLog {
+  private final DecisionLog log;
+  private final BooleanSupplier recent;
+  private final LongSupplier proofAgeMillis;
+  private final BooleanSupplier ready;
+  private final BooleanSupplier storeReachable;
+  private boolean wasRecent;
+  private boolean wasReady;
+  private boolean storeWasReachable;
+
+  /**
+   * Creates a log of a process that believes nothing yet.
+   *
+   * @param recent whether the configuration is proven recently enough for keys
+   * @param proofAgeMillis how long ago it was proven
+   * @param ready whether new callers should come here
+   * @param storeReachable whether the store answers
+   */
+  public BeliefLog(
+      DecisionLog log,
+      BooleanSupplier recent,
+      LongSupplier proofAgeMillis,
+      BooleanSupplier ready,
+      BooleanSupplier storeReachable) {
+    this.log = log;
+    this.recent = recent;
+    this.proofAgeMillis = proofAgeMillis;
+    this.ready = ready;
+    this.storeReachable = storeReachable;
+  }
+
+  /** Compares with what was believed before. */
+  public void compare() {
+    if (recent.getAsBoolean() != wasRecent) {
+      wasRecent = !wasRecent;
+      log.write(
+          wasRecent ? GatewayEvent.CONFIGURATION_RECENT : GatewayEvent.CONFIGURATION_STALE,
+          "proven_ms_ago",
+          proofAgeMillis.getAsLong());
+    }
+    if (ready.getAsBoolean() != wasReady) {
+      wasReady = !wasReady;
+      log.write(GatewayEvent.GATEWAY_READY, "ready", wasReady);
+    }
+    if (storeReachable.getAsBoolean() != storeWasReachable) {
+      storeWasReachable = !storeWasReachable;
+      log.write(storeWasReachable ? GatewayEvent.STORE_REGAINED : GatewayEvent.STORE_LOST);
+    }
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/topology/Topology.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/topology/Topology.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.topology;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -11,6 +12,7 @@
   private final String ownZone;
   private final RegionId ownRegion;
   private final Map<String, RegionId> regionByZone;
+  private final Map<String, Locality> localityByZone = new HashMap<>();
   private final boolean severalRegions;
 
   /**
@@ -24,6 +26,7 @@
     this.regionByZone = Map.copyOf(regionByZone);
     this.severalRegions = regionByZone.values().stream().distinct().count() > 1;
     this.ownRegion = regionByZone.getOrDefault(ownZone, new RegionId(""));
+    regionByZone.keySet().forEach(zone -> localityByZone.put(zone, compare(zone)));
   }
 
   /** A topology of one region. */
@@ -58,6 +61,11 @@
 
   /** How a zone relates to this node. */
   public Locality localityOf(String zone) {
+    Locality known = localityByZone.get(zone);
+    return known != null ? known : compare(zone);
+  }
+
+  private Locality compare(String zone) {
     if (zone.equals(ownZone)) {
       return Locality.SAME_ZONE;
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/placement/TestPlacement.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/placement/TestPlacement.java
@@ -324,6 +324,7 @@
     }
     for (int i = 0; i < PROGRAMS; i++) {
       assertNotEquals("e1", node.zoneFor(turn("p" + i)));
+      assertNotEquals("e1", node.zoneFor(new Criteria("s", List.of(), null, true)));
     }
     eventLoop.advance(2 * COLD_START_MILLIS);
     Set<String> zones = new HashSet<>();
