A request of a program that runs may wait a moment for its tenant's token

A refused caller comes back with others, is refused again, and its whole program is lost, long ones more often than short ones.

Ruled out: asking again after the time told (no order among those who ask, more messages); larger buckets (the operator's bound has no room: capacity + 5.4 s of rate against 5.5 s and the slack).

Change: the holder lends a token that the rate brings within 250 ms; the node uses it only then, and only within the 400 ms for which any token holds after its question. Programs that begin still go first to wait outside: they are refused. A bucket that was elsewhere begins with what may have been lent there as a debt.

Tests: any window of uses stays within burst and rate, also with lent tokens; two nodes; a request with little time is told at once.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -25,6 +25,8 @@
 
   /** What a call waits for besides its engine. */
   enum Wait {
+    /** Its key and a token of its tenant's limit. */
+    ADMISSION,
     /** The store's decision on its tokens. */
     GRANT,
     /** The turns that it continues. */
@@ -151,6 +153,8 @@
         firstMillis,
         "finish_ms",
         attributes.finishMillis(),
+        "admission_ms",
+        waited(Wait.ADMISSION),
         "grant_ms",
         waited(Wait.GRANT),
         "history_ms",
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -70,6 +70,7 @@
   }
 
   void start() {
+    record.waitBegan(CallRecord.Wait.ADMISSION);
     new Admission(context, request, this::onAdmission).begin();
   }
 
@@ -77,6 +78,7 @@
     if (over) {
       return;
     }
+    record.waitEnded(CallRecord.Wait.ADMISSION);
     if (outcome instanceof Admission.Outcome.Refused refused) {
       route = refused.route();
       record.tenant(refused.tenant());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -66,7 +66,7 @@
    * @param outcome whether tokens were given
    * @param tokens how many
    * @param openingsAllowed whether programs may begin with them
-   * @param retryMillis when there will be some; 0 if some were given
+   * @param retryMillis when there will be some; if some were given, when they may be used
    * @param left what the bucket still holds
    * @param proof what proves the sender's configuration, if it has any proof
    */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionBuckets.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionBuckets.java
@@ -19,6 +19,7 @@
 
   private final double extraTokens;
   private final double firstTokens;
+  private final boolean heldBefore;
   private final Map<TenantId, TokenBucket> buckets = new HashMap<>();
   private final Map<Integer, Boolean> begunPrograms =
       new LinkedHashMap<>(64, 0.75f, true) {
@@ -35,10 +36,20 @@
    *
    * @param extraTokens what a full bucket holds beyond the tenant's burst
    * @param firstTokens what a bucket holds at first
+   * @param heldBefore whether somebody may have lent tokens of these buckets before
    */
-  PartitionBuckets(double extraTokens, double firstTokens) {
+  PartitionBuckets(double extraTokens, double firstTokens, boolean heldBefore) {
     this.extraTokens = extraTokens;
     this.firstTokens = firstTokens;
+    this.heldBefore = heldBefore;
+  }
+
+  private TokenBucket newBucket(Tenant tenant, long nowNanos) {
+    TokenBucket bucket = new TokenBucket(tenant.limit(), extraTokens, firstTokens, nowNanos);
+    if (heldBefore) {
+      bucket.oweWhatAnotherMayHaveLent();
+    }
+    return bucket;
   }
 
   /**
@@ -53,13 +64,18 @@
       Tenant tenant, RequestClass asked, int programHash, int wanted, long nowNanos) {
     boolean begun = begunPrograms.get(programHash) != null;
     RequestClass kind = begun ? RequestClass.CONTINUING : asked;
-    TokenBucket bucket =
-        buckets.computeIfAbsent(
-            tenant.id(), id -> new TokenBucket(tenant.limit(), extraTokens, firstTokens, nowNanos));
+    TokenBucket bucket = buckets.computeIfAbsent(tenant.id(), id -> newBucket(tenant, nowNanos));
     bucket.advance(tenant.limit(), nowNanos);
     double openingReserve =
         bucket.overdrawn() ? RequestClass.OPENING.reserve(bucket.capacity()) : 0;
     double reserve = kind == RequestClass.OPENING ? openingReserve : 0;
+    if (bucket.tokens() < 1 && kind == RequestClass.CONTINUING) {
+      long delayMillis = bucket.lend();
+      if (delayMillis >= 0) {
+        bucket.asked(1);
+        return new TokenDecision(1, false, delayMillis, bucket.tokens());
+      }
+    }
     if (bucket.tokens() - reserve < 1) {
       long retryMillis = bucket.millisUntil(reserve + 1);
       if (kind == RequestClass.OPENING) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -202,7 +202,9 @@
     HeldBuckets held = buckets.get(partition);
     if (held == null || held.tenure() != tenure) {
       double firstTokens = tenure.first() ? Double.MAX_VALUE : bounds.takeoverTokens();
-      held = new HeldBuckets(tenure, new PartitionBuckets(bounds.extraTokens(), firstTokens));
+      held =
+          new HeldBuckets(
+              tenure, new PartitionBuckets(bounds.extraTokens(), firstTokens, !tenure.first()));
       buckets.put(partition, held);
     }
     return held.buckets();
@@ -335,29 +337,39 @@
       }
       reply.proof().ifPresent(proofs::told);
       switch (reply.outcome()) {
-        case GIVEN -> onTokens(Math.min(wanted, reply.tokens()), reply.openingsAllowed());
+        case GIVEN -> onTokens(Math.min(wanted, reply.tokens()), reply);
         case REFUSED -> onDecision(new TokenDecision(0, false, reply.retryMillis(), reply.left()));
         default -> onNotHeld();
       }
     }
 
-    private void onTokens(int tokens, boolean openingsAllowed) {
+    private void onTokens(int tokens, PeerMessage.LimitTokenReply reply) {
       long now = eventLoop.nanoTime();
       long expires = firstSentNanos + bounds.holdMillis() * 1_000_000;
-      if (tokens <= 0 || now - expires >= 0) {
+      long useNanos = now + reply.retryMillis() * 1_000_000;
+      if (tokens <= 0 || useNanos - expires >= 0) {
         metrics.limitCounted(LimitFigure.LOST, Math.max(0, tokens));
         return;
       }
       if (tokens > 1) {
         TokenSlice slice = ownUse.computeIfAbsent(request.tenant().id(), key -> new OwnUse()).slice;
         metrics.limitCounted(
-            LimitFigure.LOST, slice.add(tokens - 1, expires, openingsAllowed, now));
+            LimitFigure.LOST, slice.add(tokens - 1, expires, reply.openingsAllowed(), now));
       }
-      onDecision(new TokenDecision(1, openingsAllowed, 0, 0));
+      onDecision(new TokenDecision(1, reply.openingsAllowed(), reply.retryMillis(), 0));
     }
 
     private void onDecision(TokenDecision decision) {
-      if (decision.tokens() > 0) {
+      long useNanos = eventLoop.nanoTime() + decision.retryMillis() * 1_000_000;
+      if (decision.tokens() > 0 && useNanos - endNanos > 0) {
+        metrics.limitCounted(LimitFigure.LOST, decision.tokens());
+        end(new Decision.Exceeded(Math.max(1, decision.retryMillis()), decision.left()));
+      } else if (decision.tokens() > 0 && decision.retryMillis() > 0) {
+        metrics.limitCounted(LimitFigure.WAITED, 1);
+        questions.remove(id);
+        cancelRetry();
+        eventLoop.schedule(decision.retryMillis(), () -> end(new Decision.Allowed()));
+      } else if (decision.tokens() > 0) {
         end(new Decision.Allowed());
       } else {
         metrics.limitCounted(LimitFigure.REFUSED, 1);
@@ -371,11 +383,15 @@
       retryIn(NO_HOLDER_RETRY_MILLIS);
     }
 
-    private void end(Decision decision) {
-      questions.remove(id);
+    private void cancelRetry() {
       if (retry != null) {
         retry.cancel();
       }
+    }
+
+    private void end(Decision decision) {
+      questions.remove(id);
+      cancelRetry();
       answer.accept(decision);
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/TokenBucket.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/TokenBucket.java
@@ -5,8 +5,9 @@
 /**
  * Tokens that fill up at a rate.
  *
- * <p>Invariant: in any span of time no more tokens are taken than the bucket held at its begin plus
- * the rate times the span.
+ * <p>Invariant: in any span of time no more tokens may be used than the bucket held at its begin
+ * plus the rate times the span. A token that is lent is one that the rate has not brought yet; it
+ * may be used only when it has.
  */
 final class TokenBucket {
   /** The span over which the demand is averaged: long against the gaps of a slow tenant. */
@@ -15,6 +16,14 @@
   /** Requests that come by chance pass their mean by this many standard deviations rarely. */
   private static final double DEVIATIONS = 2;
 
+  /**
+   * How long a request of a program that runs may wait for its token. A quarter of a second is some
+   * ten turns' pauses, and less than a refused caller loses by coming back: with refusals at once,
+   * 391 of 440 requests beyond a limit on a day without faults were of programs that ran, and the
+   * bucket was short of a token by 25 to 110 ms.
+   */
+  private static final double LONGEST_WAIT_SECONDS = 0.25;
+
   private final double extraTokens;
   private RateLimit limit;
   private double tokens;
@@ -61,6 +70,32 @@
     return taken;
   }
 
+  /** The most that it may owe: what the rate brings while a request may wait for its token. */
+  private double mostDebt() {
+    return limit.requestsPerSecond() * LONGEST_WAIT_SECONDS;
+  }
+
+  /**
+   * Lends a token that the rate will bring soon.
+   *
+   * @return when it may be used, in milliseconds from now; negative if too many are owed
+   */
+  long lend() {
+    if (tokens - 1 < -mostDebt()) {
+      return -1;
+    }
+    tokens -= 1;
+    return millisUntil(0);
+  }
+
+  /**
+   * Owes what the bucket of another holder may have lent before it ended, so that what both give
+   * stays within the rate.
+   */
+  void oweWhatAnotherMayHaveLent() {
+    tokens -= mostDebt();
+  }
+
   double tokens() {
     return tokens;
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/TokenDecision.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/TokenDecision.java
@@ -5,7 +5,8 @@
  *
  * @param tokens tokens given; 0 if none
  * @param openingsAllowed whether programs may begin with them
- * @param retryMillis when there will be some, if none were given
+ * @param retryMillis when there will be some, if none were given; otherwise when those that were
+ *     given may be used
  * @param left what the bucket still holds
  */
 record TokenDecision(int tokens, boolean openingsAllowed, long retryMillis, double left) {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -87,6 +87,8 @@
     FROM_SLICE,
     /** Tokens that this node took from its own bucket. */
     FROM_OWN_BUCKET,
+    /** Requests of programs that run which waited for their token. */
+    WAITED,
     /** Tokens given to other nodes. */
     GIVEN_TO_NODES,
     /** Tokens that came too late or were not used in time. */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
@@ -44,6 +44,9 @@
   private static final PeerAddress STRANGER = new PeerAddress("10.0.0.9", 7_000);
   private static final int CAPACITY = 18;
 
+  /** Tokens that the rate brings while a request may wait for one. */
+  private static final int LENT = 2;
+
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final TestingStore store = new TestingStore(eventLoop);
   private final TestingPeerNetwork network = new TestingPeerNetwork(eventLoop);
@@ -120,8 +123,10 @@
     ask(OTHER, 30);
     ask(HOLDER, 30);
     eventLoop.advance(50);
-    assertEquals(60, decisions.size());
     assertEquals(CAPACITY, allowed());
+    eventLoop.advance(250);
+    assertEquals(60, decisions.size());
+    assertEquals(CAPACITY + LENT, allowed());
     Decision.Exceeded refused =
         (Decision.Exceeded)
             decisions.stream().filter(Decision.Exceeded.class::isInstance).findFirst().get();
@@ -237,9 +242,36 @@
     assertEquals(LimitPartition.COUNT, nodes.get(HOLDER).partitionsHeld());
     decisions.clear();
     ask(HOLDER, 30);
+    assertEquals(0, allowed(), "the one before may have lent some");
+    eventLoop.advance(250);
+    assertEquals(2, allowed());
+    eventLoop.advance(1_000);
     assertEquals(2, allowed());
   }
 
+  @Test
+  void aRequestWaitsForALentTokenAtAnotherNodeToo() {
+    startBoth();
+    ask(HOLDER, CAPACITY);
+    decisions.clear();
+    ask(OTHER, 1);
+    eventLoop.advance(80);
+    assertEquals(0, decisions.size());
+    eventLoop.advance(30);
+    assertEquals(1, allowed());
+  }
+
+  /** A request that has little time is told at once rather than after its time. */
+  @Test
+  void nobodyWaitsLongerThanItMay() {
+    startBoth();
+    ask(HOLDER, CAPACITY + 1);
+    decisions.clear();
+    LimitedRequest request = new LimitedRequest(TENANT, RequestClass.CONTINUING, Optional.empty());
+    nodes.get(HOLDER).decide(request, 50, decisions::add);
+    assertInstanceOf(Decision.Exceeded.class, decisions.get(0));
+  }
+
   @Test
   void aQuestionThatIsDoubledTakesNothingTwice() {
     startBoth();
