--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -63,6 +63,9 @@
   private final List<EnginePolicy> policies;
   private final RandomGenerator random;
 
+  /** Engines that may run the request in hand; kept between choices, which come one at a time. */
+  private final List<Engine> candidates = new ArrayList<>();
+
   /**
    * Creates a selector.
    *
@@ -146,8 +149,8 @@
    * @return a choice, or null if no engine takes work
    */
   public Choice choose(Criteria criteria, Set<String> excluded, long nowNanos) {
-    List<Engine> candidates = candidates(criteria, excluded, nowNanos);
-    Engine home = home(criteria, candidates, nowNanos);
+    collectCandidates(criteria, excluded, nowNanos);
+    Engine home = home(criteria, nowNanos);
     boolean keptSomewhere = keptSomewhere(criteria);
     double usualGapMillis = usualGapMillis(criteria.service());
     Engine best = null;
@@ -175,15 +178,13 @@
     return new Choice(best, bestMillis, nearMillis, locality(best));
   }
 
-  private List<Engine> candidates(Criteria criteria, Set<String> excluded, long nowNanos) {
-    List<Engine> engines = directory.ofService(criteria.service());
-    List<Engine> candidates = new ArrayList<>(engines.size());
-    for (Engine engine : engines) {
+  private void collectCandidates(Criteria criteria, Set<String> excluded, long nowNanos) {
+    candidates.clear();
+    for (Engine engine : directory.ofService(criteria.service())) {
       if (takesWork(engine, excluded) && allowed(engine, criteria, nowNanos)) {
         candidates.add(engine);
       }
     }
-    return candidates;
   }
 
   private boolean allowed(Engine engine, Criteria criteria, long nowNanos) {
@@ -278,7 +279,7 @@
    * Rendezvous hashing over the engines of this node's region, or over all if it has none: each
    * node of a region finds the same home, and a program whose region stays the same keeps it.
    */
-  private Engine home(Criteria criteria, List<Engine> candidates, long nowNanos) {
+  private Engine home(Criteria criteria, long nowNanos) {
     if (criteria.homeKey() == null) {
       return null;
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/StableHash.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/StableHash.java
@@ -9,17 +9,29 @@
 
   /** The FNV-1a hash of a text, with its bits mixed for use modulo small numbers. */
   public static int of(String text) {
-    int hash = OFFSET_BASIS;
+    return mix(add(OFFSET_BASIS, text));
+  }
+
+  /**
+   * The hash of two texts, for rendezvous hashing: that of both with a line feed between them,
+   * without putting them together, since a choice asks for one with each engine.
+   */
+  public static int of(String first, String second) {
+    int hash = add(OFFSET_BASIS, first);
+    hash = (hash ^ '\n') * PRIME;
+    return mix(add(hash, second));
+  }
+
+  private static int add(int hash, String text) {
+    int sum = hash;
     for (int i = 0; i < text.length(); i++) {
-      hash = (hash ^ text.charAt(i)) * PRIME;
+      sum = (sum ^ text.charAt(i)) * PRIME;
     }
-    hash ^= hash >>> 16;
-    hash *= 0x85EBCA6B;
-    return hash ^ hash >>> 13;
+    return sum;
   }
 
-  /** The hash of two texts, for rendezvous hashing. */
-  public static int of(String first, String second) {
-    return of(first + '\n' + second);
+  private static int mix(int hash) {
+    int mixed = (hash ^ hash >>> 16) * 0x85EBCA6B;
+    return mixed ^ mixed >>> 13;
   }
 }
