Residency is the code's word; less wiring in the platform folder

Cause: `allowedRegions` is the platform's name and had come into the product; Route had two constructors of fifteen parameters, and PlatformNode asked the configuration for what parts can ask.

Change: type Residency; one constructor; RegionalRelays and Placement take the configuration in force. Assertions unchanged, tests pass the binding that they did not name before.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -13,7 +13,7 @@
 import org.baykeel.gateway.history.KeptTurn;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
 import org.baykeel.gateway.program.ProgramId;
-import org.baykeel.gateway.residency.AllowedRegions;
+import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.tenancy.Caller;
@@ -242,7 +242,7 @@
             attributes().prompt(),
             attributes().programOrObject(stream()),
             route.repeatable(),
-            allowedRegions());
+            residency());
     EngineSelector.Choice choice =
         sendsInRound >= MAX_SENDS ? null : context.selector().choose(criteria, triedEngines, now);
     if (choice == null) {
@@ -265,8 +265,8 @@
     silenceWatch.sent();
   }
 
-  private AllowedRegions allowedRegions() {
-    return route.allowedRegions().and(caller.allowedRegions());
+  private Residency residency() {
+    return route.residency().and(caller.residency());
   }
 
   private void onNoEngine() {
@@ -280,7 +280,7 @@
   }
 
   private void refuseWithoutEngine() {
-    AllowedRegions allowed = allowedRegions();
+    Residency allowed = residency();
     if (allowed.bound()) {
       refuse(ErrorKind.RESIDENCY, BUSY_RETRY_MILLIS, "no engine takes work in " + allowed);
     } else {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/GatewayConfiguration.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/GatewayConfiguration.java
@@ -43,8 +43,7 @@
     this.limits = limits;
     this.routeCount = routes.size();
     this.boundToRegions =
-        tenants.boundToRegions()
-            || routes.stream().anyMatch(route -> route.allowedRegions().bound());
+        tenants.boundToRegions() || routes.stream().anyMatch(route -> route.residency().bound());
     this.routesByHost = indexByHost(routes);
     this.services = new HashMap<>();
     for (ServiceProfile service : services) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/Route.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/configuration/Route.java
@@ -1,7 +1,7 @@
 package org.baykeel.gateway.configuration;
 
 import java.util.List;
-import org.baykeel.gateway.residency.AllowedRegions;
+import org.baykeel.gateway.residency.Residency;
 
 /**
  * One rule that sends requests of a host and path prefix to services.
@@ -21,7 +21,7 @@
  * @param sessionAffinity whether an engine works faster on what it has seen before
  * @param resumable whether a broken stream may be continued at another engine
  * @param anonymous whether callers need no key even where the configuration names tenants
- * @param allowedRegions where its requests may run, be cached and be kept
+ * @param residency where its requests may run, be cached and be kept
  */
 public record Route(
     String name,
@@ -39,7 +39,7 @@
     boolean sessionAffinity,
     boolean resumable,
     boolean anonymous,
-    AllowedRegions allowedRegions) {
+    Residency residency) {
 
   private static final int STREAM_SILENCE_TARGETS = 5;
   private static final int STREAM_SILENCE_GAPS = 2;
@@ -53,43 +53,6 @@
     }
   }
 
-  /** A route that is bound to no region. */
-  @SuppressWarnings("ParameterNumber")
-  public Route(
-      String name,
-      String host,
-      String pathPrefix,
-      RouteKind kind,
-      long timeoutMillis,
-      long targetLatencyMillis,
-      long gapTargetMillis,
-      int priority,
-      List<Backend> backends,
-      int attempts,
-      boolean retained,
-      long retentionMillis,
-      boolean sessionAffinity,
-      boolean resumable,
-      boolean anonymous) {
-    this(
-        name,
-        host,
-        pathPrefix,
-        kind,
-        timeoutMillis,
-        targetLatencyMillis,
-        gapTargetMillis,
-        priority,
-        backends,
-        attempts,
-        retained,
-        retentionMillis,
-        sessionAffinity,
-        resumable,
-        anonymous,
-        AllowedRegions.ANY);
-  }
-
   /**
    * The longest silence of an engine after which a request that may be repeated tries another one.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/placement/Placement.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/placement/Placement.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.configuration.ServiceProfile;
 import org.baykeel.gateway.cordon.CordonPolicy;
 import org.baykeel.gateway.cordon.ZoneCordons;
@@ -33,7 +33,7 @@
    * Creates a placement that knows of no cordon and has measured nothing.
    *
    * @param topology where this node and the zones are
-   * @param services what the configuration in force says about a service
+   * @param configuration the configuration in force, or null if none is known
    * @param self this node
    * @param peers the other nodes; nothing until they have been read
    * @param random settles ties
@@ -44,7 +44,7 @@
       Topology topology,
       PlacementBounds bounds,
       EngineDirectory engines,
-      Function<String, Optional<ServiceProfile>> services,
+      Supplier<GatewayConfiguration> configuration,
       PeerAddress self,
       Supplier<Optional<Collection<PeerAddress>>> peers,
       EventLoop eventLoop,
@@ -54,7 +54,14 @@
     this.topology = topology;
     this.roundTrips = new RoundTrips(topology);
     this.cordons = new ZoneCordons(bounds.cordonMillis(), eventLoop, log);
-    WarmupPolicy warmup = new WarmupPolicy(bounds.cold(), services, cordons, self, peers, log);
+    WarmupPolicy warmup =
+        new WarmupPolicy(
+            bounds.cold(),
+            service -> profile(configuration.get(), service),
+            cordons,
+            self,
+            peers,
+            log);
     this.selector =
         new EngineSelector(
             engines,
@@ -65,6 +72,10 @@
     register(metrics, warmup, eventLoop);
   }
 
+  private static Optional<ServiceProfile> profile(GatewayConfiguration inForce, String service) {
+    return Optional.ofNullable(inForce).map(known -> known.service(service));
+  }
+
   private void register(GatewayMetrics metrics, WarmupPolicy warmup, EventLoop eventLoop) {
     metrics.gauge("baykeel_gateway_zones_cordoned", cordons::count);
     metrics.gauge("baykeel_gateway_cold_engine_sends", warmup::sentWhileCold);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/RegionalRelays.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/RegionalRelays.java
@@ -2,8 +2,8 @@
 
 import java.util.Collection;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerDirectory;
 
@@ -13,17 +13,18 @@
  */
 public final class RegionalRelays implements RelayCandidates {
   private final Supplier<PeerDirectory> peers;
-  private final BooleanSupplier free;
+  private final Supplier<GatewayConfiguration> configuration;
 
   /**
    * Creates candidates.
    *
    * @param peers the nodes known; asked when the first call is relayed
-   * @param free whether it is known that nothing is bound to regions
+   * @param configuration the configuration in force, or null if none is known
    */
-  public RegionalRelays(Supplier<PeerDirectory> peers, BooleanSupplier free) {
+  public RegionalRelays(
+      Supplier<PeerDirectory> peers, Supplier<GatewayConfiguration> configuration) {
     this.peers = peers;
-    this.free = free;
+    this.configuration = configuration;
   }
 
   @Override
@@ -33,6 +34,8 @@
 
   @Override
   public Collection<PeerAddress> far() {
-    return free.getAsBoolean() ? peers.get().peers() : List.of();
+    GatewayConfiguration inForce = configuration.get();
+    boolean free = inForce != null && !inForce.boundToRegions();
+    return free ? peers.get().peers() : List.of();
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/residency/AllowedRegions.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/residency/Residency.java
@@ -11,14 +11,14 @@
  * <p>Invariant: an intersection never allows what one of its parts does not; two bindings without a
  * common region allow none at all, which is not the same as no binding.
  */
-public final class AllowedRegions {
+public final class Residency {
   /** No binding. */
-  public static final AllowedRegions ANY = new AllowedRegions(false, Set.of());
+  public static final Residency ANY = new Residency(false, Set.of());
 
   private final boolean bound;
   private final Set<RegionId> regions;
 
-  private AllowedRegions(boolean bound, Set<RegionId> regions) {
+  private Residency(boolean bound, Set<RegionId> regions) {
     this.bound = bound;
     this.regions = regions;
   }
@@ -28,8 +28,8 @@
    *
    * @param regions the regions; an empty list binds to nothing
    */
-  public static AllowedRegions of(List<RegionId> regions) {
-    return regions.isEmpty() ? ANY : new AllowedRegions(true, Set.copyOf(regions));
+  public static Residency of(List<RegionId> regions) {
+    return regions.isEmpty() ? ANY : new Residency(true, Set.copyOf(regions));
   }
 
   /** Whether there is a binding. */
@@ -43,7 +43,7 @@
   }
 
   /** What both bindings allow. */
-  public AllowedRegions and(AllowedRegions other) {
+  public Residency and(Residency other) {
     if (!other.bound) {
       return this;
     }
@@ -52,12 +52,12 @@
     }
     Set<RegionId> common = new HashSet<>(regions);
     common.retainAll(other.regions);
-    return new AllowedRegions(true, common);
+    return new Residency(true, common);
   }
 
   @Override
   public boolean equals(Object other) {
-    return other instanceof AllowedRegions allowed
+    return other instanceof Residency allowed
         && bound == allowed.bound
         && regions.equals(allowed.regions);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/residency/ResidencyPolicy.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/residency/ResidencyPolicy.java
@@ -19,7 +19,7 @@
 
   @Override
   public boolean allows(Engine engine, Criteria criteria, long nowNanos) {
-    AllowedRegions allowed = criteria.allowedRegions();
+    Residency allowed = criteria.residency();
     return !allowed.bound()
         || topology.knownRegionOf(engine.record().zone()).filter(allowed::allows).isPresent();
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -8,7 +8,7 @@
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.directory.ServicePerformance;
-import org.baykeel.gateway.residency.AllowedRegions;
+import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.topology.Locality;
 import org.baykeel.gateway.topology.RoundTrips;
 import org.baykeel.gateway.topology.Topology;
@@ -103,18 +103,18 @@
    * @param prompt the parts of its prompt, or none
    * @param homeKey what the request belongs together with, or null
    * @param repeatable whether it may be sent to another engine after an unknown outcome
-   * @param allowedRegions where it may run
+   * @param residency where it may run
    */
   public record Criteria(
       String service,
       List<PromptPart> prompt,
       String homeKey,
       boolean repeatable,
-      AllowedRegions allowedRegions) {
+      Residency residency) {
 
     /** What a request depends on that may run anywhere. */
     public Criteria(String service, List<PromptPart> prompt, String homeKey, boolean repeatable) {
-      this(service, prompt, homeKey, repeatable, AllowedRegions.ANY);
+      this(service, prompt, homeKey, repeatable, Residency.ANY);
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/Caller.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/Caller.java
@@ -1,7 +1,7 @@
 package org.baykeel.gateway.tenancy;
 
 import java.util.Optional;
-import org.baykeel.gateway.residency.AllowedRegions;
+import org.baykeel.gateway.residency.Residency;
 
 /**
  * On whose behalf a request runs.
@@ -44,8 +44,8 @@
   }
 
   /** Where its tenant's requests may run. */
-  public AllowedRegions allowedRegions() {
-    return tenant.map(Tenant::allowedRegions).orElse(AllowedRegions.ANY);
+  public Residency residency() {
+    return tenant.map(Tenant::residency).orElse(Residency.ANY);
   }
 
   /** The tenant's name for the log; "none" if there is no tenant. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/Tenant.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/Tenant.java
@@ -1,7 +1,7 @@
 package org.baykeel.gateway.tenancy;
 
 import java.util.OptionalInt;
-import org.baykeel.gateway.residency.AllowedRegions;
+import org.baykeel.gateway.residency.Residency;
 
 /**
  * A tenant as the configuration describes it.
@@ -9,13 +9,12 @@
  * @param id its name
  * @param priority its rank, which goes before that of a route; nothing if it has none of its own
  * @param limit how many requests it may run
- * @param allowedRegions where its requests may run, be cached and be kept
+ * @param residency where its requests may run, be cached and be kept
  */
-public record Tenant(
-    TenantId id, OptionalInt priority, RateLimit limit, AllowedRegions allowedRegions) {
+public record Tenant(TenantId id, OptionalInt priority, RateLimit limit, Residency residency) {
 
   /** A tenant that is bound to no region. */
   public Tenant(TenantId id, OptionalInt priority, RateLimit limit) {
-    this(id, priority, limit, AllowedRegions.ANY);
+    this(id, priority, limit, Residency.ANY);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/TenantDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/tenancy/TenantDirectory.java
@@ -19,8 +19,7 @@
     this.byKey = Map.copyOf(builder.byKey);
     this.byId = Map.copyOf(builder.byId);
     this.limited = byId.values().stream().anyMatch(tenant -> !tenant.limit().unlimited());
-    this.boundToRegions =
-        byId.values().stream().anyMatch(tenant -> tenant.allowedRegions().bound());
+    this.boundToRegions = byId.values().stream().anyMatch(tenant -> tenant.residency().bound());
   }
 
   /** Collects tenants. */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestAdmission.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestAdmission.java
@@ -26,6 +26,7 @@
 import org.baykeel.gateway.ratelimit.LimitedRequest;
 import org.baykeel.gateway.ratelimit.RequestClass;
 import org.baykeel.gateway.ratelimit.RequestLimiter.Decision;
+import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -88,7 +89,8 @@
         0,
         false,
         false,
-        anonymous);
+        anonymous,
+        Residency.ANY);
   }
 
   private Outcome begin(String path, String key, String program) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -25,6 +25,7 @@
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.history.TurnSource;
 import org.baykeel.gateway.ratelimit.RequestLimiter;
+import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -109,7 +110,8 @@
         60_000,
         true,
         resumable,
-        false);
+        false,
+        Residency.ANY);
   }
 
   private ClientCall call(String path) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/configuration/TestGatewayConfiguration.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/configuration/TestGatewayConfiguration.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.util.List;
+import org.baykeel.gateway.residency.Residency;
 import org.junit.jupiter.api.Test;
 
 class TestGatewayConfiguration {
@@ -17,7 +18,22 @@
   private static Route route(String name, String host, String prefix) {
     List<Backend> backends = List.of(new Backend("s", 1));
     return new Route(
-        name, host, prefix, RouteKind.SAFE, 1, 1, 1, 0, backends, 1, false, 0, false, false, false);
+        name,
+        host,
+        prefix,
+        RouteKind.SAFE,
+        1,
+        1,
+        1,
+        0,
+        backends,
+        1,
+        false,
+        0,
+        false,
+        false,
+        false,
+        Residency.ANY);
   }
 
   @Test
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -32,6 +32,7 @@
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.history.TurnSource;
 import org.baykeel.gateway.ratelimit.RequestLimiter;
+import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -92,7 +93,8 @@
             0,
             false,
             false,
-            false);
+            false,
+            Residency.ANY);
     state.offer(new GatewayConfiguration(1, List.of(route), List.of(), LIMITS));
     TestingStore store = new TestingStore(new TestingEventLoop());
     TestingTranslator translator = new TestingTranslator();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/placement/TestPlacement.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/placement/TestPlacement.java
@@ -15,6 +15,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.configuration.RequestLimits;
 import org.baykeel.gateway.configuration.ServiceProfile;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
@@ -22,7 +24,7 @@
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.peer.PeerAddress;
-import org.baykeel.gateway.residency.AllowedRegions;
+import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.scheduling.EngineSelector.Choice;
 import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
@@ -49,6 +51,12 @@
   private static final long COLD_START_MILLIS = 3_000;
   private static final double COLD_PER_SECOND = 29;
   private static final ColdBounds COLD = new ColdBounds(1.5, 5);
+  private static final GatewayConfiguration CONFIGURATION =
+      new GatewayConfiguration(
+          1,
+          List.of(),
+          List.of(new ServiceProfile("s", 9, 1, COLD_START_MILLIS, COLD_PER_SECOND)),
+          RequestLimits.DEFAULT);
   private static final double COLD_BOUND = COLD_PER_SECOND * 1.5 + 5;
 
   private final TestingEventLoop eventLoop = new TestingEventLoop();
@@ -67,9 +75,7 @@
               new Topology(zone, REGIONS),
               new PlacementBounds(CORDON_MILLIS, COLD),
               engines,
-              service ->
-                  Optional.of(
-                      new ServiceProfile(service, 9, 1, COLD_START_MILLIS, COLD_PER_SECOND)),
+              () -> CONFIGURATION,
               self,
               () -> peersRead ? Optional.of(others(self)) : Optional.empty(),
               eventLoop,
@@ -135,7 +141,7 @@
     return new Criteria("s", prompt(program), program, false);
   }
 
-  private static Criteria turnIn(String program, AllowedRegions regions) {
+  private static Criteria turnIn(String program, Residency regions) {
     return new Criteria("s", prompt(program), program, false, regions);
   }
 
@@ -285,7 +291,7 @@
   @CsvSource({"west, e1, w", "east, w2, e", "west, w1, w"})
   void aBoundRequestRunsWhereItMay(String region, String zone, String expected) {
     Node node = node(zone);
-    AllowedRegions bound = AllowedRegions.of(List.of(new RegionId(region)));
+    Residency bound = Residency.of(List.of(new RegionId(region)));
     for (int i = 0; i < PROGRAMS; i++) {
       assertTrue(node.zoneFor(turnIn("p" + i, bound)).startsWith(expected));
     }
@@ -294,9 +300,9 @@
   @Test
   void aBoundRequestThatMayRunNowhereIsNotSent() {
     Node node = node("e1");
-    AllowedRegions east = AllowedRegions.of(List.of(EAST));
-    assertNull(node.choose(turnIn("p", east.and(AllowedRegions.of(List.of(WEST))))));
-    assertNull(node.choose(turnIn("p", AllowedRegions.of(List.of(new RegionId("north"))))));
+    Residency east = Residency.of(List.of(EAST));
+    assertNull(node.choose(turnIn("p", east.and(Residency.of(List.of(WEST))))));
+    assertNull(node.choose(turnIn("p", Residency.of(List.of(new RegionId("north"))))));
     node.placement.cordons().replaceAll(Map.of("e1", 5L, "e2", 6L));
     assertNull(node.choose(turnIn("p", east)));
     assertNotNull(node.choose(turn("p")));
@@ -310,7 +316,7 @@
       node.engines.remove("e1-" + i, 0, eventLoop.nanoTime());
       node.engines.remove("e2-" + i, 0, eventLoop.nanoTime());
     }
-    assertNull(node.choose(turnIn("p", AllowedRegions.of(List.of(EAST)))));
+    assertNull(node.choose(turnIn("p", Residency.of(List.of(EAST)))));
     assertEquals("nowhere", node.zoneFor(turn("p")));
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/residency/TestAllowedRegions.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/residency/TestResidency.java
@@ -8,13 +8,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class TestAllowedRegions {
-  private static AllowedRegions of(String names) {
+class TestResidency {
+  private static Residency of(String names) {
     List<RegionId> regions = new ArrayList<>();
     for (String name : names.isEmpty() ? new String[0] : names.split(" ")) {
       regions.add(new RegionId(name));
     }
-    return AllowedRegions.of(regions);
+    return Residency.of(regions);
   }
 
   @ParameterizedTest(name = "route {0}, tenant {1}: east {2}, west {3}")
@@ -27,7 +27,7 @@
     "east west, west east, true, true",
   })
   void bothBind(String route, String tenant, boolean east, boolean west) {
-    AllowedRegions both = of(route).and(of(tenant));
+    Residency both = of(route).and(of(tenant));
     assertEquals(east, both.allows(new RegionId("east")));
     assertEquals(west, both.allows(new RegionId("west")));
     assertEquals(both, of(tenant).and(of(route)));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestBackendChooser.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestBackendChooser.java
@@ -8,6 +8,7 @@
 import org.baykeel.gateway.configuration.Backend;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.residency.Residency;
 import org.junit.jupiter.api.Test;
 
 class TestBackendChooser {
@@ -29,7 +30,8 @@
         0,
         false,
         false,
-        false);
+        false,
+        Residency.ANY);
   }
 
   private Map<String, Integer> shares(Route route, boolean keyed, int requests) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
@@ -16,6 +16,7 @@
 import org.baykeel.gateway.history.KeptTurn;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
 import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingHandover;
 import org.baykeel.gateway.testing.TestingStore;
@@ -57,7 +58,8 @@
         60_000,
         true,
         resumable,
-        false);
+        false,
+        Residency.ANY);
   }
 
   /** One schedule. */
