explain tells of zones, cold engines, silent connections, leases and old configurations

Cause: the story of a request held only what its node learnt of store, engines and configuration; a refusal for a zone out of service, a cold engine, a limit without a holder or an old configuration stood there without its cause.

Change: their events are context within three seconds like the others. A line 326 carries the request's id and was told already. TestLogStory failed for each of them before.

--- a/baykeel-cli/src/main/java/org/baykeel/cli/LogStory.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/LogStory.java
@@ -22,6 +22,14 @@
           "STORE_LOST",
           "STORE_REGAINED",
           "STORE_PATH_CHANGED",
+          "CONFIGURATION_STALE",
+          "CONFIGURATION_RECENT",
+          "LIMIT_LEASE_TAKEN",
+          "LIMIT_LEASE_LOST",
+          "ZONE_CORDONED",
+          "ZONE_UNCORDONED",
+          "ENGINE_COLD",
+          "CONNECTION_SILENT",
           "LINES_DROPPED",
           "FAULT");
 
--- a/baykeel-cli/src/test/java/org/baykeel/cli/TestLogStory.java
+++ b/baykeel-cli/src/test/java/org/baykeel/cli/TestLogStory.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TestLogStory {
   private static final String LOST = "t=1000 event=320 name=STORE_LOST node=n1";
@@ -26,6 +28,21 @@
     assertEquals(List.of(LOST, END), LogStory.of("r1", log));
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "CONFIGURATION_STALE",
+        "LIMIT_LEASE_LOST",
+        "ZONE_CORDONED",
+        "ZONE_UNCORDONED",
+        "ENGINE_COLD",
+        "CONNECTION_SILENT",
+      })
+  void whatChangedWhereRequestsMayRunIsToldToo(String name) {
+    String line = "t=2000 event=999 name=" + name + " node=n1";
+    assertEquals(List.of(line, END), LogStory.of("r1", Stream.of(END, line)));
+  }
+
   @Test
   void aProgramsLinesComeFromAllNodes() {
     assertEquals(List.of(END, RETRY), LogStory.of("p1", Stream.of(RETRY, END)));
