What is known of cold engines is bounded

Cause: an engine that was cold and then left kept its entry for the life of the process, some hundred bytes each; identifiers are never used again.

Change: 4,096 entries at the most, the oldest go first. An engine whose entry is forgotten while it is cold counts its sends anew; that takes more cold engines at a time than the largest size that is planned (600).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/warmup/WarmupPolicy.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/warmup/WarmupPolicy.java
@@ -1,7 +1,7 @@
 package org.baykeel.gateway.warmup;
 
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
@@ -35,13 +35,24 @@
 
   private static final long LOG_NANOS = 1_000_000_000L;
 
+  /** More engines than are cold at a time; those that became cold first are forgotten first. */
+  private static final int MAX_COLD_ENGINES = 4_096;
+
   private final ColdBounds bounds;
   private final Function<String, Optional<ServiceProfile>> services;
   private final ZoneCordons cordons;
   private final PeerAddress self;
   private final Supplier<Optional<Collection<PeerAddress>>> peers;
   private final DecisionLog log;
-  private final Map<String, ColdEngine> coldEngines = new HashMap<>();
+  private final Map<String, ColdEngine> coldEngines =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, ColdEngine> eldest) {
+          return size() > MAX_COLD_ENGINES;
+        }
+      };
   private long sentWhileCold;
   private long heldBack;
 
