--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/placement/Placement.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/placement/Placement.java
@@ -12,7 +12,6 @@
 import org.baykeel.gateway.cordon.ZoneCordons;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.peer.PeerAddress;
-import org.baykeel.gateway.residency.ResidencyPolicy;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.telemetry.DecisionLog;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/residency/ResidencyPolicy.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/placement/ResidencyPolicy.java
@@ -1,6 +1,7 @@
-package org.baykeel.gateway.residency;
+package org.baykeel.gateway.placement;
 
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.scheduling.EnginePolicy;
 import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
 import org.baykeel.gateway.topology.Topology;
@@ -9,11 +10,11 @@
  * Keeps requests in the regions to which their route and their tenant are bound. An engine whose
  * region is not known runs no request that is bound.
  */
-public final class ResidencyPolicy implements EnginePolicy {
+final class ResidencyPolicy implements EnginePolicy {
   private final Topology topology;
 
   /** Creates a policy that knows where zones lie. */
-  public ResidencyPolicy(Topology topology) {
+  ResidencyPolicy(Topology topology) {
     this.topology = topology;
   }
 
