--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/DirectPath.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/DirectPath.java
@@ -14,8 +14,8 @@
   /**
    * A way on which something was answered so lately works, whatever failed since: the store may be
    * away in part, and calls to the other parts are answered between those that fail. With 32 in 100
-   * of its partitions away and no such rule, nodes gave the way up each 250 ms and turns that ended
-   * fell to an eighth.
+   * of its partitions away and no such rule, 67 nodes lost and regained the way some 350 times each
+   * half second.
    */
   private static final long ANSWERED_LATELY_NANOS = 250_000_000L;
 
