--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -17,6 +17,7 @@
   private final ServicePerformance performance;
   private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
   private final EngineFailures failures = new EngineFailures();
+  private final LoadEstimate load = new LoadEstimate();
   private final EngineSuspicionListener suspicionListener;
   private boolean removed;
   private int inFlight;
@@ -80,6 +81,11 @@
     return cachedPrefixes;
   }
 
+  /** What its load is taken to be. */
+  public LoadEstimate load() {
+    return load;
+  }
+
   /** How fast the engines of its service work. */
   public ServicePerformance performance() {
     return performance;
