ClientCall keeps the way from arrival to answer; its attempts are a class of their own

Change: EngineAttempts chooses engines, counts sends and rounds, waits for room and hears of silence, and tells its owner of events, a whole answer, or that no attempt follows. AdmittedCall holds what is decided before an engine is chosen. RetainedTurn finds the turns that a call continues and keeps its own. No behaviour changes and no test was touched.

Ruled out: attempts that know the caller's responder, since then two classes would end a call.

--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AdmittedCall.java
@@ -0,0 +1,55 @@
+package org.baykeel.gateway.call;
+
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.configuration.ServiceProfile;
+import org.baykeel.gateway.residency.Residency;
+import org.baykeel.gateway.scheduling.BackendChooser;
+import org.baykeel.gateway.tenancy.Caller;
+
+/**
+ * A request that was admitted, and what is decided about it before an engine is chosen.
+ *
+ * @param request the caller's request
+ * @param route how it is served
+ * @param caller on whose behalf it runs
+ * @param service the service that runs it
+ * @param tokensPerEvent tokens of one event of a stream of that service
+ * @param deadlineNanos when its caller no longer waits, by the event loop's clock
+ */
+record AdmittedCall(
+    CallRequest request,
+    Route route,
+    Caller caller,
+    String service,
+    int tokensPerEvent,
+    long deadlineNanos) {
+
+  /** Chooses the service for a request that was admitted. */
+  static AdmittedCall of(
+      CallRequest request, Admission.Outcome.Admitted admitted, BackendChooser backendChooser) {
+    Route route = admitted.route();
+    CallAttributes attributes = request.attributes();
+    String line = attributes.lineOrObject(route.kind() == RouteKind.STREAMING);
+    String service = backendChooser.choose(route, line);
+    ServiceProfile profile = admitted.configuration().service(service);
+    int tokensPerEvent = profile == null ? 0 : profile.tokensPerEvent();
+    long patience = attributes.patienceMillis(route.timeoutMillis());
+    long deadlineNanos = request.receivedNanos() + patience * 1_000_000;
+    return new AdmittedCall(
+        request, route, admitted.caller(), service, tokensPerEvent, deadlineNanos);
+  }
+
+  CallAttributes attributes() {
+    return request.attributes();
+  }
+
+  boolean stream() {
+    return route.kind() == RouteKind.STREAMING;
+  }
+
+  /** Where it may run. */
+  Residency residency() {
+    return route.residency().and(caller.residency());
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -1,63 +1,38 @@
 package org.baykeel.gateway.call;
 
-import java.util.HashSet;
-import java.util.List;
-import java.util.Objects;
-import java.util.Set;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.budget.Grant;
 import org.baykeel.gateway.configuration.Route;
-import org.baykeel.gateway.configuration.RouteKind;
-import org.baykeel.gateway.configuration.ServiceProfile;
-import org.baykeel.gateway.directory.Engine;
-import org.baykeel.gateway.history.KeptTurn;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
-import org.baykeel.gateway.program.ProgramId;
-import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.runtime.EventLoop;
-import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.tenancy.Caller;
 
 /**
  * One request from its arrival to its final answer.
  *
- * <p>Invariants: a request that may run only once is sent again only if the engine states that it
- * did not run it or if not one byte of it was sent; a refusal with a promise of not having run is
- * given only while that is true; no event reaches the caller before its tokens are granted; a kept
- * turn ends only after the store has it.
+ * <p>Invariants: a refusal with a promise of not having run is given only while that is true; no
+ * event reaches the caller before its tokens are granted; a kept turn ends only after the store has
+ * it.
  */
-public final class ClientCall implements EngineAttempt.Owner {
-  /** Engines that are asked one after the other before the request waits for room. */
-  private static final int MAX_SENDS = 6;
-
-  private static final long LOOKUP_PATIENCE_MILLIS = 1_000;
+public final class ClientCall implements EngineAttempts.Owner {
   private static final long BUSY_RETRY_MILLIS = 150;
   private static final long OVERLOADED_RETRY_MILLIS = 400;
   private static final long STORE_RETRY_MILLIS = 800;
-  private static final long FULL_PENALTY_MILLIS = 30;
 
   private final GatewayContext context;
   private final CallRequest request;
   private final CallResponder responder;
   private final EventLoop eventLoop;
   private final CallRecord record;
-  private final Set<String> triedEngines = new HashSet<>();
   private Route route;
   private Caller caller;
-  private String service;
-  private int tokensPerEvent;
+  private AdmittedCall call;
   private AnswerRelay relay;
+  private EngineAttempts attempts;
   private byte[] engineBody;
-  private List<String> ancestors = List.of();
+  private RetainedTurn retainedTurn;
   private TurnBudget budget;
-  private EngineAttempt attempt;
   private EventLoop.Timer deadlineTimer;
-  private RoomWait roomWait;
-  private SilenceWatch silenceWatch;
-  private long deadlineNanos;
-  private int sends;
-  private int sendsInRound;
-  private int runs;
   private boolean streamComplete;
   private boolean over;
 
@@ -94,16 +69,12 @@
     caller = admitted.caller();
     budget = new TurnBudget(context, attributes(), route, caller);
     record.tenant(caller.name());
-    long patience = attributes().patienceMillis(route.timeoutMillis());
-    deadlineNanos = request.receivedNanos() + patience * 1_000_000;
-    long leftMillis = Math.max(0, (deadlineNanos - eventLoop.nanoTime()) / 1_000_000);
+    call = AdmittedCall.of(request, admitted, context.backendChooser());
+    retainedTurn = new RetainedTurn(context, call);
+    long leftMillis = Math.max(0, (call.deadlineNanos() - eventLoop.nanoTime()) / 1_000_000);
     deadlineTimer = eventLoop.schedule(leftMillis, this::onDeadline);
-    service = context.backendChooser().choose(route, attributes().lineOrObject(stream()));
-    ServiceProfile profile = admitted.configuration().service(service);
-    tokensPerEvent = profile == null ? 0 : profile.tokensPerEvent();
-    roomWait = new RoomWait(eventLoop, request.receivedNanos(), patience);
-    silenceWatch = new SilenceWatch(eventLoop, route, this::onSilence);
     relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
+    attempts = new EngineAttempts(context, call, record, relay, this);
     if (budgetAndStoreAllow()) {
       findHistory();
     }
@@ -113,14 +84,10 @@
     return request.attributes();
   }
 
-  private boolean stream() {
-    return route.kind() == RouteKind.STREAMING;
-  }
-
   // The budget and the history of the turn.
 
   private boolean budgetAndStoreAllow() {
-    if (!stream()) {
+    if (!call.stream()) {
       return true;
     }
     if (route.retained() && mustNotWaitForStore()) {
@@ -135,7 +102,7 @@
   }
 
   private boolean budgetAdmits() {
-    Grant grant = budget.reserve(deadlineNanos, this::onGrantDecided);
+    Grant grant = budget.reserve(call.deadlineNanos(), this::onGrantDecided);
     if (grant == Grant.EXHAUSTED) {
       refuse(ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
       return false;
@@ -166,12 +133,8 @@
       onReadyToSend(request.body());
       return;
     }
-    long giveUp = eventLoop.nanoTime() + LOOKUP_PATIENCE_MILLIS * 1_000_000;
     record.waitBegan(CallRecord.Wait.HISTORY);
-    String programId = Objects.requireNonNullElse(attributes().programId(), "");
-    ProgramId program = new ProgramId(caller.scoped(programId));
-    String previousTurn = caller.scoped(attributes().previousTurn());
-    context.history().find(program, previousTurn, giveUp, this::onHistory);
+    retainedTurn.findPrevious(this::onHistory);
   }
 
   private void onHistory(Lookup lookup) {
@@ -180,7 +143,6 @@
     }
     record.waitEnded(CallRecord.Wait.HISTORY);
     if (lookup instanceof Lookup.Found found) {
-      ancestors = found.ids();
       onReadyToSend(found.continuedBy(request.body()));
     } else if (lookup instanceof Lookup.Absent) {
       refuse(ErrorKind.UNKNOWN_PROGRAM, 0, "no such turn");
@@ -192,7 +154,7 @@
   private void onReadyToSend(byte[] body) {
     engineBody = body;
     if (budget.allowsSending()) {
-      dispatch();
+      attempts.begin(engineBody);
     }
   }
 
@@ -216,15 +178,15 @@
     }
     if (streamComplete) {
       finishStream();
-    } else if (budget.opensInCongestion() && sends == 0) {
+    } else if (budget.opensInCongestion() && attempts.sends() == 0) {
       refuse(ErrorKind.OVERLOADED, OVERLOADED_RETRY_MILLIS, "engines keep work waiting");
-    } else if (engineBody != null && sends == 0) {
-      dispatch();
+    } else if (engineBody != null && attempts.sends() == 0) {
+      attempts.begin(engineBody);
     }
   }
 
   private void onNotGranted(ErrorKind kind, long retryMillis, String detail) {
-    if (sends == 0) {
+    if (attempts.sends() == 0) {
       refuse(kind, retryMillis, detail);
     } else {
       // The engine may have begun: nothing that promises the contrary may be said.
@@ -232,100 +194,10 @@
     }
   }
 
-  // Attempts.
-
-  private void dispatch() {
-    long now = eventLoop.nanoTime();
-    EngineSelector.Criteria criteria =
-        new EngineSelector.Criteria(
-            service,
-            attributes().prompt(),
-            attributes().programOrObject(stream()),
-            route.repeatable(),
-            residency());
-    EngineSelector.Choice choice =
-        sendsInRound >= MAX_SENDS ? null : context.selector().choose(criteria, triedEngines, now);
-    if (choice == null) {
-      onNoEngine();
-      return;
-    }
-    Engine engine = choice.engine();
-    sends++;
-    sendsInRound++;
-    runs++;
-    record.sentTo(choice, attributes().prompt());
-    triedEngines.add(engine.record().id());
-    attempt =
-        new EngineAttempt(
-            engine, attributes().prompt(), tokensPerEvent, eventLoop, context.congestion(), this);
-    long remaining = Math.max(1, (deadlineNanos - now) / 1_000_000);
-    attempt.send(
-        context.transport(),
-        new EngineRequest(request, engineBody, remaining, caller, relay.lastEventId()));
-    silenceWatch.sent();
-  }
-
-  private Residency residency() {
-    return route.residency().and(caller.residency());
-  }
-
-  private void onNoEngine() {
-    if (relay.begun()) {
-      abort("no engine left");
-    } else if (runs > 0) {
-      refuse(ErrorKind.BACKEND_FAILED, 0, "no engine left");
-    } else if (!roomWait.begin(this::tryAgain)) {
-      refuseWithoutEngine();
-    }
-  }
-
-  private void refuseWithoutEngine() {
-    Residency allowed = residency();
-    if (allowed.bound()) {
-      refuse(ErrorKind.RESIDENCY, BUSY_RETRY_MILLIS, "no engine takes work in " + allowed);
-    } else {
-      refuse(ErrorKind.NO_BACKEND, BUSY_RETRY_MILLIS, "no engine takes work");
-    }
-  }
-
-  private void tryAgain() {
-    if (over) {
-      return;
-    }
-    triedEngines.clear();
-    sendsInRound = 0;
-    dispatch();
-  }
-
-  private void onSilence() {
-    if (over || streamComplete || attempt == null || !mayRunAgain()) {
-      return;
-    }
-    attempt.engine().failed(eventLoop.nanoTime());
-    attempt.cancel();
-    endAttempt("silent");
-    dispatch();
-  }
-
-  private boolean mayRunAgain() {
-    return route.repeatable() && runs < route.attempts();
-  }
-
-  // What the attempt tells.
-
-  @Override
-  public void onAttemptProgress() {
-    silenceWatch.heard();
-  }
-
-  @Override
-  public void onStreamHead(AnswerHead head) {
-    relay.head(head);
-  }
+  // What the attempts tell.
 
   @Override
   public void onStreamEvent(StreamEvent event) {
-    silenceWatch.event();
     if (relay.event(event)) {
       noteEventsPassed(1);
     }
@@ -333,69 +205,30 @@
 
   @Override
   public void onStreamComplete() {
-    endAttempt("complete");
     streamComplete = true;
     if (budget.grant() == Grant.GRANTED) {
       finishStream();
     }
   }
 
-  @Override
-  public void onNotRun(EngineAttempt.NotRun reason, String outcome) {
-    runs--;
-    if (reason == EngineAttempt.NotRun.FULL) {
-      roomWait.full(attempt.engine());
-    }
-    endAttempt(outcome);
-    dispatch();
-  }
-
-  @Override
-  public void onBroken(String detail) {
-    attempt.engine().failed(eventLoop.nanoTime());
-    endAttempt("broken " + detail);
-    if (mayRunAgain()) {
-      dispatch();
-    } else if (relay.begun()) {
-      abort(detail);
-    } else {
-      refuse(route.repeatable() ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN, 0, detail);
-    }
-  }
-
   @Override
   public void onWholeAnswer(AnswerHead head, byte[] body) {
-    if (relay.begun()) {
-      onBroken("status " + head.status() + " in place of the rest");
-      return;
-    }
-    boolean engineFailed = head.status() >= 500;
-    if (engineFailed && mayRunAgain() && sends < 2) {
-      attempt.engine().full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
-      endAttempt("status_" + head.status());
-      dispatch();
-      return;
-    }
-    if (!engineFailed) {
-      attempt.engine().succeeded();
-    }
-    endAttempt("complete");
     over = true;
     responder.answer(head, body);
     ended(head.status(), "answered");
   }
 
-  private void endAttempt(String outcome) {
-    EngineAttempt ended = attempt;
-    attempt = null;
-    ended.close();
-    if (!outcome.equals("complete")) {
-      record.attemptEnded(ended, outcome, relay.eventsPassed());
+  @Override
+  public void onAttemptsFailed(ErrorKind kind, long retryMillis, String detail) {
+    if (relay.begun()) {
+      abort(detail);
+    } else {
+      refuse(kind, retryMillis, detail);
     }
   }
 
   private void noteEventsPassed(int events) {
-    budget.used(events * tokensPerEvent);
+    budget.used(events * call.tokensPerEvent());
   }
 
   // Ends.
@@ -405,10 +238,8 @@
       endStream();
       return;
     }
-    String turnId = caller.scoped(attributes().requestId());
-    KeptTurn turn = new KeptTurn(turnId, ancestors, request.body(), relay.output());
     record.waitBegan(CallRecord.Wait.KEEP);
-    context.history().keep(turn, deadlineNanos, this::onTurnKept);
+    retainedTurn.keep(relay.output(), this::onTurnKept);
   }
 
   private void onTurnKept(boolean kept) {
@@ -435,10 +266,10 @@
     if (over) {
       return;
     }
-    cancelAttempt("deadline");
-    if (relay != null && relay.begun()) {
+    attempts.cancel("deadline");
+    if (relay.begun()) {
       abort("deadline");
-    } else if (runs == 0) {
+    } else if (attempts.runs() == 0) {
       // No engine has it: what may run only once may be sent again after this.
       refuse(ErrorKind.OVERLOADED, BUSY_RETRY_MILLIS, "deadline before it was sent");
     } else {
@@ -457,9 +288,8 @@
   }
 
   private void cancelAttempt(String outcome) {
-    if (attempt != null) {
-      attempt.cancel();
-      endAttempt(outcome);
+    if (attempts != null) {
+      attempts.cancel(outcome);
     }
   }
 
@@ -481,19 +311,24 @@
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
-    if (roomWait != null) {
-      roomWait.end();
-    }
-    long firstEventNanos = 0;
-    if (silenceWatch != null) {
-      silenceWatch.end();
-      firstEventNanos = silenceWatch.firstEventNanos();
-    }
     if (budget != null) {
       budget.close();
     }
-    int events = relay == null ? 0 : relay.eventsPassed();
-    record.callEnded(
-        new CallRecord.End(route, status, outcome, firstEventNanos, sends, runs, events));
+    record.callEnded(end(status, outcome));
+  }
+
+  private CallRecord.End end(int status, String outcome) {
+    if (attempts == null) {
+      return new CallRecord.End(route, status, outcome, 0, 0, 0, 0);
+    }
+    attempts.end();
+    return new CallRecord.End(
+        route,
+        status,
+        outcome,
+        attempts.firstEventNanos(),
+        attempts.sends(),
+        attempts.runs(),
+        relay.eventsPassed());
   }
 }
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
@@ -0,0 +1,266 @@
+package org.baykeel.gateway.call;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.residency.Residency;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.scheduling.EngineSelector;
+
+/**
+ * The attempts of one request, one after the other, at engines of its service: the choice of an
+ * engine, the wait for room, and whether a failed attempt is followed by another.
+ *
+ * <p>Invariant: a request that may run only once is sent again only if the engine states that it
+ * did not run it or if not one byte of it was sent.
+ */
+final class EngineAttempts implements EngineAttempt.Owner {
+  /** Engines that are asked one after the other before the request waits for room. */
+  private static final int MAX_SENDS = 6;
+
+  private static final long BUSY_RETRY_MILLIS = 150;
+  private static final long FULL_PENALTY_MILLIS = 30;
+
+  /** Hears what the attempts come to; exactly one of the last three ends them. */
+  interface Owner {
+    /** A whole event of a stream. */
+    void onStreamEvent(StreamEvent event);
+
+    /** The stream is whole. */
+    void onStreamComplete();
+
+    /** A whole answer that is not a stream. */
+    void onWholeAnswer(AnswerHead head, byte[] body);
+
+    /**
+     * No attempt follows.
+     *
+     * @param retryMillis after which time the caller may come back; 0 if it should not
+     */
+    void onAttemptsFailed(ErrorKind kind, long retryMillis, String detail);
+  }
+
+  private final GatewayContext context;
+  private final AdmittedCall call;
+  private final CallRecord record;
+  private final AnswerRelay relay;
+  private final Owner owner;
+  private final EventLoop eventLoop;
+  private final Set<String> triedEngines = new HashSet<>();
+  private final RoomWait roomWait;
+  private final SilenceWatch silenceWatch;
+  private byte[] engineBody;
+  private EngineAttempt attempt;
+  private int sends;
+  private int sendsInRound;
+  private int runs;
+  private boolean ended;
+
+  EngineAttempts(
+      GatewayContext context,
+      AdmittedCall call,
+      CallRecord record,
+      AnswerRelay relay,
+      Owner owner) {
+    this.context = context;
+    this.call = call;
+    this.record = record;
+    this.relay = relay;
+    this.owner = owner;
+    this.eventLoop = context.eventLoop();
+    long patience = call.attributes().patienceMillis(call.route().timeoutMillis());
+    this.roomWait = new RoomWait(eventLoop, call.request().receivedNanos(), patience);
+    this.silenceWatch = new SilenceWatch(eventLoop, call.route(), this::onSilence);
+  }
+
+  /**
+   * Sends the request to an engine.
+   *
+   * @param body the body for engines
+   */
+  void begin(byte[] body) {
+    engineBody = body;
+    dispatch();
+  }
+
+  /** How often the request was sent. */
+  int sends() {
+    return sends;
+  }
+
+  /** How often it was sent less those sends after which it certainly did not run. */
+  int runs() {
+    return runs;
+  }
+
+  /** When the first event arrived; 0 if none did. */
+  long firstEventNanos() {
+    return silenceWatch.firstEventNanos();
+  }
+
+  /** Cancels what is under way; may be repeated. */
+  void cancel(String outcome) {
+    if (attempt != null) {
+      attempt.cancel();
+      endAttempt(outcome);
+    }
+  }
+
+  /** The request is over: nothing more is sent. */
+  void end() {
+    ended = true;
+    roomWait.end();
+    silenceWatch.end();
+  }
+
+  private void dispatch() {
+    long now = eventLoop.nanoTime();
+    EngineSelector.Choice choice =
+        sendsInRound >= MAX_SENDS ? null : context.selector().choose(criteria(), triedEngines, now);
+    if (choice == null) {
+      onNoEngine();
+      return;
+    }
+    Engine engine = choice.engine();
+    sends++;
+    sendsInRound++;
+    runs++;
+    record.sentTo(choice, call.attributes().prompt());
+    triedEngines.add(engine.record().id());
+    attempt =
+        new EngineAttempt(
+            engine,
+            call.attributes().prompt(),
+            call.tokensPerEvent(),
+            eventLoop,
+            context.congestion(),
+            this);
+    long remaining = Math.max(1, (call.deadlineNanos() - now) / 1_000_000);
+    attempt.send(
+        context.transport(),
+        new EngineRequest(
+            call.request(), engineBody, remaining, call.caller(), relay.lastEventId()));
+    silenceWatch.sent();
+  }
+
+  private EngineSelector.Criteria criteria() {
+    return new EngineSelector.Criteria(
+        call.service(),
+        call.attributes().prompt(),
+        call.attributes().programOrObject(call.stream()),
+        call.route().repeatable(),
+        call.residency());
+  }
+
+  private void onNoEngine() {
+    if (relay.begun() || runs > 0) {
+      owner.onAttemptsFailed(ErrorKind.BACKEND_FAILED, 0, "no engine left");
+    } else if (!roomWait.begin(this::tryAgain)) {
+      failWithoutEngine();
+    }
+  }
+
+  private void failWithoutEngine() {
+    Residency allowed = call.residency();
+    ErrorKind kind = allowed.bound() ? ErrorKind.RESIDENCY : ErrorKind.NO_BACKEND;
+    String where = allowed.bound() ? " in " + allowed : "";
+    owner.onAttemptsFailed(kind, BUSY_RETRY_MILLIS, "no engine takes work" + where);
+  }
+
+  private void tryAgain() {
+    if (ended) {
+      return;
+    }
+    triedEngines.clear();
+    sendsInRound = 0;
+    dispatch();
+  }
+
+  private void onSilence() {
+    if (ended || attempt == null || !mayRunAgain()) {
+      return;
+    }
+    attempt.engine().failed(eventLoop.nanoTime());
+    cancel("silent");
+    dispatch();
+  }
+
+  private boolean mayRunAgain() {
+    return call.route().repeatable() && runs < call.route().attempts();
+  }
+
+  private void endAttempt(String outcome) {
+    EngineAttempt over = attempt;
+    attempt = null;
+    over.close();
+    if (!outcome.equals("complete")) {
+      record.attemptEnded(over, outcome, relay.eventsPassed());
+    }
+  }
+
+  @Override
+  public void onAttemptProgress() {
+    silenceWatch.heard();
+  }
+
+  @Override
+  public void onStreamHead(AnswerHead head) {
+    relay.head(head);
+  }
+
+  @Override
+  public void onStreamEvent(StreamEvent event) {
+    silenceWatch.event();
+    owner.onStreamEvent(event);
+  }
+
+  @Override
+  public void onStreamComplete() {
+    endAttempt("complete");
+    owner.onStreamComplete();
+  }
+
+  @Override
+  public void onNotRun(EngineAttempt.NotRun reason, String outcome) {
+    runs--;
+    if (reason == EngineAttempt.NotRun.FULL) {
+      roomWait.full(attempt.engine());
+    }
+    endAttempt(outcome);
+    dispatch();
+  }
+
+  @Override
+  public void onBroken(String detail) {
+    attempt.engine().failed(eventLoop.nanoTime());
+    endAttempt("broken " + detail);
+    if (mayRunAgain()) {
+      dispatch();
+    } else {
+      boolean repeatable = call.route().repeatable();
+      ErrorKind kind = repeatable ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN;
+      owner.onAttemptsFailed(kind, 0, detail);
+    }
+  }
+
+  @Override
+  public void onWholeAnswer(AnswerHead head, byte[] body) {
+    if (relay.begun()) {
+      onBroken("status " + head.status() + " in place of the rest");
+      return;
+    }
+    boolean engineFailed = head.status() >= 500;
+    if (engineFailed && mayRunAgain() && sends < 2) {
+      attempt.engine().full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
+      endAttempt("status_" + head.status());
+      dispatch();
+      return;
+    }
+    if (!engineFailed) {
+      attempt.engine().succeeded();
+    }
+    endAttempt("complete");
+    owner.onWholeAnswer(head, body);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/RetainedTurn.java
@@ -0,0 +1,50 @@
+package org.baykeel.gateway.call;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.baykeel.gateway.history.KeptTurn;
+import org.baykeel.gateway.history.TurnHistory.Lookup;
+import org.baykeel.gateway.program.ProgramId;
+
+/** The turns that a call continues, and its own turn, as the history keeps them. */
+final class RetainedTurn {
+  private static final long LOOKUP_PATIENCE_MILLIS = 1_000;
+
+  private final GatewayContext context;
+  private final AdmittedCall call;
+  private List<String> ancestors = List.of();
+
+  RetainedTurn(GatewayContext context, AdmittedCall call) {
+    this.context = context;
+    this.call = call;
+  }
+
+  /** Finds the turn that the call continues, and all that this one continues. */
+  void findPrevious(Consumer<Lookup> answer) {
+    CallAttributes attributes = call.attributes();
+    long giveUpNanos = context.eventLoop().nanoTime() + LOOKUP_PATIENCE_MILLIS * 1_000_000;
+    String programId = Objects.requireNonNullElse(attributes.programId(), "");
+    ProgramId program = new ProgramId(call.caller().scoped(programId));
+    String previousTurn = call.caller().scoped(attributes.previousTurn());
+    context.history().find(program, previousTurn, giveUpNanos, found -> onFound(found, answer));
+  }
+
+  private void onFound(Lookup lookup, Consumer<Lookup> answer) {
+    if (lookup instanceof Lookup.Found found) {
+      ancestors = found.ids();
+    }
+    answer.accept(lookup);
+  }
+
+  /**
+   * Keeps the call's own turn.
+   *
+   * @param answer hears whether the store has it; not later than the call's deadline
+   */
+  void keep(byte[] output, Consumer<Boolean> answer) {
+    String turnId = call.caller().scoped(call.attributes().requestId());
+    KeptTurn turn = new KeptTurn(turnId, ancestors, call.request().body(), output);
+    context.history().keep(turn, call.deadlineNanos(), answer);
+  }
+}
