--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -87,7 +87,7 @@
   }
 
   void send(EngineTransport transport, EngineRequest request) {
-    engine.requestStarted();
+    engine.requestStarted(startedNanos);
     exchange = transport.send(engine, request, this);
   }
 
@@ -105,7 +105,7 @@
 
   void close() {
     closed = true;
-    engine.requestEnded();
+    engine.requestEnded(startedNanos);
   }
 
   @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -103,13 +103,19 @@
   }
 
   /** A request was sent to it. */
-  public void requestStarted() {
+  public void requestStarted(long nowNanos) {
     inFlight++;
+    load.sent(nowNanos);
   }
 
-  /** A request that was sent to it is over. */
-  public void requestEnded() {
+  /**
+   * A request that was sent to it is over.
+   *
+   * @param startedNanos when it was sent, as told at its start
+   */
+  public void requestEnded(long startedNanos) {
     inFlight--;
+    load.ended(startedNanos);
   }
 
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -1,6 +1,8 @@
 package org.baykeel.gateway.directory;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -144,6 +146,11 @@
     return byService.getOrDefault(service, List.of());
   }
 
+  /** The engines of all services, draining ones among them. */
+  public Collection<Engine> all() {
+    return Collections.unmodifiableCollection(byId.values());
+  }
+
   /** How many engines are known. */
   public int size() {
     return byId.size();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpCaller.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpCaller.java
@@ -19,6 +19,8 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.baykeel.gateway.remote.StoreCall;
@@ -36,6 +38,8 @@
 
   private final EventLoopGroup group;
   private final InetSocketAddress address;
+  private final String kind;
+  private final Runnable onConnect;
   private final DecisionLog log;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
 
@@ -46,8 +50,25 @@
    * @param address the only address that it calls
    */
   public HttpCaller(EventLoopGroup group, InetSocketAddress address, DecisionLog log) {
+    this(group, address, "store", () -> {}, log);
+  }
+
+  /**
+   * Creates a caller without connections.
+   *
+   * @param kind what is called, for log lines
+   * @param onConnect hears of each connection that is opened
+   */
+  HttpCaller(
+      EventLoopGroup group,
+      InetSocketAddress address,
+      String kind,
+      Runnable onConnect,
+      DecisionLog log) {
     this.group = group;
     this.address = address;
+    this.kind = kind;
+    this.onConnect = onConnect;
     this.log = log;
   }
 
@@ -86,8 +107,21 @@
     return null;
   }
 
+  /**
+   * Closes the connections that rest; calls under way go on.
+   *
+   * @return how many there were
+   */
+  int closeIdle() {
+    List<Connection> resting = new ArrayList<>(idle);
+    idle.clear();
+    resting.forEach(connection -> connection.channel.close());
+    return resting.size();
+  }
+
   private void connect(FullHttpRequest request, long timeoutMillis, Consumer<StoreReply> answer) {
     Connection connection = new Connection();
+    onConnect.run();
     KeptConnections.bootstrap(group, CONNECT_TIMEOUT_MILLIS)
         .handler(
             new ChannelInitializer<SocketChannel>() {
@@ -162,13 +196,11 @@
 
     /** The connection may have fallen silent for good, and those that rest with it. */
     private void onTimeout(long timeoutMillis) {
-      int resting = idle.size();
-      idle.forEach(connection -> connection.channel.close());
-      idle.clear();
+      int resting = closeIdle();
       log.write(
           GatewayEvent.CONNECTION_SILENT,
           "kind",
-          "store",
+          kind,
           "address",
           address,
           "ms",
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpLoadReports.java
@@ -0,0 +1,154 @@
+package org.baykeel.gateway.http;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.load.LoadAnswer;
+import org.baykeel.gateway.load.LoadReport;
+import org.baykeel.gateway.load.LoadReportFormat;
+import org.baykeel.gateway.load.LoadReports;
+import org.baykeel.gateway.remote.StoreCall;
+import org.baykeel.gateway.remote.StoreReply;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.topology.RoundTrips;
+
+/**
+ * Asks engines for their load over one kept connection to each that is asked. The connection of an
+ * engine that is not asked any more is closed, since engines count connections.
+ */
+public final class HttpLoadReports implements LoadReports {
+  /** What an engine may take to answer besides the way there and back. */
+  private static final long ANSWER_MILLIS = 100;
+
+  private static final int OK = 200;
+
+  /** An engine that fails or starts answers like this for a while, and has reports afterwards. */
+  private static final int SERVER_ERROR = 500;
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long SWEEP_MILLIS = 1_000;
+
+  /** Longer than the slow interval of questions. */
+  private static final long UNUSED_NANOS = 3_000_000_000L;
+
+  private final EventLoopGroup group;
+  private final LoadReportFormat format;
+  private final RoundTrips roundTrips;
+  private final GatewayMetrics metrics;
+  private final DecisionLog log;
+  private final Map<String, Asked> askedById = new HashMap<>();
+
+  /** An engine that is asked. */
+  private static final class Asked {
+    private final EngineRecord record;
+    private final HttpCaller caller;
+    private boolean underWay;
+    private long askedNanos;
+
+    Asked(EngineRecord record, HttpCaller caller) {
+      this.record = record;
+      this.caller = caller;
+    }
+
+    boolean at(EngineRecord other) {
+      return record.host().equals(other.host()) && record.port() == other.port();
+    }
+  }
+
+  /**
+   * Creates a port without connections.
+   *
+   * @param format what is asked and answered
+   * @param roundTrips how far engines are
+   * @param metrics counts the connections that are opened
+   */
+  public HttpLoadReports(
+      EventLoopGroup group,
+      LoadReportFormat format,
+      RoundTrips roundTrips,
+      GatewayMetrics metrics,
+      DecisionLog log) {
+    this.group = group;
+    this.format = format;
+    this.roundTrips = roundTrips;
+    this.metrics = metrics;
+    this.log = log;
+    group
+        .next()
+        .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void ask(Engine engine, Consumer<LoadAnswer> answer) {
+    Asked asked = askedAt(engine.record());
+    if (asked.underWay) {
+      group.next().execute(() -> answer.accept(new LoadAnswer.Lost("a question is under way")));
+      return;
+    }
+    asked.underWay = true;
+    asked.askedNanos = System.nanoTime();
+    long timeoutMillis =
+        (long) Math.ceil(roundTrips.millisTo(engine.record().zone())) + ANSWER_MILLIS;
+    asked.caller.call(
+        new StoreCall(StoreCall.Method.GET, format.path(), null, timeoutMillis, false),
+        reply -> {
+          asked.underWay = false;
+          answer.accept(read(reply, asked.askedNanos));
+        });
+  }
+
+  /** An engine that comes back at another address is called there. */
+  private Asked askedAt(EngineRecord record) {
+    Asked known = askedById.get(record.id());
+    if (known != null && known.at(record)) {
+      return known;
+    }
+    if (known != null) {
+      known.caller.closeIdle();
+    }
+    InetSocketAddress address = new InetSocketAddress(record.host(), record.port());
+    HttpCaller caller =
+        new HttpCaller(group, address, "engine", metrics::engineConnectionOpened, log);
+    Asked asked = new Asked(record, caller);
+    askedById.put(record.id(), asked);
+    return asked;
+  }
+
+  private LoadAnswer read(StoreReply reply, long askedNanos) {
+    if (reply instanceof StoreReply.Answered answered) {
+      if (answered.status() >= SERVER_ERROR) {
+        return new LoadAnswer.Lost("status " + answered.status());
+      }
+      if (answered.status() != OK) {
+        return new LoadAnswer.Unavailable("status " + answered.status());
+      }
+      Optional<LoadReport> report = format.decode(answered.body());
+      long asOf = askedNanos - format.lagMillis() * NANOS_PER_MILLI;
+      return report
+          .<LoadAnswer>map(told -> new LoadAnswer.Reported(told, asOf))
+          .orElseGet(() -> new LoadAnswer.Unavailable("no report"));
+    }
+    return reply instanceof StoreReply.Lost lost
+        ? new LoadAnswer.Lost(lost.reason())
+        : new LoadAnswer.Lost(((StoreReply.NotSent) reply).reason());
+  }
+
+  private void sweep() {
+    long now = System.nanoTime();
+    for (Iterator<Asked> all = askedById.values().iterator(); all.hasNext(); ) {
+      Asked asked = all.next();
+      if (!asked.underWay && now - asked.askedNanos >= UNUSED_NANOS) {
+        asked.caller.closeIdle();
+        all.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoadBoard.java
@@ -0,0 +1,105 @@
+package org.baykeel.gateway.load;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDistance;
+import org.baykeel.gateway.peer.PeerMessage;
+import org.baykeel.gateway.peer.PeerMessageListener;
+import org.baykeel.gateway.peer.RendezvousOrder;
+import org.baykeel.gateway.runtime.EventLoop;
+
+/**
+ * Adopts what other nodes tell of engines' load. The newest report wins, whoever told it; the age
+ * that counts is the one that was told, and on top the longest that the datagram may have been on
+ * its way or unread.
+ */
+final class LoadBoard implements PeerMessageListener {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final EngineDirectory engines;
+  private final RendezvousOrder order;
+  private final PeerDistance distance;
+  private final EventLoop eventLoop;
+  private final LoopStall stall;
+  private final Map<String, EngineView> viewById = new HashMap<>();
+  private Consumer<EngineView> onHeardBefore = view -> {};
+  private long notices;
+
+  /**
+   * Creates a board that knows nothing.
+   *
+   * @param order tells which nodes come before this one
+   * @param distance the time to a node and back bounds the way of its datagrams
+   */
+  LoadBoard(
+      EngineDirectory engines,
+      RendezvousOrder order,
+      PeerDistance distance,
+      EventLoop eventLoop,
+      LoopStall stall) {
+    this.engines = engines;
+    this.order = order;
+    this.distance = distance;
+    this.eventLoop = eventLoop;
+    this.stall = stall;
+  }
+
+  /** Sets who hears that a node that comes before this one told of an engine. */
+  void onHeardBefore(Consumer<EngineView> listener) {
+    onHeardBefore = listener;
+  }
+
+  /** What is known about an engine's reports. */
+  EngineView viewOf(Engine engine) {
+    EngineView view = viewById.get(engine.record().id());
+    if (view == null || view.engine() != engine) {
+      view = new EngineView(engine, eventLoop.nanoTime());
+      viewById.put(engine.record().id(), view);
+    }
+    return view;
+  }
+
+  /** What is known about the reports of all engines that were seen. */
+  Collection<EngineView> views() {
+    return viewById.values();
+  }
+
+  /** Drops what is known about engines that are gone. */
+  void forgetRemoved() {
+    viewById.values().removeIf(view -> view.engine().removed());
+  }
+
+  /** Notices received so far. */
+  long notices() {
+    return notices;
+  }
+
+  @Override
+  public void onMessage(PeerAddress sender, PeerMessage message) {
+    if (message instanceof PeerMessage.EngineLoadNotice notice) {
+      notices++;
+      notice.engines().forEach(told -> onTold(sender, told));
+    }
+  }
+
+  private void onTold(PeerAddress sender, PeerMessage.ReportedLoad told) {
+    Engine engine = engines.find(told.engineId());
+    if (engine == null) {
+      return;
+    }
+    long now = eventLoop.nanoTime();
+    long ageMillis = told.ageMillis() + distance.roundTripMillis(sender);
+    long asOf = now - ageMillis * NANOS_PER_MILLI - stall.lateNanos(now);
+    EngineView view = viewOf(engine);
+    boolean adopted = view.adopt(new LoadReport(told.load(), told.bornMillis()), asOf, now);
+    if (adopted && order.precedesSelf(sender, view.id().value())) {
+      view.heardBefore(now);
+      onHeardBefore.accept(view);
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoadNotices.java
@@ -0,0 +1,133 @@
+package org.baykeel.gateway.load;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.LoadEstimate;
+import org.baykeel.gateway.peer.ByteBudget;
+import org.baykeel.gateway.peer.EngineLoadNoticeCodec;
+import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.PeerMessage;
+import org.baykeel.gateway.peer.PeerMessageCodec;
+import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.runtime.EventLoop;
+
+/**
+ * Tells the reports that this node got to the nodes of its region, those of one round in as few
+ * datagrams as hold them. The bytes are bounded: a report is asked for only when there is room to
+ * tell it.
+ */
+final class LoadNotices {
+  /** What one node sends of notices in a second, on the link and to all nodes together. */
+  static final long BYTES_PER_SECOND = 16_384;
+
+  /** What may be sent at once after a calm time: a report to the most nodes that are known. */
+  static final long MAX_SAVED_BYTES = 131_072;
+
+  /** Answers of one round come within this time. */
+  private static final long COLLECT_MILLIS = 10;
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final PeerDirectory peers;
+  private final PeerTransport transport;
+  private final PeerMessageCodec codec;
+  private final EventLoop eventLoop;
+  private final ByteBudget budget;
+  private final Map<EngineId, Pending> pending = new LinkedHashMap<>();
+  private long reservedBytes;
+  private boolean flushDue;
+  private long datagrams;
+  private long bytes;
+
+  /** A report to tell. */
+  private record Pending(LoadReport report, long asOfNanos, long reservedBytes) {}
+
+  LoadNotices(
+      PeerDirectory peers, PeerTransport transport, PeerMessageCodec codec, EventLoop eventLoop) {
+    this.peers = peers;
+    this.transport = transport;
+    this.codec = codec;
+    this.eventLoop = eventLoop;
+    this.budget = new ByteBudget(BYTES_PER_SECOND, MAX_SAVED_BYTES, eventLoop.nanoTime());
+  }
+
+  /**
+   * Sets bytes aside for telling of an engine.
+   *
+   * @return how many; negative if there is no room now
+   */
+  long reserve(EngineId engine) {
+    long cost = EngineLoadNoticeCodec.bytesOnLink(engine) * peers.nearby().size();
+    if (budget.available(eventLoop.nanoTime()) - reservedBytes < cost) {
+      return -1;
+    }
+    reservedBytes += cost;
+    return cost;
+  }
+
+  /** Gives back what {@link #reserve} set aside. */
+  void release(long reserved) {
+    reservedBytes -= reserved;
+  }
+
+  /**
+   * Tells a report soon, together with others.
+   *
+   * @param reserved what {@link #reserve} set aside for it
+   */
+  void tell(EngineId engine, LoadReport report, long asOfNanos, long reserved) {
+    Pending before = pending.put(engine, new Pending(report, asOfNanos, reserved));
+    if (before != null) {
+      release(before.reservedBytes());
+    }
+    if (!flushDue) {
+      flushDue = true;
+      eventLoop.schedule(COLLECT_MILLIS, this::flush);
+    }
+  }
+
+  private void flush() {
+    flushDue = false;
+    long now = eventLoop.nanoTime();
+    List<PeerMessage.ReportedLoad> fresh =
+        pending.entrySet().stream()
+            .filter(entry -> now - entry.getValue().asOfNanos() < LoadEstimate.STALE_NANOS)
+            .map(entry -> entry(entry.getKey(), entry.getValue(), now))
+            .toList();
+    for (Iterator<Pending> told = pending.values().iterator(); told.hasNext(); ) {
+      release(told.next().reservedBytes());
+      told.remove();
+    }
+    EngineLoadNoticeCodec.split(fresh).forEach(notice -> send(notice, now));
+  }
+
+  private static PeerMessage.ReportedLoad entry(EngineId engine, Pending told, long nowNanos) {
+    long ageMillis = (nowNanos - told.asOfNanos() + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
+    LoadReport report = told.report();
+    return new PeerMessage.ReportedLoad(engine, ageMillis, report.bornMillis(), report.load());
+  }
+
+  private void send(PeerMessage.EngineLoadNotice notice, long nowNanos) {
+    byte[] datagram = codec.encode(notice);
+    long cost = ByteBudget.onLink(datagram.length) * peers.nearby().size();
+    // Nodes may have become known since the bytes were set aside; the next round tells them.
+    if (budget.take(cost, nowNanos)) {
+      peers.nearby().forEach(peer -> transport.send(peer, datagram));
+      datagrams += peers.nearby().size();
+      bytes += cost;
+    }
+  }
+
+  /** Datagrams sent so far. */
+  long datagrams() {
+    return datagrams;
+  }
+
+  /** Bytes that they took on the link. */
+  long bytes() {
+    return bytes;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoadReporter.java
@@ -0,0 +1,179 @@
+package org.baykeel.gateway.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.RendezvousOrder;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.topology.Topology;
+
+/** Asks the engines whose turn it is at this node for their load, and has the answers told. */
+final class LoadReporter {
+  static final long TICK_MILLIS = 50;
+
+  /** Bounds the time of one tick where many nodes and engines are known. */
+  private static final int PLACES_PER_TICK = 20;
+
+  /** A region that loses many nodes at once must not fill the log. */
+  private static final int LINES_PER_SECOND = 20;
+
+  private static final long TICKS_PER_SECOND = 1_000 / TICK_MILLIS;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final EngineDirectory engines;
+  private final PeerDirectory peers;
+  private final RendezvousOrder order;
+  private final Topology topology;
+  private final LoadReports reports;
+  private final LoadBoard board;
+  private final LoadNotices notices;
+  private final LoopStall stall;
+  private final EventLoop eventLoop;
+  private final DecisionLog log;
+  private final Map<EngineView, ReporterTurn> turns = new HashMap<>();
+  private long ticks;
+  private int linesLeft = LINES_PER_SECOND;
+
+  LoadReporter(
+      EngineDirectory engines,
+      PeerDirectory peers,
+      RendezvousOrder order,
+      Topology topology,
+      LoadReports reports,
+      LoadBoard board,
+      LoadNotices notices,
+      LoopStall stall,
+      EventLoop eventLoop,
+      DecisionLog log) {
+    this.engines = engines;
+    this.peers = peers;
+    this.order = order;
+    this.topology = topology;
+    this.reports = reports;
+    this.board = board;
+    this.notices = notices;
+    this.stall = stall;
+    this.eventLoop = eventLoop;
+    this.log = log;
+    board.onHeardBefore(this::onHeardBefore);
+  }
+
+  void tick() {
+    long now = eventLoop.nanoTime();
+    stall.ticked(now);
+    if (ticks++ % TICKS_PER_SECOND == 0) {
+      linesLeft = LINES_PER_SECOND;
+      board.forgetRemoved();
+      turns.keySet().removeIf(view -> view.engine().removed());
+    }
+    // A node that doesn't know the others yet would take itself for the first everywhere.
+    if (peers.ifRead().isPresent()) {
+      askWhoIsDue(now);
+    }
+    eventLoop.schedule(TICK_MILLIS, this::tick);
+  }
+
+  private void askWhoIsDue(long now) {
+    int nodes = peers.nearby().size();
+    int placesLeft = PLACES_PER_TICK;
+    List<ReporterTurn> due = new ArrayList<>();
+    for (Engine engine : engines.all()) {
+      if (engine.record().draining()) {
+        continue;
+      }
+      ReporterTurn turn = turnOf(engine, now);
+      if (!turn.placedAmong(nodes) && placesLeft > 0) {
+        placesLeft--;
+        turn.place(order.placeOfSelf(engine.record().id()), nodes);
+      }
+      if (turn.due(now)) {
+        due.add(turn);
+      }
+    }
+    due.sort(Comparator.<ReporterTurn>comparingLong(turn -> turn.waitedNanos(now)).reversed());
+    due.forEach(turn -> ask(turn, now));
+  }
+
+  private ReporterTurn turnOf(Engine engine, long now) {
+    return turns.computeIfAbsent(
+        board.viewOf(engine),
+        view ->
+            new ReporterTurn(view, topology.localityOf(engine.record().zone()).inRegion(), now));
+  }
+
+  private void ask(ReporterTurn turn, long now) {
+    long reserved = notices.reserve(turn.view().id());
+    if (reserved < 0) {
+      return;
+    }
+    turn.asked(now);
+    reports.ask(turn.view().engine(), answer -> onAnswer(turn, reserved, answer));
+  }
+
+  private void onAnswer(ReporterTurn turn, long reserved, LoadAnswer answer) {
+    long now = eventLoop.nanoTime();
+    if (answer instanceof LoadAnswer.Reported reported) {
+      if (turn.answered()) {
+        logChange(turn, true);
+      }
+      turn.view().adopt(reported.report(), reported.asOfNanos(), now);
+      notices.tell(turn.view().id(), reported.report(), reported.asOfNanos(), reserved);
+      return;
+    }
+    notices.release(reserved);
+    if (answer instanceof LoadAnswer.Unavailable unavailable) {
+      turn.unavailable(now);
+      logUnavailable(turn, unavailable.reason());
+    } else {
+      turn.lost(now);
+    }
+  }
+
+  private void onHeardBefore(EngineView view) {
+    ReporterTurn turn = turns.get(view);
+    if (turn != null && turn.heardBefore()) {
+      logChange(turn, false);
+    }
+  }
+
+  private void logChange(ReporterTurn turn, boolean begins) {
+    if (linesLeft-- > 0) {
+      log.write(
+          GatewayEvent.LOAD_REPORTER_CHANGED,
+          "engine",
+          turn.view().id().value(),
+          "place",
+          turn.place(),
+          "reports",
+          begins,
+          "silent_ms",
+          turn.view().silenceNanos(eventLoop.nanoTime()) / NANOS_PER_MILLI);
+    }
+  }
+
+  private void logUnavailable(ReporterTurn turn, String reason) {
+    if (linesLeft-- > 0) {
+      log.write(
+          GatewayEvent.LOAD_REPORT_UNAVAILABLE,
+          "engine",
+          turn.view().id().value(),
+          "reason",
+          reason,
+          "next_ms",
+          ReporterTurn.UNAVAILABLE_NANOS / NANOS_PER_MILLI);
+    }
+  }
+
+  /** Engines of which this node has told lately. */
+  long enginesReported() {
+    long now = eventLoop.nanoTime();
+    return turns.values().stream().filter(turn -> turn.reports(now)).count();
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoopStall.java
@@ -0,0 +1,27 @@
+package org.baykeel.gateway.load;
+
+/**
+ * How late this process's event loop runs. What was received during a stall was not read then, so
+ * it is older than it seems.
+ */
+final class LoopStall {
+  private final long intervalNanos;
+  private long tickNanos;
+  private long lastLateNanos;
+
+  LoopStall(long intervalNanos, long nowNanos) {
+    this.intervalNanos = intervalNanos;
+    this.tickNanos = nowNanos;
+  }
+
+  /** A task that is to run at each interval runs now. */
+  void ticked(long nowNanos) {
+    lastLateNanos = Math.max(0, nowNanos - tickNanos - intervalNanos);
+    tickNanos = nowNanos;
+  }
+
+  /** How much older than it seems something may be that is read now. */
+  long lateNanos(long nowNanos) {
+    return Math.max(lastLateNanos, nowNanos - tickNanos - intervalNanos);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/SharedLoad.java
@@ -0,0 +1,109 @@
+package org.baykeel.gateway.load;
+
+import java.util.function.LongSupplier;
+import java.util.stream.LongStream;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.LoadEstimate;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.PeerDistance;
+import org.baykeel.gateway.peer.PeerMessage;
+import org.baykeel.gateway.peer.PeerMessageCodec;
+import org.baykeel.gateway.peer.PeerMessageListener;
+import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.peer.RendezvousOrder;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.topology.Topology;
+
+/** This node's part in the shared view of the engines' load. Used only from the event loop. */
+public final class SharedLoad implements PeerMessageListener {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final EngineDirectory engines;
+  private final EventLoop eventLoop;
+  private final LoadBoard board;
+  private final LoadNotices notices;
+  private final LoadReporter reporter;
+  private boolean started;
+
+  /**
+   * Creates a part that asks nobody until it is started.
+   *
+   * @param self this node
+   * @param reports asks engines
+   * @param distance how far other nodes are
+   */
+  public SharedLoad(
+      PeerAddress self,
+      EngineDirectory engines,
+      PeerDirectory peers,
+      PeerTransport transport,
+      PeerMessageCodec codec,
+      Topology topology,
+      LoadReports reports,
+      PeerDistance distance,
+      EventLoop eventLoop,
+      DecisionLog log) {
+    this.engines = engines;
+    this.eventLoop = eventLoop;
+    RendezvousOrder order = new RendezvousOrder(self, peers::nearby);
+    LoopStall stall =
+        new LoopStall(LoadReporter.TICK_MILLIS * NANOS_PER_MILLI, eventLoop.nanoTime());
+    this.board = new LoadBoard(engines, order, distance, eventLoop, stall);
+    this.notices = new LoadNotices(peers, transport, codec, eventLoop);
+    this.reporter =
+        new LoadReporter(
+            engines, peers, order, topology, reports, board, notices, stall, eventLoop, log);
+  }
+
+  /** Begins to ask engines whose turn it is at this node; later calls do nothing. */
+  public void start() {
+    if (!started) {
+      started = true;
+      reporter.tick();
+    }
+  }
+
+  @Override
+  public void onMessage(PeerAddress sender, PeerMessage message) {
+    board.onMessage(sender, message);
+  }
+
+  /** Adds what is known, how old it is and where it came from to a process's figures. */
+  public void register(GatewayMetrics metrics) {
+    gauge(metrics, "median_age_milliseconds", () -> ageMillis(0.5));
+    gauge(metrics, "oldest_age_milliseconds", () -> ageMillis(1));
+    gauge(metrics, "engines_known", () -> knownAges().count());
+    gauge(metrics, "engines_reported_here", reporter::enginesReported);
+    gauge(metrics, "notices_received", board::notices);
+    gauge(metrics, "datagrams_sent", notices::datagrams);
+    gauge(metrics, "sent_bytes", notices::bytes);
+  }
+
+  private static void gauge(GatewayMetrics metrics, String name, LongSupplier reading) {
+    metrics.gauge("baykeel_gateway_load_" + name, reading);
+  }
+
+  /** Ages of the reports that are recent enough to decide by. */
+  private LongStream knownAges() {
+    long now = eventLoop.nanoTime();
+    return engines.all().stream()
+        .mapToLong(engine -> engine.load().ageNanos(now))
+        .filter(age -> age < LoadEstimate.STALE_NANOS);
+  }
+
+  /**
+   * The age that a part of the known reports does not exceed.
+   *
+   * @return milliseconds; -1 if nothing is known
+   */
+  private long ageMillis(double part) {
+    long[] ages = knownAges().sorted().toArray();
+    if (ages.length == 0) {
+      return -1;
+    }
+    return ages[(int) Math.round(part * (ages.length - 1))] / NANOS_PER_MILLI;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineLoadNoticeCodec.java
@@ -0,0 +1,101 @@
+package org.baykeel.gateway.peer;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.agrona.concurrent.UnsafeBuffer;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineLoad;
+import org.baykeel.protocol.generated.EngineLoadNoticeDecoder;
+import org.baykeel.protocol.generated.EngineLoadNoticeEncoder;
+import org.baykeel.protocol.generated.MessageHeaderDecoder;
+import org.baykeel.protocol.generated.MessageHeaderEncoder;
+
+/** Notices of engines' load as SBE, and how many engines one datagram holds. */
+public final class EngineLoadNoticeCodec {
+  private static final int ID_LENGTH_BYTES = 2;
+  private static final int EMPTY_BYTES =
+      MessageHeaderEncoder.ENCODED_LENGTH
+          + EngineLoadNoticeEncoder.BLOCK_LENGTH
+          + EngineLoadNoticeEncoder.EnginesEncoder.sbeHeaderSize();
+
+  /** The greatest number that the field of a count holds. */
+  private static final int MAX_COUNT =
+      EngineLoadNoticeEncoder.EnginesEncoder.waitingNullValue() - 1;
+
+  private EngineLoadNoticeCodec() {}
+
+  /**
+   * Spreads engines over notices of which each fits into one datagram. An engine whose identifier
+   * alone is too long for one is left out.
+   */
+  public static List<PeerMessage.EngineLoadNotice> split(List<PeerMessage.ReportedLoad> engines) {
+    List<PeerMessage.EngineLoadNotice> notices = new ArrayList<>();
+    List<PeerMessage.ReportedLoad> fitting = new ArrayList<>();
+    int bytes = EMPTY_BYTES;
+    for (PeerMessage.ReportedLoad engine : engines) {
+      int entry = entryBytes(engine.engineId());
+      if (EMPTY_BYTES + entry > PeerMessageCodec.MAX_MESSAGE_BYTES) {
+        continue;
+      }
+      if (bytes + entry > PeerMessageCodec.MAX_MESSAGE_BYTES) {
+        notices.add(new PeerMessage.EngineLoadNotice(fitting));
+        fitting.clear();
+        bytes = EMPTY_BYTES;
+      }
+      fitting.add(engine);
+      bytes += entry;
+    }
+    if (!fitting.isEmpty()) {
+      notices.add(new PeerMessage.EngineLoadNotice(fitting));
+    }
+    return notices;
+  }
+
+  /** The bytes on a link of a notice that tells of one engine alone. */
+  public static long bytesOnLink(EngineId engineId) {
+    return ByteBudget.onLink(EMPTY_BYTES + entryBytes(engineId));
+  }
+
+  private static int entryBytes(EngineId engineId) {
+    return EngineLoadNoticeEncoder.EnginesEncoder.sbeBlockLength()
+        + ID_LENGTH_BYTES
+        + engineId.value().getBytes(StandardCharsets.UTF_8).length;
+  }
+
+  static int encode(
+      PeerMessage.EngineLoadNotice notice, UnsafeBuffer buffer, MessageHeaderEncoder header) {
+    EngineLoadNoticeEncoder encoder =
+        new EngineLoadNoticeEncoder().wrapAndApplyHeader(buffer, 0, header);
+    EngineLoadNoticeEncoder.EnginesEncoder engines = encoder.enginesCount(notice.engines().size());
+    for (PeerMessage.ReportedLoad engine : notice.engines()) {
+      engines
+          .next()
+          .ageMillis(engine.ageMillis())
+          .bornMillis(engine.bornMillis())
+          .waiting(Math.min(MAX_COUNT, engine.load().waiting()))
+          .running(Math.min(MAX_COUNT, engine.load().running()))
+          .usedTokens(engine.load().usedTokens())
+          .totalTokens(engine.load().totalTokens())
+          .engineId(engine.engineId().value());
+    }
+    return encoder.encodedLength();
+  }
+
+  static PeerMessage decode(UnsafeBuffer received, MessageHeaderDecoder header) {
+    EngineLoadNoticeDecoder decoder = new EngineLoadNoticeDecoder();
+    decoder.wrapAndApplyHeader(received, 0, header);
+    List<PeerMessage.ReportedLoad> engines = new ArrayList<>();
+    for (EngineLoadNoticeDecoder.EnginesDecoder engine : decoder.engines()) {
+      long ageMillis = engine.ageMillis();
+      long bornMillis = engine.bornMillis();
+      EngineLoad load =
+          new EngineLoad(
+              engine.waiting(), engine.running(), engine.usedTokens(), engine.totalTokens());
+      engines.add(
+          new PeerMessage.ReportedLoad(
+              new EngineId(engine.engineId()), ageMillis, bornMillis, load));
+    }
+    return new PeerMessage.EngineLoadNotice(engines);
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineSuspicionGossip.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineSuspicionGossip.java
@@ -14,11 +14,8 @@
  * once: a node that alone can't reach an engine takes no more than that from the rest.
  */
 public final class EngineSuspicionGossip implements EngineSuspicionListener, PeerMessageListener {
-  /** Bytes that a datagram takes on a link beyond its content: UDP, IP and Ethernet. */
-  private static final int OVERHEAD_BYTES = 46;
-
-  private static final double BYTES_PER_NANO = 8_192 / 1e9;
-  private static final double MAX_SAVED_BYTES = 40_960;
+  private static final long BYTES_PER_SECOND = 8_192;
+  private static final long MAX_SAVED_BYTES = 40_960;
 
   private final EngineDirectory engines;
   private final PeerDirectory peers;
@@ -26,8 +23,7 @@
   private final PeerMessageCodec codec;
   private final EventLoop eventLoop;
   private final DecisionLog log;
-  private double savedBytes = MAX_SAVED_BYTES;
-  private long savedAtNanos;
+  private final ByteBudget budget;
 
   /** Creates a gossip that has to be told of suspicions and given datagrams. */
   public EngineSuspicionGossip(
@@ -43,30 +39,19 @@
     this.codec = codec;
     this.eventLoop = eventLoop;
     this.log = log;
-    this.savedAtNanos = eventLoop.nanoTime();
+    this.budget = new ByteBudget(BYTES_PER_SECOND, MAX_SAVED_BYTES, eventLoop.nanoTime());
   }
 
   @Override
   public void engineSuspected(Engine engine) {
     EngineId id = new EngineId(engine.record().id());
     byte[] notice = codec.encode(new PeerMessage.EngineSuspicion(id));
-    long bytes = (long) (notice.length + OVERHEAD_BYTES) * peers.nearby().size();
-    if (takeBytes(bytes)) {
+    long bytes = ByteBudget.onLink(notice.length) * peers.nearby().size();
+    if (budget.take(bytes, eventLoop.nanoTime())) {
       peers.nearby().forEach(peer -> transport.send(peer, notice));
     }
   }
 
-  private boolean takeBytes(long bytes) {
-    long now = eventLoop.nanoTime();
-    savedBytes = Math.min(MAX_SAVED_BYTES, savedBytes + (now - savedAtNanos) * BYTES_PER_NANO);
-    savedAtNanos = now;
-    if (savedBytes < bytes) {
-      return false;
-    }
-    savedBytes -= bytes;
-    return true;
-  }
-
   @Override
   public void onMessage(PeerAddress sender, PeerMessage message) {
     if (message instanceof PeerMessage.EngineSuspicion suspicion) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -1,7 +1,9 @@
 package org.baykeel.gateway.peer;
 
+import java.util.List;
 import java.util.Optional;
 import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineLoad;
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.tenancy.ConfigurationProof;
 import org.baykeel.gateway.tenancy.TenantId;
@@ -23,6 +25,28 @@
    */
   record EngineSuspicion(EngineId engineId) implements PeerMessage {}
 
+  /**
+   * What engines told the sender of their load.
+   *
+   * @param engines one entry each
+   */
+  record EngineLoadNotice(List<ReportedLoad> engines) implements PeerMessage {
+    public EngineLoadNotice {
+      engines = List.copyOf(engines);
+    }
+  }
+
+  /**
+   * What one engine told of its load.
+   *
+   * @param engineId the engine
+   * @param ageMillis how old that was when the notice was sent
+   * @param bornMillis when this life of the engine began, by the engine's clock; 0 if it did not
+   *     say
+   * @param load its load
+   */
+  record ReportedLoad(EngineId engineId, long ageMillis, long bornMillis, EngineLoad load) {}
+
   /**
    * The sender serves a program now.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -7,6 +7,7 @@
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.tenancy.ConfigurationProof;
 import org.baykeel.gateway.tenancy.TenantId;
+import org.baykeel.protocol.generated.EngineLoadNoticeDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeEncoder;
 import org.baykeel.protocol.generated.HolderAnnouncementDecoder;
@@ -29,7 +30,9 @@
  * and the classes under them are then loaded with the first one and not with the node's start.
  */
 public final class PeerMessageCodec {
-  private static final int MAX_MESSAGE_BYTES = 1_024;
+  /** Well below what one frame of a link carries. */
+  static final int MAX_MESSAGE_BYTES = 1_024;
+
   private static final long MAX_RETRY_MILLIS = 3_600_000;
 
   /**
@@ -51,6 +54,9 @@
           .engineId(suspicion.engineId().value())
           .encodedLength();
     }
+    if (message instanceof PeerMessage.EngineLoadNotice notice) {
+      return EngineLoadNoticeCodec.encode(notice, buffer, header);
+    }
     if (message instanceof PeerMessage.HolderAnnouncement announcement) {
       return new HolderAnnouncementEncoder()
           .wrapAndApplyHeader(buffer, 0, header)
@@ -145,6 +151,8 @@
         decoder.wrapAndApplyHeader(received, 0, header);
         yield Optional.of(new PeerMessage.EngineSuspicion(new EngineId(decoder.engineId())));
       }
+      case EngineLoadNoticeDecoder.TEMPLATE_ID ->
+          Optional.of(EngineLoadNoticeCodec.decode(received, header));
       case HolderAnnouncementDecoder.TEMPLATE_ID -> {
         HolderAnnouncementDecoder decoder = new HolderAnnouncementDecoder();
         decoder.wrapAndApplyHeader(received, 0, header);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionOrder.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionOrder.java
@@ -4,15 +4,14 @@
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 import org.baykeel.gateway.peer.PeerAddress;
-import org.baykeel.gateway.scheduling.StableHash;
+import org.baykeel.gateway.peer.RendezvousOrder;
 
 /**
- * This node's place in the order in which nodes take a free partition, by rendezvous hashing. Nodes
- * that know different peers may claim the same place; the store decides between them.
+ * This node's place in the order in which nodes take a free partition. Where nodes claim the same
+ * place, the store decides between them.
  */
 public final class PartitionOrder implements ToIntFunction<LimitPartition> {
-  private final PeerAddress self;
-  private final Supplier<Collection<PeerAddress>> peers;
+  private final RendezvousOrder order;
 
   /**
    * Creates an order.
@@ -21,23 +20,11 @@
    * @param peers the other nodes known now
    */
   public PartitionOrder(PeerAddress self, Supplier<Collection<PeerAddress>> peers) {
-    this.self = self;
-    this.peers = peers;
+    this.order = new RendezvousOrder(self, peers);
   }
 
   @Override
   public int applyAsInt(LimitPartition partition) {
-    int own = weight(self, partition);
-    int before = 0;
-    for (PeerAddress peer : peers.get()) {
-      if (weight(peer, partition) > own) {
-        before++;
-      }
-    }
-    return before;
-  }
-
-  private static int weight(PeerAddress node, LimitPartition partition) {
-    return StableHash.of(node.toString(), partition.key());
+    return order.placeOfSelf(partition.key());
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -31,6 +31,8 @@
   BAD_REQUEST(334),
   LINES_DROPPED(340),
   USAGE(341),
+  LOAD_REPORTER_CHANGED(350),
+  LOAD_REPORT_UNAVAILABLE(351),
   FAULT(399);
 
   private final int number;
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestHttpLoadReports.java
@@ -0,0 +1,158 @@
+package org.baykeel.gateway.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineLoad;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.load.LoadAnswer;
+import org.baykeel.gateway.load.LoadReport;
+import org.baykeel.gateway.load.LoadReportFormat;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.testing.ScriptedEngine;
+import org.baykeel.gateway.testing.ScriptedEngine.After;
+import org.baykeel.gateway.testing.ScriptedEngine.Answer;
+import org.baykeel.gateway.topology.RoundTrips;
+import org.baykeel.gateway.topology.Topology;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TestHttpLoadReports {
+  private static final long LAG_MILLIS = 200;
+  private static final String REPORT = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7";
+
+  /** A report is one number, the requests that run. */
+  private static final LoadReportFormat FORMAT =
+      new LoadReportFormat() {
+        @Override
+        public String path() {
+          return "/load";
+        }
+
+        @Override
+        public long lagMillis() {
+          return LAG_MILLIS;
+        }
+
+        @Override
+        public Optional<LoadReport> decode(byte[] body) {
+          String text = new String(body, StandardCharsets.US_ASCII);
+          return text.chars().allMatch(Character::isDigit)
+              ? Optional.of(new LoadReport(new EngineLoad(0, Integer.parseInt(text), 0, 0), 5))
+              : Optional.empty();
+        }
+      };
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final HttpLoadReports reports =
+      new HttpLoadReports(
+          group,
+          FORMAT,
+          new RoundTrips(Topology.ofOneRegion("z")),
+          new GatewayMetrics(),
+          (event, fields) -> {});
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  private static Engine engineAt(int port) {
+    EngineDirectory directory = new EngineDirectory(1);
+    directory.put(new EngineRecord("e", "s", "127.0.0.1", port, "z", 4, false));
+    return directory.ofService("s").get(0);
+  }
+
+  private CompletableFuture<LoadAnswer> begin(Engine engine) {
+    CompletableFuture<LoadAnswer> answer = new CompletableFuture<>();
+    group.next().execute(() -> reports.ask(engine, answer::complete));
+    return answer;
+  }
+
+  private LoadAnswer ask(Engine engine) throws Exception {
+    return begin(engine).get(20, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void oneConnectionIsKeptForAllQuestionsToAnEngine() throws Exception {
+    try (ScriptedEngine server = new ScriptedEngine(new Answer(REPORT, After.KEEP))) {
+      Engine engine = engineAt(server.port());
+      for (int i = 0; i < 3; i++) {
+        LoadAnswer.Reported told = assertInstanceOf(LoadAnswer.Reported.class, ask(engine));
+        assertEquals(new LoadReport(new EngineLoad(0, 7, 0, 0), 5), told.report());
+        long ageMillis = (System.nanoTime() - told.asOfNanos()) / 1_000_000;
+        assertTrue(ageMillis >= LAG_MILLIS, "a report tells the past: " + ageMillis);
+      }
+      assertEquals(1, server.connections());
+      assertTrue(server.requests().get(0).startsWith("GET /load HTTP/1.1\r\n"));
+    }
+  }
+
+  @ParameterizedTest(name = "{0}: {1}")
+  @CsvSource({
+    "404 Not Found, Unavailable[reason=status 404]",
+    "403 Forbidden, Unavailable[reason=status 403]",
+    "503 Unavailable, Lost[reason=status 503]",
+  })
+  void anErrorIsNoReport(String status, String expected) throws Exception {
+    String bytes = "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n";
+    try (ScriptedEngine server = new ScriptedEngine(new Answer(bytes, After.KEEP))) {
+      assertEquals(expected, ask(engineAt(server.port())).toString());
+    }
+  }
+
+  @Test
+  void bytesThatAreNoReportAreSaidToBeNone() throws Exception {
+    String bytes = REPORT.replace("7", "x");
+    try (ScriptedEngine server = new ScriptedEngine(new Answer(bytes, After.KEEP))) {
+      assertEquals(new LoadAnswer.Unavailable("no report"), ask(engineAt(server.port())));
+    }
+  }
+
+  @Test
+  void anEngineThatClosesWithoutAnAnswerHasLostTheQuestionAndIsAskedAnew() throws Exception {
+    try (ScriptedEngine server =
+        new ScriptedEngine(new Answer("", After.CLOSE), new Answer(REPORT, After.KEEP))) {
+      Engine engine = engineAt(server.port());
+      assertInstanceOf(LoadAnswer.Lost.class, ask(engine));
+      assertInstanceOf(LoadAnswer.Reported.class, ask(engine));
+    }
+  }
+
+  @Test
+  void aSilentEngineIsGivenUpAndNotAskedTwiceMeanwhile() throws Exception {
+    try (ScriptedEngine server = new ScriptedEngine(new Answer("", After.KEEP))) {
+      Engine engine = engineAt(server.port());
+      CompletableFuture<LoadAnswer> first = begin(engine);
+      CompletableFuture<LoadAnswer> second = begin(engine);
+      assertEquals(
+          new LoadAnswer.Lost("a question is under way"), second.get(20, TimeUnit.SECONDS));
+      assertEquals(new LoadAnswer.Lost("time-out"), first.get(20, TimeUnit.SECONDS));
+      assertEquals(1, server.requests().size());
+    }
+  }
+
+  @Test
+  void anEngineThatIsNotThereHasLostTheQuestion() throws Exception {
+    int port;
+    try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = closed.getLocalPort();
+    }
+    assertInstanceOf(LoadAnswer.Lost.class, ask(engineAt(port)));
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/load/LoadRegion.java
@@ -0,0 +1,173 @@
+package org.baykeel.gateway.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineLoad;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.PeerDistance;
+import org.baykeel.gateway.peer.PeerMessageCodec;
+import org.baykeel.gateway.peer.PeerMessageDispatcher;
+import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingLoadReports;
+import org.baykeel.gateway.testing.TestingPeerNetwork;
+import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.topology.Topology;
+
+/** Nodes and engines of one region, in memory and virtual time. */
+final class LoadRegion {
+  static final int SLOTS = 16;
+  static final EngineLoad CALM = new EngineLoad(0, 2, 10, 100);
+  static final EngineLoad LOADED = new EngineLoad(3, 16, 90, 100);
+
+  private static final long JOIN_MILLIS = 2_000;
+
+  final TestingEventLoop eventLoop = new TestingEventLoop();
+  final TestingStore store = new TestingStore(eventLoop);
+  final TestingPeerNetwork network = new TestingPeerNetwork(eventLoop);
+  final TestingLoadReports reports = new TestingLoadReports(eventLoop);
+  final List<Node> nodes = new ArrayList<>();
+  private final int engineCount;
+
+  /** One life of one node. */
+  final class Node {
+    final String name;
+    final PeerAddress address;
+    final EngineDirectory engines = new EngineDirectory(1);
+    final PeerDirectory peers;
+    final GatewayMetrics metrics = new GatewayMetrics();
+    final SharedLoad sharedLoad;
+    final List<GatewayEvent> events = new ArrayList<>();
+    private boolean gone;
+
+    Node(int number) {
+      name = "n" + number;
+      address = new PeerAddress("10.0.0." + number, 7_000);
+      PeerMessageCodec codec = new PeerMessageCodec();
+      PeerTransport way = network.transportOf(address);
+      PeerTransport transport =
+          (receiver, datagram) -> {
+            if (!gone) {
+              way.send(receiver, datagram);
+            }
+          };
+      Topology topology = Topology.ofOneRegion("z");
+      peers =
+          new PeerDirectory(
+              name, address, store, eventLoop, transport, codec, topology, (event, fields) -> {});
+      sharedLoad =
+          new SharedLoad(
+              address,
+              engines,
+              peers,
+              transport,
+              codec,
+              topology,
+              (engine, answer) -> {
+                if (!gone) {
+                  reports.of(name).ask(engine, answer);
+                }
+              },
+              PeerDistance.NONE,
+              eventLoop,
+              (event, fields) -> events.add(event));
+      sharedLoad.register(metrics);
+      IntStream.range(0, engineCount).forEach(i -> engines.put(record("e" + i)));
+      network.attach(address, new PeerMessageDispatcher(codec, peers, List.of(sharedLoad)));
+      peers.join();
+      sharedLoad.start();
+    }
+
+    /** The process ends: it asks, tells and hears nothing more. */
+    void kill() {
+      gone = true;
+      network.detach(address);
+      nodes.remove(this);
+    }
+
+    Engine engine(String id) {
+      return engines.find(new EngineId(id));
+    }
+
+    /** Requests that the node takes the engine to have; -1 if nothing recent is known. */
+    int seen(String id) {
+      long now = eventLoop.nanoTime();
+      return engine(id).load().known(now) ? engine(id).load().requests(now) : -1;
+    }
+
+    long ageMillis(String id) {
+      return engine(id).load().ageNanos(eventLoop.nanoTime()) / 1_000_000;
+    }
+
+    /** A figure as it is shown to an operator. */
+    long figure(String name) {
+      String full = "baykeel_gateway_load_" + name + ' ';
+      return new String(metrics.render(), java.nio.charset.StandardCharsets.UTF_8)
+          .lines()
+          .filter(line -> line.startsWith(full))
+          .mapToLong(line -> (long) Double.parseDouble(line.substring(full.length())))
+          .findFirst()
+          .orElseThrow();
+    }
+  }
+
+  /** A region whose nodes know each other and whose engines are all alike. */
+  LoadRegion(int nodeCount, int engineCount, EngineLoad load) {
+    this.engineCount = engineCount;
+    IntStream.range(0, engineCount).forEach(i -> reports.set("e" + i, load));
+    IntStream.range(0, nodeCount).forEach(i -> nodes.add(new Node(i)));
+    eventLoop.advance(JOIN_MILLIS);
+  }
+
+  static EngineRecord record(String id) {
+    return new EngineRecord(id, "s", "10.9.0.1", 80, "z", SLOTS, false);
+  }
+
+  /** Starts a node, also one that was there before. */
+  Node start(int number) {
+    Node node = new Node(number);
+    nodes.add(node);
+    return node;
+  }
+
+  /** The node that asked an engine last. */
+  Node reporterOf(String engine) {
+    String name = null;
+    for (TestingLoadReports.Question question : reports.questions()) {
+      if (question.engine().equals(engine)) {
+        name = question.node();
+      }
+    }
+    String found = name;
+    return nodes.stream().filter(node -> node.name.equals(found)).findFirst().orElseThrow();
+  }
+
+  /** The nodes that ask an engine from now on for a while, one entry a question. */
+  List<String> askers(String engine, long millis) {
+    int before = reports.questions().size();
+    eventLoop.advance(millis);
+    return reports.questions().stream()
+        .skip(before)
+        .filter(question -> question.engine().equals(engine))
+        .map(TestingLoadReports.Question::node)
+        .toList();
+  }
+
+  /** Cuts or mends all ways between two groups of nodes. */
+  void cut(List<Node> one, List<Node> other, boolean cut) {
+    for (Node from : one) {
+      for (Node to : other) {
+        network.cut(from.address, to.address, cut);
+        network.cut(to.address, from.address, cut);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/load/TestHerding.java
@@ -0,0 +1,82 @@
+package org.baykeel.gateway.load;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Random;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineLoad;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Load: 31 engines half full, one of which looks empty to all of 77 nodes and goes on to look so,
+ * since its reports lag.
+ */
+class TestHerding {
+  private static final int NODES = 77;
+  private static final int ENGINES = 31;
+  private static final int HALF = LoadRegion.SLOTS / 2;
+  private static final String EMPTY = "e0";
+
+  private final LoadRegion region = new LoadRegion(NODES, ENGINES, new EngineLoad(0, HALF, 0, 0));
+  private final Random random = new Random(36);
+
+  @BeforeEach
+  void oneEngineLooksEmpty() {
+    region.reports.set(EMPTY, new EngineLoad(0, 0, 0, 0));
+    region.eventLoop.advance(1_500);
+  }
+
+  private int requestsOf(Engine engine) {
+    return engine.load().requests(region.eventLoop.nanoTime());
+  }
+
+  /** Sends a request and tells whether it went to the engine that looks empty. */
+  private boolean sentToEmpty(Engine engine) {
+    engine.requestStarted(region.eventLoop.nanoTime());
+    return engine.record().id().equals(EMPTY);
+  }
+
+  private Engine leastLoaded(LoadRegion.Node node) {
+    Engine least = node.engine(EMPTY);
+    for (int i = 1; i < ENGINES; i++) {
+      Engine candidate = node.engine("e" + i);
+      least = requestsOf(candidate) < requestsOf(least) ? candidate : least;
+    }
+    return least;
+  }
+
+  private Engine lessLoadedOfTwo(LoadRegion.Node node) {
+    Engine one = node.engine("e" + random.nextInt(ENGINES));
+    Engine other = node.engine("e" + random.nextInt(ENGINES));
+    return requestsOf(one) <= requestsOf(other) ? one : other;
+  }
+
+  /** A node that is asked for much at once fills the engine up to the others, and no further. */
+  @Test
+  void oneNodesBurstDoesNotAllGoToTheEngineThatLooksEmpty() {
+    LoadRegion.Node node = region.nodes.get(5);
+    int requests = 60;
+    int level = (int) Math.ceil((double) (HALF * (ENGINES - 1) + requests) / ENGINES);
+    int sent = 0;
+    for (int request = 0; request < requests; request++) {
+      region.eventLoop.advance(5);
+      sent += sentToEmpty(leastLoaded(node)) ? 1 : 0;
+    }
+    assertTrue(sent > 0 && sent <= level, "sent " + sent);
+  }
+
+  /** Beyond twice its slots, a request would wait for longer than one is worked on. */
+  @Test
+  void allNodesTogetherDoNotOverfillTheEngineThatLooksEmptyBeforeItsReportsTell() {
+    int sent = 0;
+    for (int millis = 0; millis < 300; millis += 5) {
+      region.eventLoop.advance(5);
+      for (int request = 0; request < 6; request++) {
+        LoadRegion.Node node = region.nodes.get(random.nextInt(NODES));
+        sent += sentToEmpty(lessLoadedOfTwo(node)) ? 1 : 0;
+      }
+    }
+    assertTrue(sent > 0 && sent <= 2 * LoadRegion.SLOTS, "sent " + sent);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/load/TestSharedLoad.java
@@ -0,0 +1,277 @@
+package org.baykeel.gateway.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineLoad;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerMessage;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class TestSharedLoad {
+  private static final EngineLoad CHANGED = new EngineLoad(0, 5, 10, 100);
+  private static final PeerAddress STRANGER = new PeerAddress("10.0.9.9", 1);
+
+  private static PeerMessage told(long ageMillis, long bornMillis, int running) {
+    return new PeerMessage.EngineLoadNotice(
+        List.of(
+            new PeerMessage.ReportedLoad(
+                new EngineId("e0"), ageMillis, bornMillis, new EngineLoad(0, running, 0, 0))));
+  }
+
+  @ParameterizedTest(name = "{0} running of 16")
+  @CsvSource({"2, 800", "12, 300"})
+  void allNodesKnowAllEnginesAndOneNodeAsksEach(int running, long oldestMillis) {
+    LoadRegion region = new LoadRegion(9, 12, new EngineLoad(0, running, 10, 100));
+    for (int i = 0; i < 12; i++) {
+      String engine = "e" + i;
+      assertEquals(1, new HashSet<>(region.askers(engine, 1_000)).size(), engine);
+      for (LoadRegion.Node node : region.nodes) {
+        assertEquals(running, node.seen(engine));
+        assertTrue(node.ageMillis(engine) <= oldestMillis, engine + " " + node.ageMillis(engine));
+      }
+    }
+    assertEquals(
+        12, region.nodes.stream().mapToLong(node -> node.figure("engines_reported_here")).sum());
+    assertEquals(12, region.nodes.get(0).figure("engines_known"));
+  }
+
+  @ParameterizedTest(name = "after {0} ms")
+  @ValueSource(longs = {0, 90, 210, 340, 470, 600, 690, 740})
+  void aReporterThatDiesIsReplacedWithinASecond(long millis) {
+    for (EngineLoad load : List.of(LoadRegion.CALM, LoadRegion.LOADED)) {
+      LoadRegion region = new LoadRegion(9, 3, load);
+      region.eventLoop.advance(millis);
+      region.reporterOf("e1").kill();
+      region.reports.set("e1", CHANGED);
+      region.eventLoop.advance(1_000);
+      region.nodes.forEach(node -> assertEquals(5, node.seen("e1"), node.name));
+    }
+  }
+
+  @Test
+  void aSubstituteGoesOnAtTheUsualPaceAndStopsWhenTheFirstIsBack() {
+    LoadRegion region = new LoadRegion(9, 3, LoadRegion.LOADED);
+    LoadRegion.Node first = region.reporterOf("e1");
+    first.kill();
+    region.eventLoop.advance(1_000);
+    LoadRegion.Node substitute = region.reporterOf("e1");
+    List<String> meanwhile = region.askers("e1", 2_000);
+    assertEquals(Set.of(substitute.name), Set.copyOf(meanwhile));
+    assertTrue(meanwhile.size() >= 8, "asked " + meanwhile.size());
+    assertEquals(List.of(GatewayEvent.LOAD_REPORTER_CHANGED), substitute.events);
+    LoadRegion.Node back = region.start(Integer.parseInt(first.name.substring(1)));
+    region.eventLoop.advance(1_500);
+    assertEquals(Set.of(back.name), Set.copyOf(region.askers("e1", 2_000)));
+    assertEquals(2, substitute.events.size());
+  }
+
+  @Test
+  void theThirdNodeStepsInWhenTwoAreGone() {
+    LoadRegion region = new LoadRegion(9, 3, LoadRegion.CALM);
+    region.reporterOf("e1").kill();
+    region.eventLoop.advance(1_500);
+    region.reporterOf("e1").kill();
+    region.reports.set("e1", CHANGED);
+    region.eventLoop.advance(1_150);
+    region.nodes.forEach(node -> assertEquals(5, node.seen("e1"), node.name));
+  }
+
+  @Test
+  void aReporterThatCanNotReachTheOthersIsReplacedThere() {
+    LoadRegion region = new LoadRegion(9, 3, LoadRegion.CALM);
+    LoadRegion.Node reporter = region.reporterOf("e1");
+    List<LoadRegion.Node> others = new ArrayList<>(region.nodes);
+    others.remove(reporter);
+    region.cut(List.of(reporter), others, true);
+    region.reports.set("e1", CHANGED);
+    region.eventLoop.advance(1_000);
+    region.nodes.forEach(node -> assertEquals(5, node.seen("e1"), node.name));
+  }
+
+  @Test
+  void bothSidesOfACutKnowTheEnginesAndOneNodeAsksWhenItIsHealed() {
+    LoadRegion region = new LoadRegion(20, 10, LoadRegion.CALM);
+    List<LoadRegion.Node> left = region.nodes.subList(0, 10);
+    List<LoadRegion.Node> right = region.nodes.subList(10, 20);
+    region.cut(left, right, true);
+    region.eventLoop.advance(2_500);
+    for (int i = 0; i < 10; i++) {
+      region.reports.set("e" + i, CHANGED);
+    }
+    region.eventLoop.advance(1_000);
+    for (LoadRegion.Node node : region.nodes) {
+      for (int i = 0; i < 10; i++) {
+        assertEquals(5, node.seen("e" + i), node.name + " e" + i);
+      }
+    }
+    region.cut(left, right, false);
+    region.eventLoop.advance(1_500);
+    for (int i = 0; i < 10; i++) {
+      assertEquals(1, Set.copyOf(region.askers("e" + i, 1_500)).size(), "e" + i);
+    }
+  }
+
+  @Test
+  void lossOfDatagramsLeavesTheViewInPlace() {
+    LoadRegion region = new LoadRegion(20, 10, LoadRegion.LOADED);
+    region.network.lose(0.2, new java.util.Random(7));
+    for (int second = 0; second < 10; second++) {
+      region.eventLoop.advance(1_000);
+      for (LoadRegion.Node node : region.nodes) {
+        for (int i = 0; i < 10; i++) {
+          assertTrue(node.seen("e" + i) >= 0, node.name + " e" + i);
+        }
+      }
+    }
+  }
+
+  @Test
+  void aViewThatIsNotRenewedFadesToNothingKnown() {
+    LoadRegion region = new LoadRegion(3, 1, LoadRegion.LOADED);
+    region.reports.silence("e0");
+    region.eventLoop.advance(2_000);
+    LoadRegion.Node node = region.nodes.get(0);
+    assertEquals(19, node.seen("e0"));
+    region.eventLoop.advance(1_000);
+    assertEquals(-1, node.seen("e0"));
+    assertEquals(0, node.engine("e0").load().requests(region.eventLoop.nanoTime()));
+    assertEquals(0, node.figure("engines_known"));
+    assertEquals(-1, node.figure("oldest_age_milliseconds"));
+  }
+
+  @ParameterizedTest(name = "told {0} ms late after one of {1} ms: {2}")
+  @CsvSource({"100, 400, 7", "400, 100, 9", "2600, 100, 9", "100, 100, 9"})
+  void theNewestReportWinsWhoeverToldIt(long age, long ageBefore, int expected) {
+    LoadRegion region = new LoadRegion(0, 1, LoadRegion.CALM);
+    LoadRegion.Node node = region.start(1);
+    region.eventLoop.advance(10);
+    node.sharedLoad.onMessage(STRANGER, told(ageBefore, 0, 9));
+    node.sharedLoad.onMessage(STRANGER, told(age, 0, 7));
+    assertEquals(expected, node.seen("e0"));
+  }
+
+  @Test
+  void aNoticeThatIsTooOldIsNoNews() {
+    LoadRegion region = new LoadRegion(0, 1, LoadRegion.CALM);
+    LoadRegion.Node node = region.start(1);
+    node.sharedLoad.onMessage(STRANGER, told(2_500, 0, 9));
+    assertEquals(-1, node.seen("e0"));
+    node.sharedLoad.onMessage(STRANGER, told(2_400, 0, 9));
+    assertEquals(9, node.seen("e0"));
+    region.eventLoop.advance(100);
+    assertEquals(-1, node.seen("e0"));
+  }
+
+  @Test
+  void aNoticeOfAnEarlierLifeOfTheEngineIsNoNews() {
+    LoadRegion region = new LoadRegion(0, 1, LoadRegion.CALM);
+    LoadRegion.Node node = region.start(1);
+    node.sharedLoad.onMessage(STRANGER, told(50, 1_000, 9));
+    node.sharedLoad.onMessage(STRANGER, told(60, 2_000, 1));
+    assertEquals(1, node.seen("e0"), "a later life counts, also when it was told later");
+    node.sharedLoad.onMessage(STRANGER, told(10, 1_000, 9));
+    assertEquals(1, node.seen("e0"));
+  }
+
+  @Test
+  void anEngineWithoutReportsIsAskedByFewNodesAndRarely() {
+    LoadRegion region = new LoadRegion(40, 0, LoadRegion.CALM);
+    region.nodes.forEach(node -> node.engines.put(LoadRegion.record("tool")));
+    List<String> askers = region.askers("tool", 29_000);
+    assertTrue(askers.size() <= 5, "asked " + askers);
+    assertEquals(askers.size(), Set.copyOf(askers).size());
+    assertTrue(region.askers("tool", 30_000).size() <= 5);
+    LoadRegion.Node first =
+        region.nodes.stream().filter(n -> n.name.equals(askers.get(0))).findFirst().orElseThrow();
+    assertTrue(first.events.contains(GatewayEvent.LOAD_REPORT_UNAVAILABLE));
+  }
+
+  @Test
+  void anEngineThatAnswersNobodyIsAskedMoreAndMoreRarely() {
+    LoadRegion region = new LoadRegion(40, 1, LoadRegion.LOADED);
+    region.reports.silence("e0");
+    region.eventLoop.advance(20_000);
+    List<String> askers = region.askers("e0", 10_000);
+    assertTrue(askers.size() <= 5 * 3, "asked " + askers.size());
+    assertFalse(askers.isEmpty());
+  }
+
+  @Test
+  void aLostAnswerIsNotAskedForAgainBeforeTheNextRound() {
+    LoadRegion region = new LoadRegion(1, 1, LoadRegion.LOADED);
+    region.reports.silence("e0");
+    region.eventLoop.advance(150);
+    int before = region.reports.questions().size();
+    region.eventLoop.advance(200);
+    assertTrue(region.reports.questions().size() - before <= 1);
+  }
+
+  @Test
+  void ownRequestsThatAreUnderWayMakeAnEngineAskedMoreOften() {
+    LoadRegion region = new LoadRegion(1, 1, LoadRegion.CALM);
+    int calm = region.askers("e0", 2_100).size();
+    Engine engine = region.nodes.get(0).engine("e0");
+    for (int i = 0; i < 40; i++) {
+      region.eventLoop.advance(50);
+      engine.requestStarted(region.eventLoop.nanoTime());
+    }
+    region.reports.set("e0", LoadRegion.LOADED);
+    assertTrue(calm <= 3, "calm: " + calm);
+    assertTrue(region.askers("e0", 2_000).size() >= 8);
+  }
+
+  @Test
+  void aNodeThatDoesNotKnowTheOthersAsksNobodyAndHearsThem() {
+    LoadRegion region = new LoadRegion(5, 3, LoadRegion.CALM);
+    region.store.failReads(true);
+    LoadRegion.Node late = region.start(77);
+    region.eventLoop.advance(3_000);
+    assertTrue(
+        region.reports.questions().stream().noneMatch(asked -> asked.node().equals(late.name)));
+    assertEquals(0, late.figure("engines_reported_here"));
+  }
+
+  @Test
+  void allNodesThatStartAtOnceKnowTheEnginesAgainWithinThreeSeconds() {
+    LoadRegion region = new LoadRegion(20, 10, LoadRegion.LOADED);
+    List.copyOf(region.nodes).forEach(LoadRegion.Node::kill);
+    for (int i = 0; i < 20; i++) {
+      region.start(i);
+    }
+    region.eventLoop.advance(3_000);
+    for (LoadRegion.Node node : region.nodes) {
+      for (int i = 0; i < 10; i++) {
+        assertEquals(19, node.seen("e" + i));
+      }
+    }
+  }
+
+  @Test
+  void bytesOfEachNodeStayWithinTheirBudgetWhenAllEnginesAreLoaded() {
+    LoadRegion region = new LoadRegion(77, 40, LoadRegion.LOADED);
+    int seconds = 20;
+    List<Long> before = region.nodes.stream().map(node -> node.figure("sent_bytes")).toList();
+    region.eventLoop.advance(seconds * 1_000);
+    long most = LoadNotices.MAX_SAVED_BYTES + seconds * LoadNotices.BYTES_PER_SECOND;
+    for (int i = 0; i < region.nodes.size(); i++) {
+      LoadRegion.Node node = region.nodes.get(i);
+      long sent = node.figure("sent_bytes") - before.get(i);
+      assertTrue(sent <= most, node.name + " sent " + sent);
+      for (int e = 0; e < 40; e++) {
+        assertEquals(19, node.seen("e" + e), "the view stays in place");
+      }
+    }
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestDecisionsScale.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestDecisionsScale.java
@@ -119,7 +119,7 @@
     Criteria criteria = new Criteria(SERVICE, List.of(), null, true);
     int sent = 0;
     while (selector.select(criteria, Set.of(), 0) == near) {
-      near.requestStarted();
+      near.requestStarted(0);
       sent++;
     }
     double waitMillis = sent * workMillis / 6.0;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestEngineSelector.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestEngineSelector.java
@@ -125,7 +125,7 @@
   void anEngineThatFailsByTurnsGetsNothingThatMayRunOnlyOnce(
       int episodes, int inARow, long laterMillis, boolean repeatable, String expected) {
     engines(2);
-    engine("e1").requestStarted();
+    engine("e1").requestStarted(0);
     long now = 0;
     for (int i = 0; i < episodes; i++) {
       now += 1_000_000_000L;
@@ -146,7 +146,7 @@
     engine("e0").failed(0);
     engine("e1").failed(0);
     engine("e1").succeeded();
-    engine("e1").requestStarted();
+    engine("e1").requestStarted(0);
     Criteria criteria = new Criteria("s", List.of(), null, false);
     assertEquals("e1", selector.select(criteria, Set.of(), 1_000_000_000L).record().id());
   }
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingLoadReports.java
@@ -0,0 +1,83 @@
+package org.baykeel.gateway.testing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineLoad;
+import org.baykeel.gateway.load.LoadAnswer;
+import org.baykeel.gateway.load.LoadReport;
+import org.baykeel.gateway.load.LoadReports;
+import org.baykeel.gateway.runtime.EventLoop;
+
+/** Engines that tell their load in memory and virtual time, as the test sets it. */
+public final class TestingLoadReports {
+  private static final long WAY_MILLIS = 2;
+  private static final long TIMEOUT_MILLIS = 100;
+
+  private final EventLoop eventLoop;
+  private final Map<String, LoadReport> reports = new HashMap<>();
+  private final Set<String> silent = new HashSet<>();
+  private final List<Question> questions = new ArrayList<>();
+
+  /** A node asked an engine. */
+  public record Question(String node, String engine, long nanos) {}
+
+  public TestingLoadReports(EventLoop eventLoop) {
+    this.eventLoop = eventLoop;
+  }
+
+  /** Sets what an engine tells; one that was never set has no reports. */
+  public void set(String engine, LoadReport report) {
+    reports.put(engine, report);
+  }
+
+  /** Sets the load of an engine that does not say when it was born. */
+  public void set(String engine, EngineLoad load) {
+    set(engine, new LoadReport(load, 0));
+  }
+
+  /** What an engine would tell now. */
+  public EngineLoad loadOf(String engine) {
+    return reports.get(engine).load();
+  }
+
+  /** Lets an engine answer nobody. */
+  public void silence(String engine) {
+    silent.add(engine);
+  }
+
+  /** All questions so far. */
+  public List<Question> questions() {
+    return questions;
+  }
+
+  /** The questions of a node. */
+  public LoadReports of(String node) {
+    return (engine, answer) -> ask(node, engine, answer);
+  }
+
+  private void ask(String node, Engine engine, Consumer<LoadAnswer> answer) {
+    String id = engine.record().id();
+    long asked = eventLoop.nanoTime();
+    questions.add(new Question(node, id, asked));
+    if (silent.contains(id)) {
+      eventLoop.schedule(TIMEOUT_MILLIS, () -> answer.accept(new LoadAnswer.Lost("time-out")));
+      return;
+    }
+    eventLoop.schedule(
+        WAY_MILLIS,
+        () -> {
+          LoadReport report = reports.get(id);
+          LoadAnswer told =
+              report == null
+                  ? new LoadAnswer.Unavailable("status 404")
+                  : new LoadAnswer.Reported(report, asked);
+          eventLoop.schedule(WAY_MILLIS, () -> answer.accept(told));
+        });
+  }
+}
