Engines take requests by what is left of their program's time

Cause: requests reached engines without a rank, so their queues went by arrival: a turn that could still end in its program's aim waited behind one whose aim was past, and programs that had begun waited behind all that began.

Change: package urgency. A request's standing (ending, under way, opening, late, overdue) and within it its kind give a rank from 0 to 9 at each send; the platform's header carries it, a caller's own value still never passes. One in three requests of a less urgent kind competes with the most urgent kind of its standing as an equal.

Ruled out: fixed bounds in milliseconds (short programs would go first for all their life); the kind before the time left (its late programs before another's that can still end); a counter instead of a hash for the third (alternating kinds share it).

Existing tests: constructors of EngineRequest and GatewayContext got one more argument; nothing else of them changed.

Not played on a deployment.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -10,6 +10,7 @@
 import org.baykeel.gateway.telemetry.DecisionLog;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.urgency.Urgency;
 
 /** What the log and the metrics tell of one call. */
 final class CallRecord {
@@ -22,6 +23,7 @@
   private String tenant = "none";
   private String lastEngine = "none";
   private int unreadTokens;
+  private int lastRank = Urgency.UNRANKED;
 
   /** What a call waits for besides its engine. */
   enum Wait {
@@ -87,7 +89,9 @@
     return waitedMillis.getOrDefault(wait, 0L);
   }
 
-  void sentTo(EngineSelector.Choice choice, List<PromptPart> prompt) {
+  void sentTo(EngineSelector.Choice choice, List<PromptPart> prompt, int rank) {
+    lastRank = rank;
+    metrics.requestRanked(rank);
     Engine engine = choice.engine();
     lastEngine = engine.record().id();
     unreadTokens = engine.cachedPrefixes().uncachedTokens(prompt);
@@ -165,6 +169,8 @@
         end.sends(),
         "engine",
         lastEngine,
+        "rank",
+        lastRank,
         "prompt",
         attributes.prompt().stream().mapToInt(PromptPart::tokens).sum(),
         "unread",
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRequest.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRequest.java
@@ -1,6 +1,10 @@
 package org.baykeel.gateway.call;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.tenancy.Caller;
+import org.baykeel.gateway.urgency.RankedRequest;
 
 /**
  * A caller's request, read whole.
@@ -28,4 +32,28 @@
     int query = target.indexOf('?');
     return query < 0 ? target : target.substring(0, query);
   }
+
+  /**
+   * What the request's rank depends on.
+   *
+   * @param route its route
+   * @param caller on whose behalf it runs
+   */
+  RankedRequest ranked(Route route, Caller caller, long nowNanos) {
+    boolean stream = route.kind() == RouteKind.STREAMING;
+    return new RankedRequest(
+        attributes.requestId(),
+        route.name(),
+        caller.priority(route.priority()),
+        stream,
+        caller.scoped(attributes.programId()),
+        stream && attributes.firstLine() && attributes.previousTurn() == null,
+        programLeftMillis(nowNanos));
+  }
+
+  private long programLeftMillis(long nowNanos) {
+    return attributes.finishMillis() == CallAttributes.ABSENT
+        ? RankedRequest.ABSENT
+        : Math.max(0, attributes.finishMillis() - (nowNanos - receivedNanos) / 1_000_000);
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -253,7 +253,8 @@
     sends++;
     sendsInRound++;
     runs++;
-    record.sentTo(choice, attributes().prompt());
+    int rank = context.urgency().rankOf(request.ranked(route, caller, now), now);
+    record.sentTo(choice, attributes().prompt(), rank);
     triedEngines.add(engine.record().id());
     attempt =
         new EngineAttempt(
@@ -261,7 +262,7 @@
     long remaining = Math.max(1, (deadlineNanos - now) / 1_000_000);
     attempt.send(
         context.transport(),
-        new EngineRequest(request, engineBody, remaining, caller, relay.lastEventId()));
+        new EngineRequest(request, engineBody, remaining, caller, relay.lastEventId(), rank));
     silenceWatch.sent();
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
@@ -11,6 +11,7 @@
 import org.baykeel.gateway.telemetry.DecisionLog;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.tenancy.KeyAuthenticator;
+import org.baykeel.gateway.urgency.Urgency;
 
 /**
  * What every call works with.
@@ -24,6 +25,7 @@
  * @param congestion decides whether new programs may begin
  * @param budgets token budgets of programs
  * @param history kept turns
+ * @param urgency ranks requests for engines
  * @param transport the way to engines
  * @param storeHealth this process's path to the store
  * @param log takes one line for each decision
@@ -39,6 +41,7 @@
     CongestionMonitor congestion,
     ProgramBudgets budgets,
     TurnHistory history,
+    Urgency urgency,
     EngineTransport transport,
     StoreHealth storeHealth,
     DecisionLog log,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -40,6 +40,7 @@
   private final Map<String, long[]> limitFigures = new TreeMap<>();
   private final Map<String, long[]> keyVerdicts = new TreeMap<>();
   private final Map<String, long[]> sendsByLocality = new TreeMap<>();
+  private final Map<Integer, long[]> sendsByRank = new TreeMap<>();
   private final Map<String, LongSupplier> gauges = new TreeMap<>();
   private long engineConnections;
   private long engineConnectionsToReport;
@@ -66,6 +67,13 @@
         .computeIfAbsent(locality.name().toLowerCase(Locale.ROOT), key -> new long[1])[0]++;
   }
 
+  /** Counts a send to an engine by its place in the engine's queue; negative if it has none. */
+  public void requestRanked(int rank) {
+    if (rank >= 0) {
+      sendsByRank.computeIfAbsent(rank, key -> new long[1])[0]++;
+    }
+  }
+
   /** Counts a send to an engine that brought no whole answer. */
   public void attemptFailed() {
     failedAttempts++;
@@ -173,6 +181,11 @@
                 "Sends to engines by where they are, as seen from this node",
                 "locality",
                 sendsByLocality),
+            counters(
+                "baykeel_gateway_ranked_sends",
+                "Sends to engines by their place in the engine's queue; 0 is the most urgent",
+                "rank",
+                sendsByRank),
             counter(
                 "baykeel_gateway_failed_attempts",
                 "Sends to engines without a whole answer",
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestAdmission.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestAdmission.java
@@ -39,6 +39,7 @@
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingTenancy;
 import org.baykeel.gateway.testing.TestingTransport;
+import org.baykeel.gateway.urgency.Urgency;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -133,6 +134,7 @@
         new CongestionMonitor(new Random(1)),
         budgets,
         new TurnHistory(store, eventLoop, 1_000, TurnSource.NONE),
+        Urgency.NONE,
         new TestingTransport(),
         storeHealth,
         (event, fields) -> {},
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -38,6 +38,8 @@
 import org.baykeel.gateway.testing.TestingTenancy;
 import org.baykeel.gateway.testing.TestingTransport;
 import org.baykeel.gateway.testing.TestingTransport.Sent;
+import org.baykeel.gateway.urgency.ProgramUrgency;
+import org.baykeel.gateway.urgency.Standing;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -76,6 +78,7 @@
             congestion,
             new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
             new TurnHistory(store, eventLoop, 1 << 20, TurnSource.NONE),
+            new ProgramUrgency(),
             transport,
             storeHealth,
             (event, fields) -> {},
@@ -125,9 +128,31 @@
 
   private ClientCall call(
       String path, String id, String previousTurn, String program, String session, long budget) {
+    return call(path, id, previousTurn, program, session, budget, CallAttributes.ABSENT);
+  }
+
+  private ClientCall call(
+      String path,
+      String id,
+      String previousTurn,
+      String program,
+      String session,
+      long budget,
+      long finishMillis) {
     CallAttributes attributes =
         new CallAttributes(
-            id, 3_000, -1, program, session, budget, 500, List.of(), previousTurn, -1, null, null);
+            id,
+            3_000,
+            finishMillis,
+            program,
+            session,
+            budget,
+            500,
+            List.of(),
+            previousTurn,
+            -1,
+            null,
+            null);
     CallRequest request =
         new CallRequest(
             "POST",
@@ -154,6 +179,21 @@
     assertEquals(List.of("begin", "id: 1 data: d1", "id: 2 data: d2", "end"), responder.heard());
   }
 
+  @Test
+  void aTurnIsSentWithARankThatFollowsWhatIsLeftOfItsProgramsTime() {
+    call("/once/", "r1", null, "p", "p", -1, 900);
+    assertEquals(Standing.OPENING.rank(1), transport.last().request().rank());
+    eventLoop.advance(100);
+    call("/once/", "r4", null, "p", "p", -1, 800);
+    assertEquals(Standing.UNDER_WAY.rank(1), transport.last().request().rank());
+    eventLoop.advance(600);
+    transport.last().notExecuted();
+    assertEquals(Standing.ENDING.rank(1), transport.last().request().rank());
+    eventLoop.advance(200);
+    transport.last().notExecuted();
+    assertEquals(Standing.LATE.rank(1), transport.last().request().rank());
+  }
+
   @Test
   void anUnknownRouteIsRefusedAsSuchOnlyWhileTheConfigurationIsCurrent() {
     call("/nowhere/");
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -97,7 +97,7 @@
             () ->
                 transport.send(
                     engine,
-                    new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1),
+                    new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1),
                     listener));
     String result = end.get(20, TimeUnit.SECONDS);
     // The connection is given back after the read that completed the answer.
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -47,6 +47,7 @@
 import org.baykeel.gateway.testing.TestingTranslator;
 import org.baykeel.gateway.topology.RoundTrips;
 import org.baykeel.gateway.topology.Topology;
+import org.baykeel.gateway.urgency.Urgency;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -109,6 +110,7 @@
             new CongestionMonitor(new Random(1)),
             new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
             new TurnHistory(store, eventLoop, 1_000, TurnSource.NONE),
+            Urgency.NONE,
             new NettyEngineTransport(
                 group,
                 translator,
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
@@ -94,7 +94,7 @@
     CallRequest source =
         new CallRequest(
             "POST", "/x", "h", headers, new byte[3], TestingTranslator.attributesOf(id), 0);
-    EngineRequest request = new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1);
+    EngineRequest request = new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1);
     Sent sent = new Sent();
     group.next().execute(() -> sent.exchange.complete(transport.send(engine, request, sent)));
     return sent;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
@@ -25,6 +25,7 @@
 import org.baykeel.gateway.testing.TestingHandover;
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingTenancy;
+import org.baykeel.gateway.urgency.ProgramUrgency;
 
 /** One life of one node: everything but the store and the engines is lost with it. */
 final class SimulatedNode {
@@ -70,6 +71,7 @@
                 new CongestionMonitor(random),
                 budgets,
                 history,
+                new ProgramUrgency(),
                 engines,
                 health,
                 (event, fields) -> {},
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/urgency/TestProgramUrgency.java
@@ -0,0 +1,118 @@
+package org.baykeel.gateway.urgency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.stream.IntStream;
+import org.baykeel.gateway.scheduling.StableHash;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class TestProgramUrgency {
+  private static final long AIM_MILLIS = 3_000;
+
+  private final ProgramUrgency urgency = new ProgramUrgency();
+  private int lastRequest;
+
+  /** An identifier of a request that is ranked by its own kind. */
+  private String plainId() {
+    String id = "r" + ++lastRequest;
+    return favoured(id) ? plainId() : id;
+  }
+
+  private static boolean favoured(String id) {
+    return Math.floorMod(StableHash.of(id), ProgramUrgency.FAVOURED_ONE_IN) == 0;
+  }
+
+  private int rank(String id, int kind, String program, boolean mayOpen, long left, long nowMs) {
+    RankedRequest request = new RankedRequest(id, "route", kind, true, program, mayOpen, left);
+    return urgency.rankOf(request, nowMs * 1_000_000);
+  }
+
+  @ParameterizedTest(name = "kind {0}, {1} ms of 3,000 left after {2} ms: {3}")
+  @CsvSource({
+    "0, 2900, 100, 2",
+    "1, 2900, 100, 3",
+    "2, 2900, 100, 4",
+    "7, 2900, 100, 4",
+    "0, 1000, 2000, 2",
+    "0, 999, 2001, 0",
+    "2, 999, 2001, 1",
+    "0, 1, 2999, 0",
+    "0, 0, 3000, 8",
+    "2, 0, 6000, 8",
+    "0, 0, 6001, 9",
+    "2, 0, 9000, 9",
+  })
+  void aProgramThatBeganHereIsRankedByWhatIsLeftOfItsTime(
+      int kind, long left, long atMillis, int expected) {
+    int opening = rank(plainId(), kind, "p", true, AIM_MILLIS, 0);
+    assertEquals(5 + Math.min(kind, 2), opening);
+    assertEquals(expected, rank(plainId(), kind, "p", false, left, atMillis));
+  }
+
+  @Test
+  void aFirstTurnThatIsSentAgainIsStillABeginning() {
+    String id = plainId();
+    assertEquals(5, rank(id, 0, "p", true, AIM_MILLIS, 0));
+    assertEquals(5, rank(id, 0, "p", true, AIM_MILLIS - 40, 40));
+  }
+
+  @Test
+  void aTurnThatComesFromAnotherNodeLateInItsProgramIsNoBeginning() {
+    rank(plainId(), 0, "usual", true, AIM_MILLIS, 0);
+    assertEquals(0, rank(plainId(), 0, "moved", true, 900, 0));
+    assertEquals(5, rank(plainId(), 0, "short", true, 1_600, 0));
+  }
+
+  @Test
+  void whereNoProgramWasSeenToBeginNoneIsTakenToBeEndingOrOverdue() {
+    assertEquals(2, rank(plainId(), 0, "p", false, 1, 0));
+    assertEquals(8, rank(plainId(), 0, "p", false, 0, 100_000));
+  }
+
+  @Test
+  void subAgentsTakeTheRankOfTheirProgram() {
+    rank(plainId(), 1, "p", true, AIM_MILLIS, 0);
+    int firstLine = rank(plainId(), 1, "p", true, 500, 2_500);
+    int subAgent = rank(plainId(), 1, "p", false, 500, 2_500);
+    assertEquals(firstLine, subAgent);
+  }
+
+  @ParameterizedTest(name = "kind {0}, stream {1}: {2}")
+  @CsvSource({"0, true, 5", "2, true, 7", "0, false, 2", "1, false, 3", "5, false, 4"})
+  void aRequestWithoutAProgramHasTheRankOfItsKind(int kind, boolean stream, int expected) {
+    RankedRequest request =
+        new RankedRequest(plainId(), "route", kind, stream, null, false, RankedRequest.ABSENT);
+    assertEquals(expected, urgency.rankOf(request, 0));
+  }
+
+  @ParameterizedTest
+  @EnumSource(Standing.class)
+  void aLessUrgentKindNeverGoesBeforeAMoreUrgentOneOfTheSameStanding(Standing standing) {
+    for (int kind = 0; kind < 12; kind++) {
+      assertTrue(standing.rank(kind) <= standing.rank(kind + 1));
+      assertTrue(standing.rank(kind) <= Standing.LEAST_URGENT);
+    }
+  }
+
+  @Test
+  void standingsDoNotOverlap() {
+    for (int i = 1; i < Standing.values().length; i++) {
+      assertTrue(Standing.values()[i - 1].rank(9) < Standing.values()[i].rank(0));
+    }
+  }
+
+  @Test
+  void aThirdOfALessUrgentKindIsRankedLikeTheMostUrgentOneAndNeverBeforeIt() {
+    int[] ranks =
+        IntStream.range(0, 3_000)
+            .map(i -> rank("q" + i, 2, "p" + i, true, AIM_MILLIS, 0))
+            .toArray();
+    long favoured = IntStream.of(ranks).filter(rank -> rank == 5).count();
+    assertTrue(favoured > 900 && favoured < 1_100, favoured + " of 3000");
+    assertEquals(3_000 - favoured, IntStream.of(ranks).filter(rank -> rank == 7).count());
+  }
+}
