--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
@@ -126,7 +126,9 @@
     sends++;
     sendsInRound++;
     runs++;
-    record.sentTo(choice, call.attributes().prompt());
+    int rank =
+        context.urgency().rankOf(call.request().ranked(call.route(), call.caller(), now), now);
+    record.sentTo(choice, call.attributes().prompt(), rank);
     triedEngines.add(engine.record().id());
     attempt =
         new EngineAttempt(
@@ -140,7 +142,7 @@
     attempt.send(
         context.transport(),
         new EngineRequest(
-            call.request(), engineBody, remaining, call.caller(), relay.lastEventId()));
+            call.request(), engineBody, remaining, call.caller(), relay.lastEventId(), rank));
     silenceWatch.sent();
   }
 
