Programs begin by a prediction of their end; CongestionMonitor is replaced

Cause: at three times the demand every program was taken and all became late. The decision was asked only where a grant was not at hand, its bands lay at 2.5 to 12.5 wanted first answers, on one smoothed wait of this node that was forgotten after a second. A refused program had its row written in the store, so its next try passed as one that runs.

Change: org.baykeel.gateway.admission. Each kind (route) learns turns, pauses and aims; a program's predicted time beyond its usual one, in parts of what its aim leaves, gives the share of programs that may begin (all below 0.3, none but a twentieth from 0.8 on). The share falls at once and rises within the time of a program; who begins is spread evenly; a less urgent kind never gets more than a more urgent one, and at least a quarter. Nobody is refused while under 0.7 of the places are in use. The use is looked at as it will be a second later, since what is known is old and programs that begin come on top. While shares are below 1 and this node does not know the program, the store is read before anything is granted or sent; a program that has a row is served. Retry times are spread over half to one and a half, but not the limiter's, which are exact. Events 352 and 353.

Ruled out: the predicted time in parts of the aim against fixed bounds (0.85 to 1.05).

--- a/baykeel-cli/src/test/java/org/baykeel/cli/TestArchitecture.java
+++ b/baykeel-cli/src/test/java/org/baykeel/cli/TestArchitecture.java
@@ -54,6 +54,7 @@
       noClasses()
           .that()
           .resideInAnyPackage(
+              "org.baykeel.gateway.admission..",
               "org.baykeel.gateway.call..",
               "org.baykeel.gateway.budget..",
               "org.baykeel.gateway.history..",
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Judgement.java
@@ -0,0 +1,36 @@
+package org.baykeel.gateway.admission;
+
+/**
+ * What was decided on a program that asks to begin.
+ *
+ * @param cause why
+ * @param retryMillis when it may ask again; 0 if it may begin
+ */
+public record Judgement(Cause cause, long retryMillis) {
+
+  /** Why a program may or may not begin. */
+  public enum Cause {
+    /** It may begin. */
+    ADMITTED("admitted"),
+    /** Its end within its aim is not predicted. */
+    NO_ROOM("no room"),
+    /** Its aim is over before a single turn could end. */
+    TOO_LATE("too little time left");
+
+    private final String phrase;
+
+    Cause(String phrase) {
+      this.phrase = phrase;
+    }
+
+    /** The cause in words. */
+    public String phrase() {
+      return phrase;
+    }
+  }
+
+  /** Whether the program may begin. */
+  public boolean admitted() {
+    return cause == Cause.ADMITTED;
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/KindAdmission.java
@@ -0,0 +1,111 @@
+package org.baykeel.gateway.admission;
+
+import org.baykeel.gateway.directory.ServicePerformance;
+
+/** What is known and decided of the programs of one kind and rank at one service. */
+final class KindAdmission {
+  /** Where refusals begin and where all are refused, in parts of what the aim leaves. */
+  private static final double SLACK_BEGIN = 0.3;
+
+  private static final double SLACK_FULL = 0.8;
+
+  /** The same for kinds of which too little was seen, in multiples of the wanted first answer. */
+  private static final double WAIT_BEGIN = 0.25;
+
+  private static final double WAIT_FULL = 1;
+
+  /** Refusals begin so much earlier for each rank below the most urgent. */
+  private static final double EARLIER_PER_RANK = 0.03;
+
+  private static final double MOST_EARLIER = 0.09;
+
+  /** The program time of a kind of which too little was seen, in wanted first answers. */
+  private static final double UNKNOWN_PROGRAM_TARGETS = 4;
+
+  private static final long RECENT_NANOS = 5_000_000_000L;
+
+  private final String kind;
+  private final int rank;
+  private final ProgramProfile profile;
+  private final UsualTimes usual = new UsualTimes();
+  private final AdmittedShare share;
+  private long targetMillis;
+  private long askedNanos;
+  private Prediction prediction;
+
+  KindAdmission(String kind, int rank, ProgramProfile profile, double firstCredit) {
+    this.kind = kind;
+    this.rank = rank;
+    this.profile = profile;
+    this.share = new AdmittedShare(firstCredit);
+  }
+
+  String kind() {
+    return kind;
+  }
+
+  int rank() {
+    return rank;
+  }
+
+  ProgramProfile profile() {
+    return profile;
+  }
+
+  Prediction prediction() {
+    return prediction;
+  }
+
+  /** A program of this kind asks to begin. */
+  void asked(long target, long nowNanos) {
+    targetMillis = Math.max(1, target);
+    askedNanos = nowNanos;
+  }
+
+  /** Whether a program of this kind asked lately. */
+  boolean recent(long nowNanos) {
+    return nowNanos - askedNanos < RECENT_NANOS;
+  }
+
+  /**
+   * Adopts the present state of its service.
+   *
+   * @param waitMillis the wait of a turn for a place
+   * @param room whether there is room for any program
+   */
+  void follow(ServicePerformance performance, double waitMillis, boolean room, long nowNanos) {
+    if (room) {
+      usual.observe(Prediction.workMillis(performance), profile.pauseMillis(), nowNanos);
+    }
+    prediction = Prediction.of(profile, usual, performance, waitMillis, nowNanos);
+    share.follow(room ? 1 : target(), programMillis(), nowNanos);
+  }
+
+  private double target() {
+    double earlier = Math.min(MOST_EARLIER, rank * EARLIER_PER_RANK);
+    if (prediction.slackUse().isPresent()) {
+      return between(prediction.slackUse().getAsDouble() + earlier, SLACK_BEGIN, SLACK_FULL);
+    }
+    double targets = prediction.waitMillis() / targetMillis;
+    return between(targets * (1 + earlier), WAIT_BEGIN, WAIT_FULL);
+  }
+
+  private static double between(double value, double begin, double full) {
+    return Math.max(0, Math.min(1, (full - value) / (full - begin)));
+  }
+
+  /** The share that its own prediction allows. */
+  double ownShare() {
+    return share.share();
+  }
+
+  /** Whether the next program may begin, if this share of them may. */
+  boolean admits(double shareOfThese) {
+    return share.admits(shareOfThese);
+  }
+
+  /** The predicted time of a program, in milliseconds. */
+  double programMillis() {
+    return prediction.programMillis(targetMillis * UNKNOWN_PROGRAM_TARGETS);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Opening.java
@@ -0,0 +1,24 @@
+package org.baykeel.gateway.admission;
+
+import java.util.OptionalDouble;
+import org.baykeel.gateway.tenancy.Caller;
+
+/**
+ * The first turn of a program that asks to begin.
+ *
+ * @param kind what programs like it have in common: the name of their route
+ * @param rank how urgent it is; 0 is the most urgent
+ * @param caller on whose behalf it runs
+ * @param service the service of its turns
+ * @param targetMillis the time within which its route wants an answer to begin
+ * @param finishMillis the time left until the whole program should be over; 0 or less if unknown
+ * @param limitUse the part of its limit that its tenant uses; absent if it has none or nobody knows
+ */
+public record Opening(
+    String kind,
+    int rank,
+    Caller caller,
+    String service,
+    long targetMillis,
+    long finishMillis,
+    OptionalDouble limitUse) {}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceAdmission.java
@@ -0,0 +1,129 @@
+package org.baykeel.gateway.admission;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.baykeel.gateway.directory.EngineDirectory;
+
+/** The kinds of programs whose turns run at one service, and their shares. */
+final class ServiceAdmission {
+  /** Below this part of its places in use a service has room for any program. */
+  private static final double ROOMY_OCCUPANCY = 0.7;
+
+  /** The same where its load is unknown: a wait below this part of the wanted first answer. */
+  private static final double ROOMY_TARGETS = 0.25;
+
+  /** No kind gets less than this part of the share of the most urgent one. */
+  private static final double LEAST_OF_MOST_URGENT = 0.25;
+
+  private static final long LOOK_EVERY_NANOS = 20_000_000L;
+
+  private final String service;
+  private final EngineDirectory engines;
+  private final RandomGenerator random;
+  private final OwnWait ownWait = new OwnWait();
+  private final Map<Key, KindAdmission> kinds = new LinkedHashMap<>();
+  private final RoomTrend trend = new RoomTrend();
+  private ServiceRoom room = ServiceRoom.UNKNOWN;
+  private boolean looked;
+  private long lookedNanos;
+
+  private record Key(String kind, int rank) {}
+
+  ServiceAdmission(String service, EngineDirectory engines, RandomGenerator random) {
+    this.service = service;
+    this.engines = engines;
+    this.random = random;
+  }
+
+  OwnWait ownWait() {
+    return ownWait;
+  }
+
+  ServiceRoom room() {
+    return room;
+  }
+
+  KindAdmission kind(Opening opening, ProgramProfile profile) {
+    return kinds.computeIfAbsent(
+        new Key(opening.kind(), opening.rank()),
+        key -> new KindAdmission(key.kind(), key.rank(), profile, random.nextDouble()));
+  }
+
+  /** Notes how long a request waited at an engine beyond what its prompt explains. */
+  void observeWait(double millis, long nowNanos) {
+    ownWait.observe(millis, nowNanos);
+    look(nowNanos);
+  }
+
+  private void look(long nowNanos) {
+    if (looked && nowNanos - lookedNanos < LOOK_EVERY_NANOS) {
+      return;
+    }
+    looked = true;
+    lookedNanos = nowNanos;
+    ServiceRoom seen = ServiceRoom.of(engines.ofService(service), nowNanos);
+    if (seen.known()) {
+      trend.sample(seen.requestsPerPlace(), nowNanos);
+      room = seen.grownBy(trend.growth(seen.ageMillis() * 1e6));
+    } else {
+      room = seen;
+    }
+  }
+
+  /**
+   * The share of a kind's programs that may begin now. The shares of the other kinds follow too,
+   * since a kind never gets more than a more urgent one.
+   */
+  double share(KindAdmission asking, long targetMillis, long nowNanos) {
+    asking.asked(targetMillis, nowNanos);
+    look(nowNanos);
+    double waitMillis = waitMillis(nowNanos);
+    for (KindAdmission kind : kinds.values()) {
+      if (kind.recent(nowNanos)) {
+        boolean roomy = roomy(kind, targetMillis, nowNanos);
+        kind.follow(engines.performanceOf(service), waitMillis, roomy, nowNanos);
+      }
+    }
+    return roomy(asking, targetMillis, nowNanos) ? 1 : ranked(asking, nowNanos);
+  }
+
+  private double waitMillis(long nowNanos) {
+    double own = ownWait.millis(nowNanos);
+    if (!room.known()) {
+      return own;
+    }
+    double work = Prediction.workMillis(engines.performanceOf(service));
+    return Math.max(own, room.waitingPerPlace() * work);
+  }
+
+  private boolean roomy(KindAdmission kind, long targetMillis, long nowNanos) {
+    boolean here =
+        room.known()
+            ? room.occupancy() < ROOMY_OCCUPANCY
+            : ownWait.millis(nowNanos) < targetMillis * ROOMY_TARGETS;
+    return here && toolsRoomy(kind, nowNanos);
+  }
+
+  private boolean toolsRoomy(KindAdmission kind, long nowNanos) {
+    for (String tool : kind.profile().toolServices()) {
+      ServiceRoom there = ServiceRoom.of(engines.ofService(tool), nowNanos);
+      if (there.known() && there.occupancy() >= ROOMY_OCCUPANCY) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private double ranked(KindAdmission asking, long nowNanos) {
+    double least = asking.ownShare();
+    KindAdmission mostUrgent = asking;
+    for (KindAdmission other : kinds.values()) {
+      if (other.recent(nowNanos) && other.rank() <= asking.rank()) {
+        least = Math.min(least, other.ownShare());
+        mostUrgent = other.rank() < mostUrgent.rank() ? other : mostUrgent;
+      }
+    }
+    return Math.max(least, mostUrgent.ownShare() * LEAST_OF_MOST_URGENT);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceRoom.java
@@ -0,0 +1,84 @@
+package org.baykeel.gateway.admission;
+
+import java.util.List;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineStanding;
+import org.baykeel.gateway.directory.LoadEstimate;
+
+/**
+ * The room of a service, of its engines that take work.
+ *
+ * @param known whether the load of at least half of their places is known
+ * @param requestsPerPlace requests that engines have taken, for each place; above 1 while some wait
+ * @param memoryShare the part of their memory that is in use
+ * @param waitingPerPlace requests that wait for a place, for each place
+ * @param ageMillis the age of the oldest report that counts
+ */
+record ServiceRoom(
+    boolean known,
+    double requestsPerPlace,
+    double memoryShare,
+    double waitingPerPlace,
+    long ageMillis) {
+  static final ServiceRoom UNKNOWN = new ServiceRoom(false, 0, 0, 0, -1);
+
+  private static final double KNOWN_PART = 0.5;
+
+  static ServiceRoom of(List<Engine> engines, long nowNanos) {
+    int places = 0;
+    int knownPlaces = 0;
+    int requests = 0;
+    int waiting = 0;
+    double usedMemory = 0;
+    long oldestNanos = 0;
+    for (Engine engine : engines) {
+      if (!takesWork(engine, nowNanos)) {
+        continue;
+      }
+      int slots = Math.max(1, engine.record().slots());
+      places += slots;
+      LoadEstimate load = engine.load();
+      if (load.known(nowNanos)) {
+        knownPlaces += slots;
+        requests += load.requests(nowNanos);
+        waiting += load.waiting(slots, nowNanos);
+        usedMemory += slots * load.memoryShare(nowNanos);
+        oldestNanos = Math.max(oldestNanos, load.ageNanos(nowNanos));
+      }
+    }
+    if (knownPlaces == 0 || knownPlaces < places * KNOWN_PART) {
+      return UNKNOWN;
+    }
+    return new ServiceRoom(
+        true,
+        (double) requests / knownPlaces,
+        usedMemory / knownPlaces,
+        (double) waiting / knownPlaces,
+        oldestNanos / 1_000_000);
+  }
+
+  /** Requests for each place, or the part of the memory in use if that is more. */
+  double occupancy() {
+    return Math.max(requestsPerPlace, memoryShare);
+  }
+
+  /**
+   * The same service with more requests.
+   *
+   * @param growth further requests for each place, at least 0
+   */
+  ServiceRoom grownBy(double growth) {
+    double grown = requestsPerPlace + growth;
+    double waiting = Math.max(waitingPerPlace + growth - Math.max(0, 1 - requestsPerPlace), 0);
+    return new ServiceRoom(
+        known, grown, memoryShare, Math.max(waitingPerPlace, waiting), ageMillis);
+  }
+
+  private static boolean takesWork(Engine engine, long nowNanos) {
+    EngineStanding standing = engine.standing(nowNanos);
+    return !engine.record().draining()
+        && !engine.removed()
+        && standing != EngineStanding.SUSPECT
+        && standing != EngineStanding.AVOIDED;
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramBudgets.java
@@ -3,14 +3,18 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.storage.DurableStore;
+import org.baykeel.gateway.storage.RangeRead;
+import org.baykeel.gateway.storage.ReadOutcome;
 import org.baykeel.gateway.storage.RowAddress;
 
 /** The accounts of the programs that this process serves. */
 public final class ProgramBudgets {
   private static final String TABLE = "budget";
+  private static final String KEY = "granted";
   private static final long FORGET_NANOS = 120_000_000_000L;
 
   private final DurableStore store;
@@ -59,6 +63,33 @@
     return account != null && account.known();
   }
 
+  /** What the store says of a program. */
+  public enum Begun {
+    /** Some process was granted tokens of it. */
+    YES,
+    /** Nobody was. */
+    NO,
+    /** The store did not answer. */
+    UNKNOWN
+  }
+
+  /**
+   * Reads whether a program has begun anywhere, without granting it anything.
+   *
+   * @param answer takes what the store says, exactly once
+   */
+  public void findBegun(String program, Consumer<Begun> answer) {
+    store.read(
+        new RangeRead(TABLE, program, KEY, 1),
+        outcome -> {
+          if (outcome instanceof ReadOutcome.Rows found) {
+            answer.accept(found.rows().isEmpty() ? Begun.NO : Begun.YES);
+          } else {
+            answer.accept(Begun.UNKNOWN);
+          }
+        });
+  }
+
   /** Gives up what this process has left of a program's grant, for another to use. */
   public Optional<GrantTransfer> release(ProgramId program) {
     return Optional.ofNullable(accounts.get(program.value())).flatMap(ProgramAccount::release);
@@ -75,7 +106,7 @@
   }
 
   private ProgramAccount open(String program) {
-    RowAddress address = new RowAddress(TABLE, program, "granted");
+    RowAddress address = new RowAddress(TABLE, program, KEY);
     return new ProgramAccount(new ProgramId(program), address, store, eventLoop, grantIds, source);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/Admission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/Admission.java
@@ -185,11 +185,18 @@
   }
 
   private void refuse(ErrorKind kind, long retryMillis, String detail) {
-    answer.accept(new Outcome.Refused(route, "none", new Refusal(kind, retryMillis, detail)));
+    answer.accept(new Outcome.Refused(route, "none", spread(kind, retryMillis, detail)));
   }
 
   private void refuse(Tenant tenant, ErrorKind kind, long retryMillis, String detail) {
     String name = tenant.id().value();
-    answer.accept(new Outcome.Refused(route, name, new Refusal(kind, retryMillis, detail)));
+    answer.accept(new Outcome.Refused(route, name, spread(kind, retryMillis, detail)));
+  }
+
+  /** The limiter knows when a token is there; before that it is of no use to come back. */
+  private Refusal spread(ErrorKind kind, long retryMillis, String detail) {
+    boolean exact = kind == ErrorKind.RATE_LIMITED;
+    long delay = exact ? retryMillis : context.admission().retryDelay().around(retryMillis);
+    return new Refusal(kind, delay, detail);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -32,7 +32,6 @@
 
   private static final long LOOKUP_PATIENCE_MILLIS = 1_000;
   private static final long BUSY_RETRY_MILLIS = 150;
-  private static final long OVERLOADED_RETRY_MILLIS = 400;
   private static final long STORE_RETRY_MILLIS = 800;
   private static final long FULL_PENALTY_MILLIS = 30;
 
@@ -78,12 +77,10 @@
     if (over) {
       return;
     }
-    record.waitEnded(CallRecord.Wait.ADMISSION);
     if (outcome instanceof Admission.Outcome.Refused refused) {
       route = refused.route();
       record.tenant(refused.tenant());
-      Refusal refusal = refused.refusal();
-      refuse(refusal.kind(), refusal.retryAfterMillis(), refusal.detail());
+      refuse(refused.refusal());
     } else {
       begin((Admission.Outcome.Admitted) outcome);
     }
@@ -92,18 +89,23 @@
   private void begin(Admission.Outcome.Admitted admitted) {
     route = admitted.route();
     caller = admitted.caller();
-    budget = new TurnBudget(context, attributes(), route, caller);
     record.tenant(caller.name());
     long patience = attributes().patienceMillis(route.timeoutMillis());
     deadlineNanos = request.receivedNanos() + patience * 1_000_000;
     long leftMillis = Math.max(0, (deadlineNanos - eventLoop.nanoTime()) / 1_000_000);
     deadlineTimer = eventLoop.schedule(leftMillis, this::onDeadline);
     service = context.backendChooser().choose(route, attributes().lineOrObject(stream()));
+    budget = new TurnBudget(context, attributes(), route, caller, service);
     ServiceProfile profile = admitted.configuration().service(service);
     tokensPerEvent = profile == null ? 0 : profile.tokensPerEvent();
     roomWait = new RoomWait(eventLoop, request.receivedNanos(), patience);
     silenceWatch = new SilenceWatch(eventLoop, route, this::onSilence);
     relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
+    budget.admit(this::onProgramAdmitted, this::refuse);
+  }
+
+  private void onProgramAdmitted() {
+    record.waitEnded(CallRecord.Wait.ADMISSION);
     if (budgetAndStoreAllow()) {
       findHistory();
     }
@@ -123,7 +125,7 @@
     if (!stream()) {
       return true;
     }
-    if (route.retained() && mustNotWaitForStore()) {
+    if (route.retained() && budget.mustNotWaitForStore()) {
       refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "kept turn without store");
       return false;
     }
@@ -140,7 +142,7 @@
       refuse(ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
       return false;
     }
-    if (grant == Grant.PENDING && mustNotWaitForStore()) {
+    if (grant == Grant.PENDING && budget.mustNotWaitForStore()) {
       refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "no grant without store");
       return false;
     }
@@ -152,15 +154,6 @@
     return true;
   }
 
-  /**
-   * While the store is away, a turn runs and its events wait for the store; that is worth an
-   * engine's time only if engines have time to spare.
-   */
-  private boolean mustNotWaitForStore() {
-    return !context.storeHealth().reachable()
-        && !context.congestion().timeToSpare(route.targetLatencyMillis(), eventLoop.nanoTime());
-  }
-
   private void findHistory() {
     if (!route.retained() || attributes().previousTurn() == null) {
       onReadyToSend(request.body());
@@ -216,8 +209,6 @@
     }
     if (streamComplete) {
       finishStream();
-    } else if (budget.opensInCongestion() && sends == 0) {
-      refuse(ErrorKind.OVERLOADED, OVERLOADED_RETRY_MILLIS, "engines keep work waiting");
     } else if (engineBody != null && sends == 0) {
       dispatch();
     }
@@ -257,7 +248,7 @@
     triedEngines.add(engine.record().id());
     attempt =
         new EngineAttempt(
-            engine, attributes().prompt(), tokensPerEvent, eventLoop, context.congestion(), this);
+            engine, attributes().prompt(), tokensPerEvent, eventLoop, context.admission(), this);
     long remaining = Math.max(1, (deadlineNanos - now) / 1_000_000);
     attempt.send(
         context.transport(),
@@ -470,11 +461,15 @@
     ended(0, "aborted: " + detail);
   }
 
-  private void refuse(ErrorKind kind, long retryMillis, String detail) {
+  private void refuse(ErrorKind kind, long aboutMillis, String detail) {
+    refuse(new Refusal(kind, context.admission().retryDelay().around(aboutMillis), detail));
+  }
+
+  private void refuse(Refusal refusal) {
     over = true;
     cancelAttempt("refused");
-    responder.refuse(new Refusal(kind, retryMillis, detail));
-    ended(kind.httpStatus(), "refused: " + detail);
+    responder.refuse(refusal);
+    ended(refusal.kind().httpStatus(), "refused: " + refusal.detail());
   }
 
   private void ended(int status, String outcome) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -2,10 +2,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import org.baykeel.gateway.admission.ProgramAdmission;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.runtime.EventLoop;
-import org.baykeel.gateway.scheduling.CongestionMonitor;
 
 /**
  * One send of a request to one engine: reads the answer, tells its owner what it amounts to, and
@@ -53,7 +53,7 @@
   private final List<PromptPart> prompt;
   private final int tokensPerEvent;
   private final EventLoop eventLoop;
-  private final CongestionMonitor congestion;
+  private final ProgramAdmission admission;
   private final Owner owner;
   private final EventStreamParser parser = new EventStreamParser();
   private final double expectedMillis;
@@ -72,13 +72,13 @@
       List<PromptPart> prompt,
       int tokensPerEvent,
       EventLoop eventLoop,
-      CongestionMonitor congestion,
+      ProgramAdmission admission,
       Owner owner) {
     this.engine = engine;
     this.prompt = prompt;
     this.tokensPerEvent = tokensPerEvent;
     this.eventLoop = eventLoop;
-    this.congestion = congestion;
+    this.admission = admission;
     this.owner = owner;
     this.expectedMillis = engine.expectedFirstEventMillis(prompt);
     this.unreadTokens = engine.cachedPrefixes().uncachedTokens(prompt);
@@ -175,7 +175,7 @@
     }
     double waitMillis = firstMillis - expectedMillis;
     engine.observeWait(waitMillis, now);
-    congestion.observeWait(waitMillis, now);
+    admission.observeWait(engine.record().service(), waitMillis, now);
   }
 
   @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
@@ -1,11 +1,11 @@
 package org.baykeel.gateway.call;
 
+import org.baykeel.gateway.admission.ProgramAdmission;
 import org.baykeel.gateway.budget.ProgramBudgets;
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.ratelimit.RequestLimiter;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.BackendChooser;
-import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.telemetry.DecisionLog;
@@ -21,7 +21,7 @@
  * @param limiter keeps the limits of tenants
  * @param selector picks engines
  * @param backendChooser splits routes among services
- * @param congestion decides whether new programs may begin
+ * @param admission decides whether new programs may begin
  * @param budgets token budgets of programs
  * @param history kept turns
  * @param transport the way to engines
@@ -36,7 +36,7 @@
     RequestLimiter limiter,
     EngineSelector selector,
     BackendChooser backendChooser,
-    CongestionMonitor congestion,
+    ProgramAdmission admission,
     ProgramBudgets budgets,
     TurnHistory history,
     EngineTransport transport,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.runtime.EventLoop;
@@ -116,6 +117,11 @@
     return storeHealth.nanosSinceAnswer(eventLoop.nanoTime()) < STORE_LOST_NANOS;
   }
 
+  /** The engines of a service, draining ones among them. */
+  public List<Engine> engines(String service) {
+    return engines.ofService(service);
+  }
+
   /** Begins to stop: not ready from now on. */
   public void stop() {
     stopping = true;
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ProgramOpening.java
@@ -0,0 +1,165 @@
+package org.baykeel.gateway.call;
+
+import java.util.OptionalDouble;
+import java.util.function.Consumer;
+import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.admission.Judgement;
+import org.baykeel.gateway.admission.Opening;
+import org.baykeel.gateway.admission.ProgramAdmission;
+import org.baykeel.gateway.budget.ProgramBudgets.Begun;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.tenancy.Caller;
+
+/**
+ * Whether a turn is the first of its program, and if so whether the program may begin; also tells
+ * what the turns of programs take. A program that has begun anywhere is never refused here: while
+ * it matters and this node does not know, the store is asked.
+ */
+final class ProgramOpening {
+  private final GatewayContext context;
+  private final CallAttributes attributes;
+  private final Route route;
+  private final Caller caller;
+  private final String service;
+  private final ProgramAdmission admission;
+  private final String program;
+  private final String line;
+  private boolean mayOpen;
+  private boolean begunElsewhere;
+  private boolean turnBegan;
+  private boolean closed;
+
+  /** Creates an opening on which nothing is decided. */
+  ProgramOpening(
+      GatewayContext context,
+      CallAttributes attributes,
+      Route route,
+      Caller caller,
+      String service) {
+    this.context = context;
+    this.attributes = attributes;
+    this.route = route;
+    this.caller = caller;
+    this.service = service;
+    this.admission = context.admission();
+    this.program = caller.scoped(attributes.programId());
+    this.line = caller.scoped(attributes.sessionId());
+  }
+
+  /**
+   * Decides whether the call may go on.
+   *
+   * @param admitted runs if it may, unless the call is over by then
+   * @param refused takes what the caller is told if it may not
+   */
+  void judge(Runnable admitted, Consumer<Refusal> refused) {
+    if (route.kind() != RouteKind.STREAMING) {
+      noteToolUse();
+      admitted.run();
+      return;
+    }
+    mayOpen = mayOpen();
+    if (!mayOpen || admission.unrestricted(opening(), now())) {
+      begin(admitted);
+    } else if (!attributes.budgeted()) {
+      decide(admitted, refused);
+    } else if (!context.storeHealth().reachable()) {
+      begin(admitted);
+    } else {
+      context.budgets().findBegun(program, begun -> onFound(begun, admitted, refused));
+    }
+  }
+
+  private void noteToolUse() {
+    if (line != null) {
+      admission.toolUsed(line, service);
+    }
+  }
+
+  /** Whether the program may be a new one, as far as is known here. */
+  private boolean mayOpen() {
+    if (!attributes.firstLine() || attributes.previousTurn() != null || admission.served(line)) {
+      return false;
+    }
+    return attributes.budgeted() ? !context.budgets().knows(program) : !promptSeen();
+  }
+
+  /** Whether an engine was sent a prompt with the same last part, which grows with the program. */
+  private boolean promptSeen() {
+    for (Engine engine : context.state().engines(service)) {
+      if (engine.cachedPrefixes().containsOwnPart(attributes.prompt())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void onFound(Begun begun, Runnable admitted, Consumer<Refusal> refused) {
+    if (closed) {
+      return;
+    }
+    if (begun == Begun.NO) {
+      decide(admitted, refused);
+    } else {
+      begunElsewhere = begun == Begun.YES;
+      begin(admitted);
+    }
+  }
+
+  private void decide(Runnable admitted, Consumer<Refusal> refused) {
+    Judgement judgement = admission.judge(opening(), attributes.requestId(), program, now());
+    if (judgement.admitted()) {
+      begin(admitted);
+    } else {
+      refused.accept(
+          new Refusal(ErrorKind.OVERLOADED, judgement.retryMillis(), judgement.cause().phrase()));
+    }
+  }
+
+  private void begin(Runnable admitted) {
+    if (attributes.firstLine()) {
+      turnBegan = true;
+      admission.turnBegan(route.name(), line, now());
+    }
+    if (mayOpen && !attributes.budgeted()) {
+      opened();
+    }
+    admitted.run();
+  }
+
+  /** The program turned out to be a new one. */
+  void opened() {
+    admission.programOpened(route.name(), attributes.finishMillis(), now());
+  }
+
+  /** Whether the program is known to have begun, though this process serves its first turn. */
+  boolean begunElsewhere() {
+    return begunElsewhere;
+  }
+
+  /** The call is over. */
+  void close() {
+    closed = true;
+    if (turnBegan) {
+      turnBegan = false;
+      admission.turnEnded(line, now());
+    }
+  }
+
+  private Opening opening() {
+    return new Opening(
+        route.name(),
+        caller.priority(route.priority()),
+        caller,
+        service,
+        route.targetLatencyMillis(),
+        attributes.finishMillis(),
+        OptionalDouble.empty());
+  }
+
+  private long now() {
+    return context.eventLoop().nanoTime();
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnBudget.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnBudget.java
@@ -1,29 +1,59 @@
 package org.baykeel.gateway.call;
 
+import java.util.function.Consumer;
 import org.baykeel.gateway.budget.Grant;
 import org.baykeel.gateway.budget.Reservation;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.tenancy.Caller;
 
 /**
- * The tokens that a turn may hand out, and whether its program may begin while engines keep work
- * waiting. A turn without a budget has as many tokens as it needs.
+ * Whether a turn may run at all, and the tokens that it may hand out. A turn without a budget has
+ * as many tokens as it needs.
  */
 final class TurnBudget {
   private final GatewayContext context;
   private final CallAttributes attributes;
   private final Route route;
   private final Caller caller;
+  private final String service;
+  private final ProgramOpening opening;
   private Reservation reservation;
   private boolean programKnown;
-  private boolean congested;
 
   /** Creates a budget of which nothing is reserved. */
-  TurnBudget(GatewayContext context, CallAttributes attributes, Route route, Caller caller) {
+  TurnBudget(
+      GatewayContext context,
+      CallAttributes attributes,
+      Route route,
+      Caller caller,
+      String service) {
     this.context = context;
     this.attributes = attributes;
     this.route = route;
     this.caller = caller;
+    this.service = service;
+    this.opening = new ProgramOpening(context, attributes, route, caller, service);
+  }
+
+  /**
+   * Decides whether the call may go on: one that begins a program may be refused for want of room.
+   *
+   * @param admitted runs if it may, unless the call is over by then
+   * @param refused takes what the caller is told if it may not
+   */
+  void admit(Runnable admitted, Consumer<Refusal> refused) {
+    opening.judge(admitted, refused);
+  }
+
+  /**
+   * While the store is away, a turn runs and its events wait for the store; that is worth an
+   * engine's time only if engines have time to spare.
+   */
+  boolean mustNotWaitForStore() {
+    return !context.storeHealth().reachable()
+        && !context
+            .admission()
+            .timeToSpare(service, route.targetLatencyMillis(), context.eventLoop().nanoTime());
   }
 
   /**
@@ -35,14 +65,7 @@
    */
   Grant reserve(long giveUpNanos, Runnable onDecided) {
     String program = caller.scoped(attributes.programId());
-    programKnown = context.budgets().knows(program);
-    congested =
-        !context
-            .congestion()
-            .admits(
-                caller.priority(route.priority()) == 0,
-                route.targetLatencyMillis(),
-                context.eventLoop().nanoTime());
+    programKnown = context.budgets().knows(program) || opening.begunElsewhere();
     reservation =
         context
             .budgets()
@@ -51,10 +74,17 @@
                 attributes.tokenBudget(),
                 attributes.maxOutputTokens(),
                 giveUpNanos,
-                onDecided);
+                () -> onGrantDecided(onDecided));
     return reservation.grant();
   }
 
+  private void onGrantDecided(Runnable onDecided) {
+    if (!programKnown && attributes.firstLine() && reservation.programOpenedHere()) {
+      opening.opened();
+    }
+    onDecided.run();
+  }
+
   /** The decision on its tokens. */
   Grant grant() {
     return reservation == null ? Grant.GRANTED : reservation.grant();
@@ -69,12 +99,7 @@
   boolean allowsSending() {
     boolean likelyNew = !programKnown && attributes.firstLine();
     boolean likelyGranted = likelyNew || !context.storeHealth().reachable();
-    return grant() != Grant.PENDING || likelyGranted && !congested;
-  }
-
-  /** Whether the program turned out to be a new one while engines keep work waiting. */
-  boolean opensInCongestion() {
-    return congested && !programKnown && reservation.programOpenedHere();
+    return grant() != Grant.PENDING || likelyGranted;
   }
 
   /** Notes tokens that were handed to the caller. */
@@ -86,6 +111,7 @@
 
   /** The turn is over. */
   void close() {
+    opening.close();
     if (reservation != null) {
       reservation.close();
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -31,6 +31,8 @@
   BAD_REQUEST(334),
   LINES_DROPPED(340),
   USAGE(341),
+  PROGRAM_REFUSED(352),
+  ADMISSION_CHANGED(353),
   FAULT(399);
 
   private final int number;
