Merge: programs begin by a prediction of their end

Cause: the judgement of a program's beginning and the attempts of a call had grown from the same class.

Change: the judgement comes after the call is put together and before anything is sent or the store is asked for tokens; attempts tell waits to the admission of their service in place of CongestionMonitor, which is gone.

Ruled out: keeping the refusal behind the grant: most programs were never judged there, since their grant was at hand or on its way.

Conclusion: one mechanism decides what begins.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -16,7 +16,6 @@
  */
 public final class ClientCall implements EngineAttempts.Owner {
   private static final long BUSY_RETRY_MILLIS = 150;
-  private static final long OVERLOADED_RETRY_MILLIS = 400;
   private static final long STORE_RETRY_MILLIS = 800;
 
   private final GatewayContext context;
@@ -53,12 +52,10 @@
     if (over) {
       return;
     }
-    record.waitEnded(CallRecord.Wait.ADMISSION);
     if (outcome instanceof Admission.Outcome.Refused refused) {
       route = refused.route();
       record.tenant(refused.tenant());
-      Refusal refusal = refused.refusal();
-      refuse(refusal.kind(), refusal.retryAfterMillis(), refusal.detail());
+      refuse(refused.refusal());
     } else {
       begin((Admission.Outcome.Admitted) outcome);
     }
@@ -67,7 +64,6 @@
   private void begin(Admission.Outcome.Admitted admitted) {
     route = admitted.route();
     caller = admitted.caller();
-    budget = new TurnBudget(context, attributes(), route, caller);
     record.tenant(caller.name());
     call = AdmittedCall.of(request, admitted, context.backendChooser());
     retainedTurn = new RetainedTurn(context, call);
@@ -75,6 +71,12 @@
     deadlineTimer = eventLoop.schedule(leftMillis, this::onDeadline);
     relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
     attempts = new EngineAttempts(context, call, record, relay, this);
+    budget = new TurnBudget(context, attributes(), route, caller, call.service());
+    budget.admit(this::onProgramAdmitted, this::refuse);
+  }
+
+  private void onProgramAdmitted() {
+    record.waitEnded(CallRecord.Wait.ADMISSION);
     if (budgetAndStoreAllow()) {
       findHistory();
     }
@@ -90,7 +92,7 @@
     if (!call.stream()) {
       return true;
     }
-    if (route.retained() && mustNotWaitForStore()) {
+    if (route.retained() && budget.mustNotWaitForStore()) {
       refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "kept turn without store");
       return false;
     }
@@ -107,7 +109,7 @@
       refuse(ErrorKind.BUDGET_EXCEEDED, 0, "budget spent");
       return false;
     }
-    if (grant == Grant.PENDING && mustNotWaitForStore()) {
+    if (grant == Grant.PENDING && budget.mustNotWaitForStore()) {
       refuse(ErrorKind.STORE_UNAVAILABLE, STORE_RETRY_MILLIS, "no grant without store");
       return false;
     }
@@ -119,15 +121,6 @@
     return true;
   }
 
-  /**
-   * While the store is away, a turn runs and its events wait for the store; that is worth an
-   * engine's time only if engines have time to spare.
-   */
-  private boolean mustNotWaitForStore() {
-    return !context.storeHealth().reachable()
-        && !context.congestion().timeToSpare(route.targetLatencyMillis(), eventLoop.nanoTime());
-  }
-
   private void findHistory() {
     if (!route.retained() || attributes().previousTurn() == null) {
       onReadyToSend(request.body());
@@ -178,8 +171,6 @@
     }
     if (streamComplete) {
       finishStream();
-    } else if (budget.opensInCongestion() && attempts.sends() == 0) {
-      refuse(ErrorKind.OVERLOADED, OVERLOADED_RETRY_MILLIS, "engines keep work waiting");
     } else if (engineBody != null && attempts.sends() == 0) {
       attempts.begin(engineBody);
     }
@@ -300,11 +291,15 @@
     ended(0, "aborted: " + detail);
   }
 
-  private void refuse(ErrorKind kind, long retryMillis, String detail) {
+  private void refuse(ErrorKind kind, long aboutMillis, String detail) {
+    refuse(new Refusal(kind, context.admission().retryDelay().around(aboutMillis), detail));
+  }
+
+  private void refuse(Refusal refusal) {
     over = true;
     cancelAttempt("refused");
-    responder.refuse(new Refusal(kind, retryMillis, detail));
-    ended(kind.httpStatus(), "refused: " + detail);
+    responder.refuse(refusal);
+    ended(refusal.kind().httpStatus(), "refused: " + refusal.detail());
   }
 
   private void ended(int status, String outcome) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
@@ -136,7 +136,7 @@
             call.attributes().prompt(),
             call.tokensPerEvent(),
             eventLoop,
-            context.congestion(),
+            context.admission(),
             this);
     long remaining = Math.max(1, (call.deadlineNanos() - now) / 1_000_000);
     attempt.send(
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -33,6 +33,8 @@
   USAGE(341),
   LOAD_REPORTER_CHANGED(350),
   LOAD_REPORT_UNAVAILABLE(351),
+  PROGRAM_REFUSED(352),
+  ADMISSION_CHANGED(353),
   FAULT(399);
 
   private final int number;
