An engine that starts again under its id is a new one; an entry that can't be read right names none

Cause: an engine may keep its id over a restart, and tells its start as `born`. It wasn't decoded, so cached prefixes, load, failures, warmth and connections of the former life were believed of the new one.

Ruled out: clearing an Engine object in place, since requests under way would then speak for the new life; connections keyed by id and birth, since the object of a life is that key already; dropping an engine whose entry turns bad, since it would come back without what is known of it.

Change: EngineRecord.bornMillis; EngineDirectory replaces the object of an earlier life, drops old messages, and has bornElsewhere for reports. A removed engine's failures are told to nobody. Connections belong to a life. Lines 358 and 359, the latter bounded. TestGatewayState notes its events now; no assertion changed.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
@@ -1,9 +1,14 @@
 package org.baykeel.gateway.call;
 
 import java.util.List;
+import java.util.Locale;
 import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineEntryFault;
+import org.baykeel.gateway.directory.EngineEntryFaults;
+import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.directory.EngineRestartListener;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.telemetry.DecisionLog;
@@ -26,6 +31,7 @@
   private final StoreHealth storeHealth;
   private final EngineDirectory engines;
   private final DecisionLog log;
+  private final EngineEntryFaults entryFaults = new EngineEntryFaults();
   private GatewayConfiguration configuration;
   private boolean enginesKnown;
   private boolean stopping;
@@ -36,6 +42,21 @@
     this.storeHealth = storeHealth;
     this.engines = engines;
     this.log = log;
+    engines.onRestart(this::logRestart);
+  }
+
+  private void logRestart(
+      EngineId id, long bornBefore, long bornNow, EngineRestartListener.Source source) {
+    log.write(
+        GatewayEvent.ENGINE_RESTARTED,
+        "engine",
+        id.value(),
+        "born_before",
+        bornBefore,
+        "born",
+        bornNow,
+        "source",
+        source.name().toLowerCase(Locale.ROOT));
   }
 
   /** The configuration in force, or null if none is known yet. */
@@ -65,13 +86,45 @@
 
   /** Adopts the whole list of engines. */
   public void replaceEngines(List<EngineRecord> records) {
+    replaceEngines(records, List.of());
+  }
+
+  /**
+   * Adopts the whole list of engines.
+   *
+   * @param faults the entries that name no engine to use
+   */
+  public void replaceEngines(List<EngineRecord> records, List<EngineEntryFault> faults) {
     enginesKnown = true;
-    engines.replaceAll(records, lapsesEndNanos(), eventLoop.nanoTime());
+    List<EngineId> unusable = faults.stream().map(EngineEntryFault::engine).toList();
+    engines.replaceAll(records, unusable, lapsesEndNanos(), eventLoop.nanoTime());
+    entryFaults.retain(unusable);
+    faults.forEach(this::noteFault);
     log.write(GatewayEvent.ENGINES_CHANGED, "listed", records.size(), "known", engines.size());
   }
 
+  /** An engine's entry names none to use: it gets no new work until its entry is good again. */
+  public void withdrawEngine(EngineEntryFault fault) {
+    engines.withdraw(fault.engine());
+    noteFault(fault);
+  }
+
+  private void noteFault(EngineEntryFault fault) {
+    if (entryFaults.note(fault)) {
+      log.write(
+          GatewayEvent.ENGINE_ENTRY_UNUSABLE,
+          "engine",
+          fault.engine().value(),
+          "field",
+          fault.field(),
+          "reason",
+          fault.reason().name().toLowerCase(Locale.ROOT));
+    }
+  }
+
   /** Adopts an engine's new record. */
   public void putEngine(EngineRecord record) {
+    entryFaults.clear(new EngineId(record.id()));
     engines.put(record, eventLoop.nanoTime());
     log.write(
         GatewayEvent.ENGINES_CHANGED,
@@ -87,6 +140,7 @@
 
   /** An engine's entry is gone. */
   public void removeEngine(String id) {
+    entryFaults.clear(new EngineId(id));
     engines.remove(id, lapsesEndNanos(), eventLoop.nanoTime());
     log.write(
         GatewayEvent.ENGINES_CHANGED,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -142,11 +142,14 @@
     return gapObserved ? gapMillis : performance.gapMillis();
   }
 
-  /** Notes that a request failed there, or that it could not be reached. */
+  /**
+   * Notes that a request failed there, or that it could not be reached. Of an engine that is
+   * removed nobody else is told: its identifier may be that of another life by now.
+   */
   public void failed(long nowNanos) {
     boolean suspectBefore = failures.suspectAt(nowNanos);
     failures.failed(nowNanos);
-    if (!suspectBefore && failures.suspectAt(nowNanos)) {
+    if (!removed && !suspectBefore && failures.suspectAt(nowNanos)) {
       suspicionListener.engineSuspected(this);
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -12,6 +12,11 @@
  * for a grace period, since the store removes entries of live engines during its own outages and
  * has them back soon after; one that vanishes in calm times, or that drains, gets no new work at
  * once.
+ *
+ * <p>An engine may start again under its identifier. Its lives are told apart by their starts: a
+ * later one is a new {@link Engine} about which nothing is believed, an earlier one is an old
+ * message. Requests that are under way keep the object of the life that they were sent to, which
+ * counts as removed.
  */
 public final class EngineDirectory {
   private final long longestLapseNanos;
@@ -20,6 +25,7 @@
   private final Map<String, ServicePerformance> performanceByService = new HashMap<>();
   private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
   private EngineSuspicionListener suspicionListener = EngineSuspicionListener.NONE;
+  private EngineRestartListener restartListener = EngineRestartListener.NONE;
 
   /**
    * Creates a directory.
@@ -40,6 +46,11 @@
     suspicionListener = listener;
   }
 
+  /** Sets who hears when an engine has started again under its identifier. */
+  public void onRestart(EngineRestartListener listener) {
+    restartListener = listener;
+  }
+
   /**
    * The engine with an identifier.
    *
@@ -56,7 +67,23 @@
    *     no outage lately
    */
   public void replaceAll(List<EngineRecord> records, long lapsesEndNanos, long nowNanos) {
+    replaceAll(records, List.of(), lapsesEndNanos, nowNanos);
+  }
+
+  /**
+   * Adopts the whole list of engines, some of whose entries can't be used.
+   *
+   * @param unusable engines that have an entry which names none to use
+   * @param lapsesEndNanos when entries that lapsed in an outage are back; in the past if there was
+   *     no outage lately
+   */
+  public void replaceAll(
+      List<EngineRecord> records, List<EngineId> unusable, long lapsesEndNanos, long nowNanos) {
     Set<String> present = new HashSet<>();
+    for (EngineId id : unusable) {
+      present.add(id.value());
+      withdraw(id);
+    }
     for (EngineRecord record : records) {
       present.add(record.id());
       put(record, nowNanos);
@@ -74,18 +101,76 @@
   }
 
   /**
-   * Adds an engine or adopts its new record.
+   * Adds an engine or adopts its new record; one of an earlier life than the known one changes
+   * nothing.
    *
    * @param nowNanos the moment from which on its cold time is counted
    */
   public void put(EngineRecord record, long nowNanos) {
-    lapsedUntilNanos.remove(record.id());
     Engine known = byId.get(record.id());
-    if (known != null) {
-      known.update(record);
-      known.noteWarmth(nowNanos);
+    if (known == null) {
+      add(record, nowNanos);
       return;
     }
+    EngineRecord before = known.record();
+    if (record.bornMillis() != 0 && record.bornMillis() < before.bornMillis()) {
+      return;
+    }
+    lapsedUntilNanos.remove(record.id());
+    if (startedAgain(before, record.bornMillis())) {
+      replace(known, record, nowNanos, EngineRestartListener.Source.ENTRY);
+    } else if (before.service().equals(record.service())) {
+      known.update(record.orStartedAt(before.bornMillis()));
+      known.noteWarmth(nowNanos);
+    } else {
+      // What is known of its work is of another service's.
+      drop(known);
+      add(record.orStartedAt(before.bornMillis()), nowNanos);
+    }
+  }
+
+  private static boolean startedAgain(EngineRecord before, long bornMillis) {
+    return before.bornMillis() != 0 && bornMillis > before.bornMillis();
+  }
+
+  /**
+   * Something other than its entry tells when an engine started. If that is later than known, all
+   * beliefs are dropped at once; the entry of the new life is adopted when it comes.
+   *
+   * @param bornMillis its start in Unix milliseconds; 0 if it was not told
+   * @return false if the engine is not known, or if what was told is of an earlier life of it and
+   *     must not be believed of the present one
+   */
+  public boolean bornElsewhere(EngineId id, long bornMillis, long nowNanos) {
+    Engine known = byId.get(id.value());
+    if (known == null) {
+      return false;
+    }
+    EngineRecord before = known.record();
+    if (bornMillis == 0 || bornMillis == before.bornMillis()) {
+      return true;
+    }
+    if (bornMillis < before.bornMillis()) {
+      return false;
+    }
+    if (startedAgain(before, bornMillis)) {
+      EngineRecord after = before.startedAt(bornMillis);
+      replace(known, after, nowNanos, EngineRestartListener.Source.REPORT);
+    } else {
+      known.update(before.orStartedAt(bornMillis));
+    }
+    return true;
+  }
+
+  private void replace(
+      Engine former, EngineRecord record, long nowNanos, EngineRestartListener.Source source) {
+    drop(former);
+    add(record, nowNanos);
+    restartListener.engineRestarted(
+        new EngineId(record.id()), former.record().bornMillis(), record.bornMillis(), source);
+  }
+
+  private void add(EngineRecord record, long nowNanos) {
     Engine engine =
         new Engine(
             record,
@@ -96,6 +181,18 @@
     byService.computeIfAbsent(record.service(), service -> new ArrayList<>()).add(engine);
   }
 
+  /**
+   * An engine's entry names none to use: it gets no new work, as if it drained, until its entry is
+   * good again. Requests under way go on.
+   */
+  public void withdraw(EngineId id) {
+    Engine known = byId.get(id.value());
+    if (known != null) {
+      lapsedUntilNanos.remove(id.value());
+      known.update(known.record().withoutNewWork());
+    }
+  }
+
   /**
    * An engine's entry is gone.
    *
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineEntryFaults.java
@@ -0,0 +1,42 @@
+package org.baykeel.gateway.directory;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The entries that name no engine to use. Tells which faults are new, so that each is told once.
+ */
+public final class EngineEntryFaults {
+  /** More entries than are at fault at a time; faults beyond it are not told. */
+  private static final int MAX_FAULTS = 1_024;
+
+  private final Map<EngineId, EngineEntryFault> known = new HashMap<>();
+
+  /**
+   * Notes a fault.
+   *
+   * @return whether it is to be told: it was not known like this, and there is room to note it
+   */
+  public boolean note(EngineEntryFault fault) {
+    if (!known.containsKey(fault.engine()) && known.size() >= MAX_FAULTS) {
+      return false;
+    }
+    return !fault.equals(known.put(fault.engine(), fault));
+  }
+
+  /** An engine's entry is good, or gone. */
+  public void clear(EngineId engine) {
+    known.remove(engine);
+  }
+
+  /** Forgets all entries but some. */
+  public void retain(Collection<EngineId> engines) {
+    known.keySet().retainAll(engines);
+  }
+
+  /** How many entries name no engine to use. */
+  public int size() {
+    return known.size();
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineId.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineId.java
@@ -3,7 +3,8 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * Names one life of one engine.
+ * Names an engine. An engine that starts again may keep its name; {@link EngineRecord#bornMillis}
+ * tells its lives apart.
  *
  * @param value the identifier as the engine states it
  */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineRecord.java
@@ -3,7 +3,7 @@
 /**
  * What an engine states about itself.
  *
- * @param id one life of one engine; never used again
+ * @param id names the engine; one that starts again may keep it
  * @param service the service it belongs to
  * @param host its IP address
  * @param port its TCP port
@@ -11,6 +11,7 @@
  * @param slots requests it works on at once
  * @param draining whether it asks for no new work
  * @param coldMillis how much longer it bears few requests after a start, in milliseconds
+ * @param bornMillis when it started, in Unix milliseconds; 0 if it did not say
  */
 public record EngineRecord(
     String id,
@@ -20,11 +21,42 @@
     String zone,
     int slots,
     boolean draining,
-    long coldMillis) {
+    long coldMillis,
+    long bornMillis) {
+
+  /** An engine that does not say when it started. */
+  public EngineRecord(
+      String id,
+      String service,
+      String host,
+      int port,
+      String zone,
+      int slots,
+      boolean draining,
+      long coldMillis) {
+    this(id, service, host, port, zone, slots, draining, coldMillis, 0);
+  }
 
   /** An engine that bears what it can. */
   public EngineRecord(
       String id, String service, String host, int port, String zone, int slots, boolean draining) {
     this(id, service, host, port, zone, slots, draining, 0);
   }
+
+  /** The same engine, which is to get no new work. */
+  EngineRecord withoutNewWork() {
+    return new EngineRecord(id, service, host, port, zone, slots, true, coldMillis, bornMillis);
+  }
+
+  /** The same engine with another start, about whose warmth nothing is known. */
+  EngineRecord startedAt(long startMillis) {
+    return new EngineRecord(id, service, host, port, zone, slots, draining, 0, startMillis);
+  }
+
+  /** The same statement with the start that is known, if it names none itself. */
+  EngineRecord orStartedAt(long knownMillis) {
+    return bornMillis != 0 || knownMillis == 0
+        ? this
+        : new EngineRecord(id, service, host, port, zone, slots, draining, coldMillis, knownMillis);
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -11,7 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -34,7 +34,9 @@
   private final GatewayMetrics metrics;
   private final RoundTrips roundTrips;
   private final DecisionLog log;
-  private final Map<String, EngineConnections> byEngine = new HashMap<>();
+
+  /** By life of an engine: no request to a later life goes over a connection to a former one. */
+  private final Map<Engine, EngineConnections> byEngine = new IdentityHashMap<>();
 
   /**
    * Creates a transport without connections.
@@ -60,8 +62,7 @@
 
   @Override
   public Exchange send(Engine engine, EngineRequest request, Listener listener) {
-    EngineConnections connections =
-        byEngine.computeIfAbsent(engine.record().id(), id -> new EngineConnections(engine));
+    EngineConnections connections = byEngine.computeIfAbsent(engine, EngineConnections::new);
     PendingExchange exchange =
         new PendingExchange(
             request.source().attributes().requestId(),
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -31,6 +31,8 @@
   BAD_REQUEST(334),
   LINES_DROPPED(340),
   USAGE(341),
+  ENGINE_RESTARTED(358),
+  ENGINE_ENTRY_UNUSABLE(359),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestGatewayState.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestGatewayState.java
@@ -1,11 +1,19 @@
 package org.baykeel.gateway.call;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
+import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineEntryFault;
+import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -16,11 +24,12 @@
   private static final EngineRecord ENGINE =
       new EngineRecord("a", "s", "10.0.0.1", 80, "z", 4, false);
 
+  private final List<GatewayEvent> events = new ArrayList<>();
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final StoreHealth storeHealth = new StoreHealth();
   private final EngineDirectory engines = new EngineDirectory(LONGEST_LAPSE_NANOS);
   private final GatewayState state =
-      new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
+      new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> events.add(event));
 
   private int usable() {
     engines.expireLapsed(eventLoop.nanoTime());
@@ -77,4 +86,68 @@
     eventLoop.advance(10_000);
     assertEquals(1, usable());
   }
+
+  private static EngineEntryFault fault(String field) {
+    return new EngineEntryFault(new EngineId("a"), field, EngineEntryFault.Reason.MISSING);
+  }
+
+  private boolean takesWork() {
+    return engines.ofService("s").stream().anyMatch(engine -> !engine.record().draining());
+  }
+
+  @ParameterizedTest(name = "the whole table is read again: {0}")
+  @ValueSource(booleans = {true, false})
+  void anEngineWhoseEntryTurnsBadGetsNoNewWorkUntilItIsGood(boolean whole) {
+    state.putEngine(ENGINE);
+    Engine known = engines.find(new EngineId("a"));
+    known.requestStarted();
+    if (whole) {
+      state.replaceEngines(List.of(), List.of(fault("zone")));
+    } else {
+      state.withdrawEngine(fault("zone"));
+    }
+    assertFalse(takesWork());
+    assertFalse(known.removed());
+    if (whole) {
+      state.replaceEngines(List.of(ENGINE), List.of());
+    } else {
+      state.putEngine(ENGINE);
+    }
+    assertTrue(takesWork());
+    assertSame(known, engines.find(new EngineId("a")));
+    assertEquals(1, known.inFlight());
+  }
+
+  @Test
+  void aBadEntryThatGoesIsNotWaitedForEvenAroundAnOutage() {
+    state.putEngine(ENGINE);
+    state.withdrawEngine(fault("zone"));
+    storeHealth.failed(eventLoop.nanoTime());
+    state.removeEngine("a");
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void aBadEntryIsToldOnceForEachFault() {
+    state.withdrawEngine(fault("zone"));
+    state.withdrawEngine(fault("zone"));
+    state.replaceEngines(List.of(), List.of(fault("zone")));
+    state.withdrawEngine(fault("slots"));
+    state.putEngine(ENGINE);
+    state.withdrawEngine(fault("slots"));
+    assertEquals(3, events.stream().filter(GatewayEvent.ENGINE_ENTRY_UNUSABLE::equals).count());
+  }
+
+  @Test
+  void aRestartIsTold() {
+    state.putEngine(born(1_000));
+    state.putEngine(born(1_000));
+    state.putEngine(born(2_000));
+    engines.bornElsewhere(new EngineId("a"), 3_000, eventLoop.nanoTime());
+    assertEquals(2, events.stream().filter(GatewayEvent.ENGINE_RESTARTED::equals).count());
+  }
+
+  private static EngineRecord born(long millis) {
+    return new EngineRecord("a", "s", "10.0.0.1", 80, "z", 4, false, 0, millis);
+  }
 }
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/directory/TestEngineRestart.java
@@ -0,0 +1,184 @@
+package org.baykeel.gateway.directory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** An engine starts again under its identifier, and messages of both lives arrive in any order. */
+class TestEngineRestart {
+  private static final EngineId ID = new EngineId("e");
+  private static final long BORN = 1_700_000_000_000L;
+  private static final long BORN_AGAIN = BORN + 12_345;
+  private static final long NO_OUTAGE = 0;
+  private static final long NOW = 5_000_000_000L;
+  private static final List<PromptPart> PROMPT = List.of(new PromptPart("a1", 800));
+
+  private final EngineDirectory directory = new EngineDirectory(1_900_000_000L);
+  private final List<String> restarts = new ArrayList<>();
+  private final List<Engine> suspected = new ArrayList<>();
+
+  @BeforeEach
+  void listen() {
+    directory.onRestart(
+        (id, before, now, source) ->
+            restarts.add(id.value() + " " + before + " " + now + " " + source));
+    directory.onSuspicion(suspected::add);
+  }
+
+  private static EngineRecord entry(long bornMillis, int slots, long coldMillis) {
+    return new EngineRecord(
+        ID.value(), "s", "10.0.0.1", 80, "z", slots, false, coldMillis, bornMillis);
+  }
+
+  private Engine put(long bornMillis) {
+    directory.put(entry(bornMillis, 4, 0), NOW);
+    return directory.find(ID);
+  }
+
+  /** An engine of which something is believed in every respect. */
+  private Engine experienced() {
+    directory.put(entry(BORN, 4, 3_000), NOW);
+    Engine engine = directory.find(ID);
+    engine.cachedPrefixes().add(PROMPT);
+    engine.load().reported(new EngineLoad(7, 4, 900, 1_000), NOW);
+    engine.failed(NOW);
+    engine.failed(NOW);
+    engine.observeWait(400, NOW);
+    engine.observeGap(90);
+    engine.requestStarted();
+    return engine;
+  }
+
+  private void assertNothingIsBelieved(Engine engine) {
+    assertFalse(engine.cachedPrefixes().contains("a1"));
+    assertFalse(engine.load().known(NOW));
+    assertEquals(EngineStanding.TRUSTED, engine.standing(NOW));
+    assertEquals(0, engine.waitMillis(NOW));
+    assertEquals(engine.performance().gapMillis(), engine.gapMillis());
+    assertEquals(0, engine.inFlight());
+    assertFalse(engine.cold(NOW));
+    assertEquals(Long.MAX_VALUE, engine.warmNanos(NOW));
+  }
+
+  @ParameterizedTest
+  @EnumSource(EngineRestartListener.Source.class)
+  void ofALaterLifeNothingIsBelieved(EngineRestartListener.Source source) {
+    Engine former = experienced();
+    if (source == EngineRestartListener.Source.ENTRY) {
+      put(BORN_AGAIN);
+    } else {
+      assertTrue(directory.bornElsewhere(ID, BORN_AGAIN, NOW));
+    }
+    Engine present = directory.find(ID);
+    assertNotSame(former, present);
+    assertTrue(former.removed());
+    assertFalse(present.removed());
+    assertNothingIsBelieved(present);
+    assertEquals(List.of(present), directory.ofService("s"));
+    assertEquals(List.of("e " + BORN + " " + BORN_AGAIN + " " + source), restarts);
+  }
+
+  @Test
+  void theSameLifeKeepsWhatIsBelieved() {
+    Engine known = experienced();
+    directory.put(entry(BORN, 9, 0), NOW);
+    assertSame(known, directory.find(ID));
+    assertEquals(9, known.record().slots());
+    assertTrue(known.cachedPrefixes().contains("a1"));
+    assertEquals(List.of(), restarts);
+  }
+
+  @Test
+  void anEntryOfAnEarlierLifeChangesNothing() {
+    Engine present = put(BORN_AGAIN);
+    directory.put(entry(BORN, 9, 700), NOW);
+    directory.replaceAll(List.of(entry(BORN, 9, 700)), NO_OUTAGE, NOW);
+    assertSame(present, directory.find(ID));
+    assertEquals(entry(BORN_AGAIN, 4, 0), present.record());
+    assertFalse(present.cold(NOW));
+  }
+
+  @Test
+  void anEntryOfAnEarlierLifeDoesNotEndALapse() {
+    put(BORN_AGAIN);
+    directory.remove(ID.value(), NOW + 1_000_000_000, NOW);
+    directory.put(entry(BORN, 4, 0), NOW);
+    directory.expireLapsed(NOW + 1_000_000_000);
+    assertNull(directory.find(ID));
+  }
+
+  @Test
+  void theEntryOfALifeThatAReportToldFirstIsAdoptedWithoutANewStart() {
+    experienced();
+    directory.bornElsewhere(ID, BORN_AGAIN, NOW);
+    Engine present = directory.find(ID);
+    present.cachedPrefixes().add(PROMPT);
+    directory.put(entry(BORN, 4, 0), NOW);
+    directory.put(entry(BORN_AGAIN, 9, 2_000), NOW);
+    assertSame(present, directory.find(ID));
+    assertEquals(9, present.record().slots());
+    assertTrue(present.cold(NOW));
+    assertTrue(present.cachedPrefixes().contains("a1"));
+    assertEquals(1, restarts.size());
+  }
+
+  @Test
+  void aReportOfAnEarlierLifeIsNotBelieved() {
+    Engine present = put(BORN_AGAIN);
+    assertFalse(directory.bornElsewhere(ID, BORN, NOW));
+    assertTrue(directory.bornElsewhere(ID, BORN_AGAIN, NOW));
+    assertTrue(directory.bornElsewhere(ID, 0, NOW));
+    assertFalse(directory.bornElsewhere(new EngineId("other"), BORN, NOW));
+    assertSame(present, directory.find(ID));
+  }
+
+  @Test
+  void aStartThatIsToldLateIsThatOfTheKnownLife() {
+    Engine known = put(0);
+    assertTrue(directory.bornElsewhere(ID, BORN, NOW));
+    directory.put(entry(0, 9, 0), NOW);
+    assertSame(known, directory.find(ID));
+    assertEquals(BORN, known.record().bornMillis());
+    assertTrue(directory.bornElsewhere(ID, BORN_AGAIN, NOW));
+    assertNotSame(known, directory.find(ID));
+  }
+
+  @Test
+  void failuresOfRequestsToAFormerLifeSpeakAgainstNobodyElse() {
+    Engine former = put(BORN);
+    former.failed(NOW);
+    Engine present = put(BORN_AGAIN);
+    former.failed(NOW);
+    former.failed(NOW);
+    assertEquals(List.of(), suspected);
+    assertEquals(EngineStanding.TRUSTED, present.standing(NOW));
+  }
+
+  @Test
+  void whatOthersSuspectOfAFormerLifeFadesWithTime() {
+    Engine present = put(BORN_AGAIN);
+    present.suspectedElsewhere(NOW);
+    assertEquals(EngineStanding.SUSPECT, present.standing(NOW));
+    assertEquals(EngineStanding.TRUSTED, present.standing(NOW + 1_500_000_000));
+  }
+
+  @Test
+  void anEngineOfAnotherServiceIsAnotherEngine() {
+    Engine former = experienced();
+    directory.put(new EngineRecord(ID.value(), "t", "10.0.0.1", 80, "z", 4, false, 0, BORN), NOW);
+    assertTrue(former.removed());
+    assertEquals(List.of(), directory.ofService("s"));
+    assertEquals(List.of(directory.find(ID)), directory.ofService("t"));
+    assertNothingIsBelieved(directory.find(ID));
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -175,6 +175,31 @@
     }
   }
 
+  @Test
+  void aConnectionToAFormerLifeOfAnEngineIsNotUsedForTheNextOneAndIsClosed() throws Exception {
+    try (ScriptedEngine engine =
+        new ScriptedEngine(
+            new Answer(OWN, After.KEEP),
+            new Answer(SECOND, After.KEEP),
+            new Answer(OWN.replace("r1", "r3"), After.KEEP))) {
+      EngineDirectory directory = new EngineDirectory(1);
+      directory.put(bornAt(engine.port(), 1_000));
+      Engine former = directory.ofService("s").get(0);
+      assertEquals("200 body", ask(former, "r1"));
+      directory.put(bornAt(engine.port(), 2_000));
+      Engine present = directory.ofService("s").get(0);
+      assertEquals("200 body", ask(present, "r2"));
+      assertEquals(2, engine.connections());
+      engine.awaitOpen(1);
+      assertEquals("200 body", ask(present, "r3"));
+      assertEquals(2, engine.connections());
+    }
+  }
+
+  private static EngineRecord bornAt(int port, long bornMillis) {
+    return new EngineRecord("e", "s", "127.0.0.1", port, "z", 4, false, 0, bornMillis);
+  }
+
   @Test
   void aRefusedConnectionMeansThatNothingWasSent() throws Exception {
     int port;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
@@ -27,6 +27,7 @@
   private final List<Answer> answers;
   private final AtomicInteger next = new AtomicInteger();
   private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger open = new AtomicInteger();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final List<String> requests = new CopyOnWriteArrayList<>();
 
@@ -51,6 +52,17 @@
     return connections.get();
   }
 
+  /** Waits until as many connections are open. */
+  public void awaitOpen(int count) throws InterruptedException {
+    long end = System.nanoTime() + 10_000_000_000L;
+    while (open.get() != count) {
+      if (System.nanoTime() - end > 0) {
+        throw new AssertionError(open.get() + " connections are open, not " + count);
+      }
+      Thread.sleep(10);
+    }
+  }
+
   /** The heads of the requests, in order of arrival. */
   public List<String> requests() {
     return requests;
@@ -62,6 +74,7 @@
         Socket socket = listener.accept();
         sockets.add(socket);
         connections.incrementAndGet();
+        open.incrementAndGet();
         start(() -> serve(socket));
       }
     } catch (IOException e) {
@@ -91,6 +104,8 @@
       }
     } catch (IOException | InterruptedException e) {
       // The connection is over.
+    } finally {
+      open.decrementAndGet();
     }
   }
 
