Merge: engines that start again under their id, entries by another writer

Cause: both parts number events and list them.

Change: numbers 350 to 353 and 358, 359 stand side by side; the fault of an unreadable entry is event 359 now.

Ruled out: nothing else overlaps; the estimate of load is part of an engine's object, so a new life begins without one.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -35,6 +35,8 @@
   LOAD_REPORT_UNAVAILABLE(351),
   PROGRAM_REFUSED(352),
   ADMISSION_CHANGED(353),
+  ENGINE_RESTARTED(358),
+  ENGINE_ENTRY_UNUSABLE(359),
   FAULT(399);
 
   private final int number;
