The choice of an engine follows the shared view of load and the memory that is left

Cause: an engine's wait was a node's own observation, one in some seconds at seventy nodes, and the memory that a stream needs was in no choice: a stream was sent where it had to be preempted while another engine had room.

Change: where an engine's load is known its wait is what waits there over its places, at its own pace (WaitPrediction); where it is not, all stays as it was. An engine that differs from the mean of its service is taken as it looks only in as many choices as fill the difference while the view is old. A pace that differs by a quarter counts in full, either way; a pace of which nothing was heard for four seconds is forgotten until one stream of this node shows it anew. MemoryPolicy adds what a preemption costs where prompt and output exceed what is left, and passes over engines that can never hold them. The way to another zone is the learnt one.

Ruled out: ties by a width alone (all nodes still choose the engine that looks empty); two engines drawn for each choice (the one that keeps the prompt's shared part is mostly not among them).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
@@ -150,7 +150,8 @@
         call.attributes().prompt(),
         call.attributes().programOrObject(call.stream()),
         call.route().repeatable(),
-        call.residency());
+        call.residency(),
+        Math.max(0, call.attributes().maxOutputTokens()));
   }
 
   private void onNoEngine() {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -13,6 +13,9 @@
   /** After this time without an observation a wait no longer says anything. */
   private static final long WAIT_STALE_NANOS = 1_500_000_000L;
 
+  /** After this time without a stream an engine's pace no longer says anything. */
+  private static final long PACE_STALE_NANOS = 4_000_000_000L;
+
   private EngineRecord record;
   private final ServicePerformance performance;
   private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
@@ -142,6 +145,16 @@
     return gapObserved ? gapMillis : performance.gapMillis();
   }
 
+  /**
+   * The time between two events that is to be expected of its next stream. A pace of which nothing
+   * was heard for a while may be over: the engine then counts as usual until one stream is under
+   * way there again, which shows its pace anew.
+   */
+  public double gapMillis(long nowNanos) {
+    boolean forgotten = inFlight == 0 && nowNanos - waitObservedNanos >= PACE_STALE_NANOS;
+    return forgotten ? performance.gapMillis() : gapMillis();
+  }
+
   /** Notes that a request failed there, or that it could not be reached. */
   public void failed(long nowNanos) {
     boolean suspectBefore = failures.suspectAt(nowNanos);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/LoadEstimate.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/LoadEstimate.java
@@ -63,6 +63,11 @@
     return reported.waiting() + Math.max(0, sentSince - free);
   }
 
+  /** Tokens of memory that the engine has; 0 if nothing recent is known. */
+  public long totalTokens(long nowNanos) {
+    return known(nowNanos) ? reported.totalTokens() : 0;
+  }
+
   /** The part of the engine's memory that can't be given up; 0 if nothing recent is known. */
   public double memoryShare(long nowNanos) {
     return known(nowNanos) ? reported.memoryShare() : 0;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/placement/Placement.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/placement/Placement.java
@@ -14,6 +14,7 @@
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
+import org.baykeel.gateway.scheduling.MemoryPolicy;
 import org.baykeel.gateway.telemetry.DecisionLog;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.topology.Locality;
@@ -66,7 +67,11 @@
             engines,
             topology,
             roundTrips,
-            List.of(new CordonPolicy(cordons), new ResidencyPolicy(topology), warmup),
+            List.of(
+                new CordonPolicy(cordons),
+                new ResidencyPolicy(topology),
+                warmup,
+                new MemoryPolicy()),
             random);
     register(metrics, warmup, eventLoop);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EnginePolicy.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EnginePolicy.java
@@ -16,7 +16,7 @@
   }
 
   /** What speaks against an engine that may run a request, in milliseconds. */
-  default double penaltyMillis(Engine engine, long nowNanos) {
+  default double penaltyMillis(Engine engine, EngineSelector.Criteria criteria, long nowNanos) {
     return 0;
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.scheduling;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -41,8 +42,14 @@
    */
   private static final double STREAM_IN_FLIGHT_WEIGHT = 1.0 / 200;
 
-  /** What bytes between zones and the way there count for. */
-  private static final double OTHER_ZONE_MILLIS = 4.0;
+  /**
+   * Where the load of engines is known, an engine's pace counts in full once it differs from the
+   * usual one by this factor, either way; below, the difference is that of what happens to run.
+   */
+  private static final double EQUAL_PACE = 1.25;
+
+  /** What bytes to another region count for. */
+  private static final double OTHER_REGION_MILLIS = 4.0;
 
   /**
    * What the way to another region and back counts for a stream, as a multiple of itself. A line of
@@ -60,8 +67,10 @@
   private final EngineDirectory directory;
   private final Topology topology;
   private final RoundTrips roundTrips;
-  private final List<EnginePolicy> policies;
+  private final EnginePolicy[] policies;
   private final RandomGenerator random;
+  private final WaitPrediction waitPrediction;
+  private double[] gapsMillis = new double[0];
 
   /** Engines that may run the request in hand; kept between choices, which come one at a time. */
   private final List<Engine> candidates = new ArrayList<>();
@@ -83,8 +92,9 @@
     this.directory = directory;
     this.topology = topology;
     this.roundTrips = roundTrips;
-    this.policies = List.copyOf(policies);
+    this.policies = policies.toArray(new EnginePolicy[0]);
     this.random = random;
+    this.waitPrediction = new WaitPrediction(random);
   }
 
   /** Creates a selector for zones of one region, without policies. */
@@ -104,13 +114,25 @@
    * @param homeKey what the request belongs together with, or null
    * @param repeatable whether it may be sent to another engine after an unknown outcome
    * @param residency where it may run
+   * @param outputTokens the most tokens that it generates; 0 if that is not known
    */
   public record Criteria(
       String service,
       List<PromptPart> prompt,
       String homeKey,
       boolean repeatable,
-      Residency residency) {
+      Residency residency,
+      int outputTokens) {
+
+    /** What a request depends on whose output is not bounded. */
+    public Criteria(
+        String service,
+        List<PromptPart> prompt,
+        String homeKey,
+        boolean repeatable,
+        Residency residency) {
+      this(service, prompt, homeKey, repeatable, residency, 0);
+    }
 
     /** What a request depends on that may run anywhere. */
     public Criteria(String service, List<PromptPart> prompt, String homeKey, boolean repeatable) {
@@ -152,12 +174,13 @@
     collectCandidates(criteria, excluded, nowNanos);
     Engine home = home(criteria, nowNanos);
     boolean keptSomewhere = keptSomewhere(criteria);
-    double usualGapMillis = usualGapMillis(criteria.service());
+    double usualGapMillis = usualGapMillis(criteria.service(), nowNanos);
+    waitPrediction.survey(candidates, !criteria.prompt().isEmpty(), nowNanos);
     Engine best = null;
     double bestMillis = 0;
     double nearMillis = -1;
     for (Engine engine : candidates) {
-      double millis = predictedMillis(engine, criteria, usualGapMillis, nowNanos);
+      double millis = predictedMillis(engine, criteria, engine == home, usualGapMillis, nowNanos);
       if (engine == home) {
         millis -= keptSomewhere ? homeBonusMillis(engine) : assumedAtHomeMillis(engine, criteria);
       }
@@ -205,14 +228,21 @@
   }
 
   /** The median time between events over the engines of a service. */
-  private double usualGapMillis(String service) {
-    double[] gaps =
-        directory.ofService(service).stream().mapToDouble(Engine::gapMillis).sorted().toArray();
-    return gaps.length == 0 ? 0 : gaps[(gaps.length - 1) / 2];
+  private double usualGapMillis(String service, long nowNanos) {
+    List<Engine> engines = directory.ofService(service);
+    int count = engines.size();
+    if (gapsMillis.length < count) {
+      gapsMillis = new double[count];
+    }
+    for (int i = 0; i < count; i++) {
+      gapsMillis[i] = engines.get(i).gapMillis(nowNanos);
+    }
+    Arrays.sort(gapsMillis, 0, count);
+    return count == 0 ? 0 : gapsMillis[(count - 1) / 2];
   }
 
   private double predictedMillis(
-      Engine engine, Criteria criteria, double usualGapMillis, long nowNanos) {
+      Engine engine, Criteria criteria, boolean home, double usualGapMillis, long nowNanos) {
     ServicePerformance performance = engine.performance();
     boolean stream = !criteria.prompt().isEmpty();
     double answerMillis = stream ? performance.streamMillis() : performance.workMillis();
@@ -221,32 +251,65 @@
       millis += engine.inFlight() * answerMillis * STREAM_IN_FLIGHT_WEIGHT;
       int unread = engine.cachedPrefixes().uncachedTokens(criteria.prompt());
       millis += performance.readingMillis(unread) * READING_WEIGHT;
-      millis += engine.waitMillis(nowNanos) * WAIT_WEIGHT;
-      double excessGap = engine.gapMillis() - usualGapMillis * SLOW_PACE;
-      millis += Math.max(0, excessGap) * performance.eventsPerAnswer();
+      boolean tied = home || engine.cachedPrefixes().containsOwnPart(criteria.prompt());
+      millis += streamWaitMillis(engine, tied, nowNanos);
+      millis += excessGapMillis(engine, usualGapMillis, nowNanos) * performance.eventsPerAnswer();
     } else {
       millis += engine.inFlight() * placeMillis(engine);
+      millis += waitPrediction.known(engine) ? waitPrediction.expectedMillis(engine) : 0;
     }
     millis += wayMillis(engine, stream);
     for (EnginePolicy policy : policies) {
-      millis += policy.penaltyMillis(engine, nowNanos);
+      millis += policy.penaltyMillis(engine, criteria, nowNanos);
     }
     return millis + engine.standing(nowNanos).penaltyMillis(criteria.repeatable(), answerMillis);
   }
 
+  /**
+   * The wait of a stream.
+   *
+   * @param tied whether the stream belongs to the engine more than to others
+   */
+  private double streamWaitMillis(Engine engine, boolean tied, long nowNanos) {
+    if (!waitPrediction.known(engine)) {
+      return engine.waitMillis(nowNanos) * WAIT_WEIGHT;
+    }
+    if (tied) {
+      return waitPrediction.reportedMillis(engine);
+    }
+    double placeMillis = engine.performance().streamMillis() / slots(engine);
+    double tieMillis = random.nextDouble() * TIE_WIDTH * placeMillis;
+    return waitPrediction.expectedMillis(engine) + tieMillis;
+  }
+
+  /** What an engine needs for an event beyond the usual time; negative if it is faster. */
+  private double excessGapMillis(Engine engine, double usualGapMillis, long nowNanos) {
+    double gapMillis = engine.gapMillis(nowNanos);
+    if (!waitPrediction.known(engine)) {
+      return Math.max(0, gapMillis - usualGapMillis * SLOW_PACE);
+    }
+    boolean equal =
+        gapMillis < usualGapMillis * EQUAL_PACE && gapMillis * EQUAL_PACE > usualGapMillis;
+    return equal ? 0 : gapMillis - usualGapMillis;
+  }
+
   private double wayMillis(Engine engine, boolean stream) {
     return switch (locality(engine)) {
       case SAME_ZONE -> 0;
-      case SAME_REGION -> OTHER_ZONE_MILLIS;
+      case SAME_REGION -> roundTrips.millisTo(engine.record().zone());
       case OTHER_REGION ->
-          OTHER_ZONE_MILLIS
+          OTHER_REGION_MILLIS
               + roundTrips.millisTo(engine.record().zone()) * (stream ? REGION_WAY_WEIGHT : 1);
     };
   }
 
   /** The time after which an engine that is full is expected to have a place again. */
   private static double placeMillis(Engine engine) {
-    return engine.performance().workMillis() / Math.max(1, engine.record().slots());
+    return engine.performance().workMillis() / slots(engine);
+  }
+
+  private static int slots(Engine engine) {
+    return Math.max(1, engine.record().slots());
   }
 
   private double tieMillis(Engine engine) {
@@ -258,8 +321,12 @@
     if (criteria.prompt().isEmpty()) {
       return true;
     }
-    return directory.ofService(criteria.service()).stream()
-        .anyMatch(engine -> engine.cachedPrefixes().containsOwnPart(criteria.prompt()));
+    for (Engine engine : directory.ofService(criteria.service())) {
+      if (engine.cachedPrefixes().containsOwnPart(criteria.prompt())) {
+        return true;
+      }
+    }
+    return false;
   }
 
   private static double homeBonusMillis(Engine home) {
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/MemoryPolicy.java
@@ -0,0 +1,64 @@
+package org.baykeel.gateway.scheduling;
+
+import java.util.List;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.PromptPart;
+import org.baykeel.gateway.directory.ServicePerformance;
+
+/**
+ * Keeps streams from engines whose memory can't take them: there a stream is preempted, or another
+ * one is, and its prompt is read anew. The penalty grows with what is missing, so that among
+ * engines that all lack room the largest streams go where most is left.
+ *
+ * <p>Says nothing of an engine that does not tell its memory.
+ */
+public final class MemoryPolicy implements EnginePolicy {
+  /** More than what speaks against an engine that has just failed: it can never run the stream. */
+  private static final double NEVER_FITS_PENALTY_MILLIS = 200_000;
+
+  @Override
+  public boolean allows(Engine engine, EngineSelector.Criteria criteria, long nowNanos) {
+    return true;
+  }
+
+  @Override
+  public double penaltyMillis(Engine engine, EngineSelector.Criteria criteria, long nowNanos) {
+    long totalTokens = engine.load().totalTokens(nowNanos);
+    if (totalTokens <= 0 || criteria.prompt().isEmpty()) {
+      return 0;
+    }
+    int promptTokens = tokens(criteria.prompt());
+    if (promptTokens + criteria.outputTokens() > totalTokens) {
+      return NEVER_FITS_PENALTY_MILLIS;
+    }
+    double leftTokens = (1 - engine.load().memoryShare(nowNanos)) * totalTokens;
+    double needTokens = neededTokens(engine, criteria);
+    if (needTokens <= leftTokens) {
+      return 0;
+    }
+    ServicePerformance performance = engine.performance();
+    double preemptedMillis = performance.readingMillis(promptTokens) + performance.streamMillis();
+    return preemptedMillis * (1 + (needTokens - leftTokens) / needTokens);
+  }
+
+  private static int tokens(List<PromptPart> prompt) {
+    int tokens = 0;
+    for (int i = 0; i < prompt.size(); i++) {
+      tokens += prompt.get(i).tokens();
+    }
+    return tokens;
+  }
+
+  /** Shared parts that the engine keeps need no more memory; the own part may have given way. */
+  private static int neededTokens(Engine engine, EngineSelector.Criteria criteria) {
+    List<PromptPart> prompt = criteria.prompt();
+    int own = prompt.size() - 1;
+    int tokens = prompt.get(own).tokens() + criteria.outputTokens();
+    for (int i = 0; i < own; i++) {
+      if (!engine.cachedPrefixes().contains(prompt.get(i).id())) {
+        tokens += prompt.get(i).tokens();
+      }
+    }
+    return tokens;
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/warmup/WarmupPolicy.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/warmup/WarmupPolicy.java
@@ -103,7 +103,7 @@
   }
 
   @Override
-  public double penaltyMillis(Engine engine, long nowNanos) {
+  public double penaltyMillis(Engine engine, Criteria criteria, long nowNanos) {
     return engine.cold(nowNanos) ? COLD_PENALTY_MILLIS : 0;
   }
 
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/ModelEngines.java
@@ -0,0 +1,191 @@
+package org.baykeel.gateway.scheduling;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineLoad;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
+
+/**
+ * Engines with places and queues in virtual time, and nodes that send to them by what they observe
+ * themselves and by reports of load that reach all of them late.
+ */
+final class ModelEngines {
+  static final long STEP_MILLIS = 5;
+  private static final long REPORT_MILLIS = 200;
+  private static final long LAG_MILLIS = 200;
+  private static final int EVENTS = 10;
+
+  private final int slots;
+  private final double workMillis;
+  private final boolean viewShared;
+  private final List<ModelEngine> engines = new ArrayList<>();
+  private final List<EngineDirectory> directories = new ArrayList<>();
+  private final List<EngineSelector> selectors = new ArrayList<>();
+  private final Deque<Report> reports = new ArrayDeque<>();
+  private final Random random = new Random(11);
+  private long nowMillis = 1_000;
+
+  /** One engine: the requests that it runs and those that wait. */
+  static final class ModelEngine {
+    private final String id;
+    private final List<Work> running = new ArrayList<>();
+    private final Deque<Work> waiting = new ArrayDeque<>();
+    private double slowness = 1;
+
+    private ModelEngine(String id) {
+      this.id = id;
+    }
+
+    int requests() {
+      return running.size() + waiting.size();
+    }
+
+    void slowness(double factor) {
+      slowness = factor;
+    }
+  }
+
+  /** One request: where it came from and what is left of it. */
+  static final class Work {
+    private final Engine seen;
+    private final long sentMillis;
+    private double leftMillis;
+    private long startedMillis;
+    private long endedMillis = -1;
+
+    private Work(Engine seen, long sentMillis, double leftMillis) {
+      this.seen = seen;
+      this.sentMillis = sentMillis;
+      this.leftMillis = leftMillis;
+    }
+
+    String engineId() {
+      return seen.record().id();
+    }
+
+    long sentMillis() {
+      return sentMillis;
+    }
+
+    /** The time until it ended; as good as endless if it did not. */
+    long tookMillis() {
+      return endedMillis < 0 ? Long.MAX_VALUE : endedMillis - sentMillis;
+    }
+  }
+
+  private record Report(long asOfMillis, List<EngineLoad> loads) {}
+
+  ModelEngines(int nodes, int count, int slots, double workMillis, boolean viewShared) {
+    this.slots = slots;
+    this.workMillis = workMillis;
+    this.viewShared = viewShared;
+    for (int i = 0; i < count; i++) {
+      engines.add(new ModelEngine("e" + i));
+    }
+    for (int node = 0; node < nodes; node++) {
+      EngineDirectory directory = new EngineDirectory(1);
+      for (ModelEngine engine : engines) {
+        directory.put(new EngineRecord(engine.id, "s", "10.0.0.1", 80, "z", slots, false));
+      }
+      for (int i = 0; i < 200; i++) {
+        directory.performanceOf("s").observeGap(workMillis / EVENTS);
+        directory.performanceOf("s").observeEvents(EVENTS);
+        directory.performanceOf("s").observeWork(workMillis);
+      }
+      directories.add(directory);
+      selectors.add(new EngineSelector(directory, "z", new SplittableRandom(node)));
+    }
+  }
+
+  ModelEngine engine(int index) {
+    return engines.get(index);
+  }
+
+  /** Gives an engine work that no node knows of. */
+  void load(int index, int requests) {
+    Engine seen = directories.get(0).ofService("s").get(index);
+    for (int i = 0; i < requests; i++) {
+      double left = workMillis * random.nextDouble();
+      engines.get(index).waiting.add(new Work(seen, nowMillis, left));
+    }
+  }
+
+  /** A request that enters at a random node. */
+  Work send(Criteria criteria) {
+    int node = random.nextInt(selectors.size());
+    long now = nowMillis * 1_000_000;
+    Engine chosen = selectors.get(node).choose(criteria, Set.of(), now).engine();
+    chosen.requestStarted();
+    chosen.load().sent(now);
+    Work work = new Work(chosen, nowMillis, workMillis);
+    engines.get(directories.get(node).ofService("s").indexOf(chosen)).waiting.add(work);
+    return work;
+  }
+
+  /** Lets a step of time pass. */
+  void step(boolean streams) {
+    nowMillis += STEP_MILLIS;
+    for (ModelEngine engine : engines) {
+      work(engine, streams);
+    }
+    if (viewShared) {
+      report();
+    }
+  }
+
+  private void work(ModelEngine engine, boolean streams) {
+    for (Iterator<Work> each = engine.running.iterator(); each.hasNext(); ) {
+      Work work = each.next();
+      work.leftMillis -= STEP_MILLIS / engine.slowness;
+      if (work.leftMillis <= 0) {
+        each.remove();
+        end(work, streams);
+      }
+    }
+    while (engine.running.size() < slots && !engine.waiting.isEmpty()) {
+      Work work = engine.waiting.remove();
+      work.startedMillis = nowMillis;
+      engine.running.add(work);
+      if (streams) {
+        work.seen.observeWait(nowMillis - work.sentMillis, nowMillis * 1_000_000);
+      }
+    }
+  }
+
+  private void end(Work work, boolean streams) {
+    work.endedMillis = nowMillis;
+    work.seen.requestEnded();
+    for (int i = 0; i < EVENTS && streams; i++) {
+      work.seen.observeGap((nowMillis - work.startedMillis) / (double) EVENTS);
+    }
+  }
+
+  private void report() {
+    if (nowMillis % REPORT_MILLIS == 0) {
+      reports.add(
+          new Report(
+              nowMillis,
+              engines.stream()
+                  .map(engine -> new EngineLoad(engine.waiting.size(), engine.running.size(), 0, 0))
+                  .toList()));
+    }
+    while (!reports.isEmpty() && nowMillis - reports.peek().asOfMillis >= LAG_MILLIS) {
+      Report report = reports.remove();
+      for (EngineDirectory directory : directories) {
+        List<Engine> seen = directory.ofService("s");
+        for (int i = 0; i < seen.size(); i++) {
+          seen.get(i).load().reported(report.loads.get(i), report.asOfMillis * 1_000_000);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestSharedLoad.java
@@ -0,0 +1,153 @@
+package org.baykeel.gateway.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineLoad;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.directory.PromptPart;
+import org.baykeel.gateway.residency.Residency;
+import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
+import org.baykeel.gateway.scheduling.ModelEngines.Work;
+import org.baykeel.gateway.topology.RoundTrips;
+import org.baykeel.gateway.topology.Topology;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Choices by a view of load that all nodes share and that is late. */
+class TestSharedLoad {
+  private static final int NODES = 77;
+  private static final List<PromptPart> PROMPT = List.of(new PromptPart("own", 500));
+  private static final Criteria STREAM = new Criteria("s", PROMPT, null, true);
+  private static final double FAIR_SHARE = 1.0 / 8;
+  private static final Criteria TOOL = new Criteria("s", List.of(), null, false);
+
+  /** Demand at nine tenths of the room, each engine with a queue as long as its places but one. */
+  @ParameterizedTest(name = "{0} engines of {1} places, work of {2} ms, stream {3}")
+  @CsvSource({"31, 32, 1000, true", "31, 16, 400, true", "13, 6, 300, false", "13, 9, 20, false"})
+  void nodesThatAllSeeOneEmptyEngineFillItWithoutCrowdingThere(
+      int count, int slots, double workMillis, boolean stream) {
+    ModelEngines engines = new ModelEngines(NODES, count, slots, workMillis, true);
+    for (int i = 1; i < count; i++) {
+      engines.load(i, 2 * slots);
+    }
+    double perStep = 0.9 * count * slots * ModelEngines.STEP_MILLIS / workMillis;
+    double due = 0;
+    int most = 0;
+    int filled = 0;
+    for (int step = 0; step < 400; step++) {
+      engines.step(stream);
+      for (due += step < 80 ? 0 : perStep; due >= 1; due--) {
+        engines.send(stream ? STREAM : TOOL);
+      }
+      most = Math.max(most, engines.engine(0).requests());
+      filled = step == 80 + 200 ? engines.engine(0).requests() : filled;
+    }
+    assertTrue(most <= 4 * slots, most + " requests at an engine of " + slots + " places");
+    assertTrue(filled >= slots / 3, filled + " requests at an engine of " + slots + " places");
+  }
+
+  /** Demand at half of the room; lines of turns with homes; one engine slow from 2 to 8 s. */
+  @Test
+  void anEngineFourTimesAsSlowForSixSecondsIsLeftAndUsedAgain() {
+    ModelEngines engines = new ModelEngines(NODES, 8, 16, 400, true);
+    List<Work> sent = new ArrayList<>();
+    double perStep = 0.5 * 8 * 16 * ModelEngines.STEP_MILLIS / 400;
+    double due = 0;
+    int program = 0;
+    for (long millis = 0; millis < 17_000; millis += ModelEngines.STEP_MILLIS) {
+      engines.engine(0).slowness(millis >= 2_000 && millis < 8_000 ? 4 : 1);
+      engines.step(true);
+      for (due += perStep; due >= 1; due--) {
+        sent.add(engines.send(new Criteria("s", PROMPT, "p" + program++ % 400, true)));
+      }
+    }
+    assertTrue(inTime(sent, 3_000, 9_000) >= 0.9);
+    assertTrue(inTime(sent, 12_000, 16_000) >= 0.95);
+    assertTrue(atFirst(sent, 4_000, 9_000) <= FAIR_SHARE);
+    assertTrue(atFirst(sent, 12_000, 16_000) >= FAIR_SHARE / 2);
+  }
+
+  /** The part of the streams sent within a time that end in twice their usual time. */
+  private static double inTime(List<Work> sent, long fromMillis, long toMillis) {
+    return part(sent, fromMillis, toMillis, work -> work.tookMillis() <= 800);
+  }
+
+  private static double atFirst(List<Work> sent, long fromMillis, long toMillis) {
+    return part(sent, fromMillis, toMillis, work -> work.engineId().equals("e0"));
+  }
+
+  private static double part(
+      List<Work> sent, long fromMillis, long toMillis, Predicate<Work> counted) {
+    List<Work> within =
+        sent.stream()
+            .filter(work -> work.sentMillis() >= fromMillis && work.sentMillis() < toMillis)
+            .toList();
+    return (double) within.stream().filter(counted).count() / within.size();
+  }
+
+  /** Idle engines, one of them half as fast again for each event; what it keeps is little. */
+  @ParameterizedTest(name = "load known: {0}")
+  @ValueSource(booleans = {false, true})
+  void aPaceBelowTheBoundOfSlowEnginesCountsWhereTheLoadIsKnown(boolean known) {
+    EngineDirectory directory = new EngineDirectory(1);
+    for (String id : List.of("slower", "faster")) {
+      directory.put(new EngineRecord(id, "s", "10.0.0.1", 80, "z", 8, false));
+      Engine engine = directory.find(new EngineId(id));
+      if (known) {
+        engine.load().reported(new EngineLoad(0, 0, 0, 0), 0);
+      }
+      for (int i = 0; i < 100; i++) {
+        engine.observeGap(id.equals("slower") ? 45 : 30);
+      }
+    }
+    directory.find(new EngineId("slower")).cachedPrefixes().add(PROMPT);
+    EngineSelector selector = new EngineSelector(directory, "z", new SplittableRandom(1));
+    String chosen = selector.select(STREAM, Set.of(), 0).record().id();
+    assertEquals(known ? "faster" : "slower", chosen);
+  }
+
+  /** Engines with the same reading and pace that differ in the memory that they have left. */
+  @ParameterizedTest(name = "{0} tokens, at most {1} more: {2}")
+  @CsvSource({
+    "2000, 500, home",
+    "6000, 500, roomy",
+    "6000, 5000, roomy",
+    "30000, 500, large",
+    "90000, 500, home"
+  })
+  void theLargestPromptsGoWhereMemoryIsLeft(int promptTokens, int outputTokens, String expected) {
+    EngineDirectory directory = new EngineDirectory(1);
+    Topology topology = Topology.ofOneRegion("z");
+    EngineSelector selector =
+        new EngineSelector(
+            directory,
+            topology,
+            new RoundTrips(topology),
+            List.of(new MemoryPolicy()),
+            new SplittableRandom(1));
+    load(directory, "home", 16_000, 20_000);
+    load(directory, "roomy", 8_000, 20_000);
+    load(directory, "large", 48_000, 60_000);
+    List<PromptPart> prompt = List.of(new PromptPart("own", promptTokens));
+    directory.find(new EngineId("home")).cachedPrefixes().add(prompt);
+    Criteria criteria = new Criteria("s", prompt, null, true, Residency.ANY, outputTokens);
+    assertEquals(expected, selector.select(criteria, Set.of(), 0).record().id());
+  }
+
+  private static void load(EngineDirectory directory, String id, long used, long total) {
+    directory.put(new EngineRecord(id, "s", "10.0.0.1", 80, "z", 8, false));
+    Engine engine = directory.find(new EngineId(id));
+    engine.load().reported(new EngineLoad(0, 4, used, total), 0);
+  }
+}
