--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestCallAcrossRestart.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestCallAcrossRestart.java
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.List;
 import java.util.Random;
+import org.baykeel.gateway.admission.OpeningShares;
+import org.baykeel.gateway.admission.ProgramAdmission;
 import org.baykeel.gateway.budget.GrantIds;
 import org.baykeel.gateway.budget.GrantSource;
 import org.baykeel.gateway.budget.ProgramBudgets;
@@ -25,7 +27,6 @@
 import org.baykeel.gateway.ratelimit.RequestLimiter;
 import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.scheduling.BackendChooser;
-import org.baykeel.gateway.scheduling.CongestionMonitor;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
@@ -34,6 +35,7 @@
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingTenancy;
 import org.baykeel.gateway.testing.TestingTransport;
+import org.baykeel.gateway.urgency.Urgency;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -65,9 +67,11 @@
                 RequestLimiter.NONE,
                 new EngineSelector(engines, "z", new Random(1)),
                 new BackendChooser(),
-                new CongestionMonitor(new Random(1)),
+                new ProgramAdmission(
+                    engines, new Random(1), OpeningShares.EVEN, (event, fields) -> {}),
                 new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
                 new TurnHistory(store, eventLoop, 1 << 20, TurnSource.NONE),
+                Urgency.NONE,
                 transport,
                 storeHealth,
                 (event, fields) -> {},
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestGatewayState.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestGatewayState.java
@@ -100,7 +100,7 @@
   void anEngineWhoseEntryTurnsBadGetsNoNewWorkUntilItIsGood(boolean whole) {
     state.putEngine(ENGINE);
     Engine known = engines.find(new EngineId("a"));
-    known.requestStarted();
+    known.requestStarted(eventLoop.nanoTime());
     if (whole) {
       state.replaceEngines(List.of(), List.of(fault("zone")));
     } else {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/directory/TestEngineRestart.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/directory/TestEngineRestart.java
@@ -55,7 +55,7 @@
     engine.failed(NOW);
     engine.observeWait(400, NOW);
     engine.observeGap(90);
-    engine.requestStarted();
+    engine.requestStarted(NOW);
     return engine;
   }
 
