What is held for callers that read slowly is counted and bounded; engines are read no faster than that

Cause: nothing looked at how much a caller had read, except that a stream was cut at 1 MiB unread. A whole answer had no bound, events that wait for their grant were not counted, and a node had no bound over its calls.

Ruled out: the channel's own writability, which is per channel, knows nothing of events that wait for a grant and can't be tested without sockets; closing at a bound, which cuts answers off that would be read. Answers that are no stream aren't paused by their own bytes while they are taken in, since they are passed on only when whole.

Change: package buffering (HeldBytes, CallerFlow, AnswerSource); Exchange.pauseReading and resumeReading; AnswerRelay passes pauses to SilenceWatch and to the attempt, which learns no pace from a paused engine; long answers are written in parts of 64 KiB, so that reading is seen; each part that a caller takes counts as activity of its connection. The cut at 1 MiB is gone.

Tests: TestingTransport, TestingResponder and the simulation's stand-ins know pauses; TestIngressConnection starts its node through LoopbackGateway, TestCallAcrossRestart through SingleEngineNode, their assertions unchanged. Seen to fail with the guards taken out: 11 of 22 of TestHeldBytes, 2 of 3 of TestSlowCallers (29,595,648 bytes held instead of 262,144 and one read), 4 of 6 of TestCallOfSlowCaller. Not seen failing: anEngineThatIsReadAgainAndSaysNothingIsSilent, theTimeForWhichAnEngineIsNotReadIsNotItsPace (masked by another guard taken out with its own), the delivery of a whole answer after its engine is done.

Conclusion: whole by these tests; all of gateway and platform passed.

--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/buffering/CallerFlow.java
@@ -0,0 +1,120 @@
+package org.baykeel.gateway.buffering;
+
+/**
+ * What is held for one caller: bytes that were written to its connection and that it has not read,
+ * and events that wait for their grant. One for each connection, which carries one call at a time;
+ * what is left of an answer stays counted after its call.
+ */
+public final class CallerFlow {
+  private final HeldBytes node;
+  private final SlowCallerListener listener;
+  private AnswerSource source = AnswerSource.NONE;
+  private long held;
+  private long unreadSinceNanos;
+  private boolean paused;
+  private boolean closed;
+
+  /** Ends the connection of a caller that is given up. */
+  @FunctionalInterface
+  public interface SlowCallerListener {
+    /**
+     * The caller is given up; nothing of it is counted any more.
+     *
+     * @param held bytes that were held for it
+     * @param nodeHeld bytes that the node held for all callers
+     * @param unreadMillis for how long it has read nothing
+     */
+    void callerTooSlow(long held, long nodeHeld, long unreadMillis);
+  }
+
+  CallerFlow(HeldBytes node, SlowCallerListener listener) {
+    this.node = node;
+    this.listener = listener;
+  }
+
+  /** Sets where the caller's answer comes from now; {@link AnswerSource#NONE} if from nowhere. */
+  public void from(AnswerSource newSource) {
+    source = newSource;
+    if (paused) {
+      source.pause();
+    }
+  }
+
+  /** More is held. */
+  public void hold(long bytes) {
+    if (closed || bytes == 0) {
+      return;
+    }
+    if (held == 0) {
+      unreadSinceNanos = node.nanoTime();
+    }
+    held += bytes;
+    node.held(this, bytes);
+  }
+
+  /** The caller has read some of what was held. */
+  public void taken(long bytes) {
+    if (!closed) {
+      unreadSinceNanos = node.nanoTime();
+      release(bytes);
+    }
+  }
+
+  /** Some of what was held is not held here any more, though the caller need not have read it. */
+  public void release(long bytes) {
+    if (!closed && bytes > 0) {
+      held -= bytes;
+      node.taken(this, bytes);
+    }
+  }
+
+  /** The caller is gone: nothing is held for it. */
+  public void close() {
+    release(held);
+    source = AnswerSource.NONE;
+    closed = true;
+  }
+
+  void giveUp(long nodeHeld, long unreadMillis) {
+    long before = held;
+    close();
+    listener.callerTooSlow(before, nodeHeld, unreadMillis);
+  }
+
+  void pause() {
+    if (!paused) {
+      paused = true;
+      source.pause();
+    }
+  }
+
+  void resume() {
+    if (paused) {
+      paused = false;
+      source.resume();
+    }
+  }
+
+  /** Bytes held. */
+  public long held() {
+    return held;
+  }
+
+  /** Since when the caller has read nothing of what is held for it. */
+  long unreadSinceNanos() {
+    return unreadSinceNanos;
+  }
+
+  /** Whether its answer is not to be read on. */
+  public boolean paused() {
+    return paused;
+  }
+
+  boolean hasSource() {
+    return source != AnswerSource.NONE;
+  }
+
+  boolean holdsBackSource() {
+    return paused && hasSource();
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AnswerRelay.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AnswerRelay.java
@@ -3,15 +3,19 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
+import org.baykeel.gateway.buffering.AnswerSource;
 
 /**
  * Passes a stream on to the caller, across the engines that produce it. Events are held back until
- * their tokens are granted; an event that the caller already has is dropped.
+ * their tokens are granted; an event that the caller already has is dropped. While much is held for
+ * the caller, the engine is not read, and its silence means nothing.
  */
-final class AnswerRelay {
+final class AnswerRelay implements AnswerSource {
   private final CallResponder responder;
+  private final SilenceWatch silenceWatch;
   private final ByteArrayOutputStream output;
   private final List<StreamEvent> held = new ArrayList<>();
+  private AnswerSource source = AnswerSource.NONE;
   private AnswerHead head;
   private boolean open;
   private boolean begun;
@@ -21,15 +25,36 @@
   /**
    * Creates a relay.
    *
+   * @param silenceWatch is told when the engine is not listened to
    * @param lastEventId the last event that the caller has; {@link CallAttributes#ABSENT} if none
    * @param collectOutput whether the data of the events is to be kept
    */
-  AnswerRelay(CallResponder responder, long lastEventId, boolean collectOutput) {
+  AnswerRelay(
+      CallResponder responder, SilenceWatch silenceWatch, long lastEventId, boolean collectOutput) {
     this.responder = responder;
+    this.silenceWatch = silenceWatch;
     this.lastEventId = lastEventId;
     this.output = collectOutput ? new ByteArrayOutputStream() : null;
   }
 
+  /** Sets which engine brings the answer from now on. */
+  void readsFrom(AnswerSource engine) {
+    source = engine;
+    responder.flow().from(this);
+  }
+
+  @Override
+  public void pause() {
+    silenceWatch.pause();
+    source.pause();
+  }
+
+  @Override
+  public void resume() {
+    silenceWatch.resume();
+    source.resume();
+  }
+
   /** Takes the head of an engine's answer; that of the first engine is the caller's. */
   void head(AnswerHead newHead) {
     if (!begun) {
@@ -41,8 +66,12 @@
   int open() {
     open = true;
     int before = eventsPassed;
-    held.forEach(this::pass);
+    List<StreamEvent> granted = List.copyOf(held);
     held.clear();
+    for (StreamEvent event : granted) {
+      pass(event);
+      responder.flow().release(event.bytes().length);
+    }
     return eventsPassed - before;
   }
 
@@ -56,6 +85,7 @@
     }
     if (!open) {
       held.add(event);
+      responder.flow().hold(event.bytes().length);
       return false;
     }
     pass(event);
@@ -107,6 +137,18 @@
     return eventsPassed;
   }
 
+  /**
+   * Ends the relay; events that wait for their grant are dropped.
+   *
+   * @return how many events went to the caller
+   */
+  int close() {
+    held.forEach(event -> responder.flow().release(event.bytes().length));
+    held.clear();
+    responder.flow().from(NONE);
+    return eventsPassed;
+  }
+
   /** The data of the events, a line feed after each. */
   byte[] output() {
     return output.toByteArray();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallResponder.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallResponder.java
@@ -1,8 +1,13 @@
 package org.baykeel.gateway.call;
 
+import org.baykeel.gateway.buffering.CallerFlow;
+
 /** The way back to a caller. Exactly one of refuse, answer, or begin is called, once. */
 public interface CallResponder {
 
+  /** Counts what is held for the caller, and holds its answer's source back if that is much. */
+  CallerFlow flow();
+
   /** Ends the request with an answer of baykeel's own. */
   void refuse(Refusal refusal);
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -103,7 +103,7 @@
     tokensPerEvent = profile == null ? 0 : profile.tokensPerEvent();
     roomWait = new RoomWait(eventLoop, request.receivedNanos(), patience);
     silenceWatch = new SilenceWatch(eventLoop, route, this::onSilence);
-    relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
+    relay = new AnswerRelay(responder, silenceWatch, attributes().lastEventId(), route.retained());
     if (budgetAndStoreAllow()) {
       findHistory();
     }
@@ -262,6 +262,7 @@
     attempt.send(
         context.transport(),
         new EngineRequest(request, engineBody, remaining, caller, relay.lastEventId()));
+    relay.readsFrom(attempt);
     silenceWatch.sent();
   }
 
@@ -492,7 +493,7 @@
     if (budget != null) {
       budget.close();
     }
-    int events = relay == null ? 0 : relay.eventsPassed();
+    int events = relay == null ? 0 : relay.close();
     record.callEnded(
         new CallRecord.End(route, status, outcome, firstEventNanos, sends, runs, events));
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import org.baykeel.gateway.buffering.AnswerSource;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.runtime.EventLoop;
@@ -9,9 +10,10 @@
 
 /**
  * One send of a request to one engine: reads the answer, tells its owner what it amounts to, and
- * notes what it shows about the engine. After {@link #close} the owner hears nothing more.
+ * notes what it shows about the engine, unless it was not read for a while. After {@link #close}
+ * the owner hears nothing more.
  */
-final class EngineAttempt implements EngineTransport.Listener {
+final class EngineAttempt implements EngineTransport.Listener, AnswerSource {
   private static final int MISDIRECTED = 421;
   private static final long FULL_PENALTY_MILLIS = 30;
 
@@ -65,6 +67,7 @@
   private ByteArrayOutputStream body;
   private long lastEventNanos;
   private int events;
+  private boolean heldBack;
   private boolean closed;
 
   EngineAttempt(
@@ -99,6 +102,21 @@
     return startedNanos;
   }
 
+  @Override
+  public void pause() {
+    if (!closed) {
+      heldBack = true;
+      exchange.pauseReading();
+    }
+  }
+
+  @Override
+  public void resume() {
+    if (!closed) {
+      exchange.resumeReading();
+    }
+  }
+
   void cancel() {
     exchange.cancel();
   }
@@ -158,7 +176,7 @@
     long now = eventLoop.nanoTime();
     if (events == 0) {
       noteFirstEvent(now);
-    } else {
+    } else if (!heldBack) {
       engine.observeGap((now - lastEventNanos) / 1e6);
     }
     lastEventNanos = now;
@@ -168,6 +186,9 @@
 
   private void noteFirstEvent(long now) {
     engine.cachedPrefixes().add(prompt);
+    if (heldBack) {
+      return;
+    }
     double firstMillis = (now - startedNanos) / 1e6;
     engine.performance().observeFirstEvent(unreadTokens, firstMillis);
     if (continuation) {
@@ -184,7 +205,9 @@
       return;
     }
     if (body != null) {
-      engine.performance().observeWork((eventLoop.nanoTime() - startedNanos) / 1e6);
+      if (!heldBack) {
+        engine.performance().observeWork((eventLoop.nanoTime() - startedNanos) / 1e6);
+      }
       owner.onWholeAnswer(head, body.toByteArray());
     } else if (parser.midEvent()) {
       owner.onBroken("ended within an event");
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
@@ -16,6 +16,12 @@
   interface Exchange {
     /** Gives it up: its connection is closed and the listener hears nothing more. */
     void cancel();
+
+    /** Reads no more of the answer; bytes that were read before may still come. */
+    void pauseReading();
+
+    /** Reads the answer on. */
+    void resumeReading();
   }
 
   /** Hears of one answer; after a head come its bytes, then exactly one of the ends. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/SilenceWatch.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/SilenceWatch.java
@@ -14,6 +14,7 @@
   private EventLoop.Timer timer;
   private long lastHeardNanos;
   private long firstEventNanos;
+  private boolean paused;
 
   /**
    * Creates a watch that has not begun.
@@ -40,6 +41,17 @@
     lastHeardNanos = eventLoop.nanoTime();
   }
 
+  /** The engine is not listened to from now on. */
+  void pause() {
+    paused = true;
+  }
+
+  /** The engine is listened to again. */
+  void resume() {
+    paused = false;
+    heard();
+  }
+
   /** An event arrived from the engine. */
   void event() {
     if (firstEventNanos == 0) {
@@ -65,7 +77,7 @@
 
   private void check() {
     timer = eventLoop.schedule(allowedMillis(), this::check);
-    if (eventLoop.nanoTime() - lastHeardNanos >= allowedMillis() * 1_000_000) {
+    if (!paused && eventLoop.nanoTime() - lastHeardNanos >= allowedMillis() * 1_000_000) {
       onSilence.run();
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -39,6 +39,7 @@
   private boolean skipping;
   private boolean informational;
   private boolean used;
+  private boolean heldBack;
   private boolean closedNoted;
   private long idleMillis = DEFAULT_IDLE_MILLIS;
   private long idleUntilNanos;
@@ -76,19 +77,29 @@
    */
   long giveUp() {
     long nanos = System.nanoTime() - sentNanos;
-    boolean silent = used && current != null && !answerBegun && nanos >= SILENT_NANOS;
+    boolean silent = used && !heldBack && current != null && !answerBegun && nanos >= SILENT_NANOS;
     close();
     return silent ? nanos / 1_000_000 : 0;
   }
 
+  void pauseReading() {
+    heldBack = true;
+    channel.config().setAutoRead(false);
+  }
+
+  void resumeReading() {
+    channel.config().setAutoRead(true);
+  }
+
   EngineConnections owner() {
     return owner;
   }
 
   void send(PendingExchange exchange) {
     current = exchange;
-    exchange.attach(this);
     answerBegun = false;
+    heldBack = false;
+    exchange.attach(this);
     sentNanos = System.nanoTime();
     written = channel.writeAndFlush(exchange.request());
   }
@@ -190,6 +201,8 @@
     PendingExchange whole = current;
     current = null;
     used = true;
+    // A connection that rests must notice its end.
+    resumeReading();
     // An answer that came before the whole request was written leaves the rest of it due.
     releasable = reusable && written.isDone() && channel.isActive() && !whole.cancelled();
     if (!releasable) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.http;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -25,8 +26,11 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import org.baykeel.core.error.BaykeelException;
 import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.buffering.CallerFlow;
 import org.baykeel.gateway.call.AnswerHead;
 import org.baykeel.gateway.call.CallAttributes;
 import org.baykeel.gateway.call.CallCoordinator;
@@ -42,7 +46,10 @@
 /** A caller's connection: reads one request at a time and writes its answer. */
 final class IngressConnection extends ChannelInboundHandlerAdapter implements CallResponder {
   private static final int MAX_QUEUED_OBJECTS = 32;
-  private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
+
+  /** Parts in which a long answer is written, so that it is seen how much of it was read. */
+  private static final int PART_BYTES = 1 << 16;
+
   private static final int REQUEST_HEADER_FIELDS_TOO_LARGE = 431;
 
   private final IngressServer server;
@@ -50,6 +57,7 @@
   private final CallTranslator translator;
   private final GatewayState state;
   private final DecisionLog log;
+  private final CallerFlow flow;
   private final ArrayDeque<HttpObject> queued = new ArrayDeque<>();
   private ChannelHandlerContext context;
   private HttpRequest head;
@@ -72,6 +80,7 @@
     this.translator = translator;
     this.state = state;
     this.log = log;
+    this.flow = server.held().open(this::closeTooSlow);
   }
 
   @Override
@@ -87,6 +96,20 @@
     context.close();
   }
 
+  private void closeTooSlow(long held, long nodeHeld, long unreadMillis) {
+    log.write(
+        GatewayEvent.CALLER_TOO_SLOW,
+        "id",
+        attributes == null ? "" : attributes.requestId(),
+        "held",
+        held,
+        "node_held",
+        nodeHeld,
+        "unread_ms",
+        unreadMillis);
+    context.close();
+  }
+
   void closeIfStalled(long now, RequestLimits limits) {
     if (answering) {
       return;
@@ -225,35 +248,58 @@
 
   // Writing.
 
+  @Override
+  public CallerFlow flow() {
+    return flow;
+  }
+
+  /** Counts bytes as held until the caller has taken them, if it has not yet. */
+  private void count(ChannelFuture written, int bytes) {
+    if (written.isDone()) {
+      return;
+    }
+    flow.hold(bytes);
+    written.addListener(
+        taken -> {
+          lastActivityNanos = System.nanoTime();
+          flow.taken(bytes);
+        });
+  }
+
   @Override
   public void refuse(Refusal refusal) {
     byte[] text = (refusal.kind().summary() + "\n").getBytes(StandardCharsets.UTF_8);
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(refusal.kind().httpStatus()),
-            Unpooled.wrappedBuffer(text));
+    HttpResponse response =
+        new DefaultHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(refusal.kind().httpStatus()));
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
     translator.describeRefusal(response.headers(), refusal, attributes);
-    writeWhole(response);
+    writeWhole(response, text);
   }
 
   @Override
   public void answer(AnswerHead answerHead, byte[] bytes) {
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(answerHead.status()),
-            Unpooled.wrappedBuffer(bytes));
+    HttpResponse response =
+        new DefaultHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answerHead.status()));
     response.headers().add(answerHead.headers());
-    writeWhole(response);
+    writeWhole(response, bytes);
   }
 
-  private void writeWhole(FullHttpResponse response) {
-    HttpUtil.setContentLength(response, response.content().readableBytes());
+  private void writeWhole(HttpResponse response, byte[] bytes) {
+    HttpUtil.setContentLength(response, bytes.length);
     boolean keep = prepareConnection(response.headers());
     context.write(response);
+    List<ChannelFuture> parts = new ArrayList<>();
+    for (int from = 0; from < bytes.length; from += PART_BYTES) {
+      int length = Math.min(PART_BYTES, bytes.length - from);
+      parts.add(context.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes, from, length))));
+    }
+    context.write(LastHttpContent.EMPTY_LAST_CONTENT);
     finishAnswer(keep);
+    for (int i = 0; i < parts.size(); i++) {
+      count(parts.get(i), Math.min(PART_BYTES, bytes.length - i * PART_BYTES));
+    }
   }
 
   @Override
@@ -269,12 +315,8 @@
 
   @Override
   public void event(byte[] bytes) {
-    context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
-    if (context.channel().unsafe().outboundBuffer() != null
-        && context.channel().unsafe().outboundBuffer().totalPendingWriteBytes()
-            > MAX_UNWRITTEN_BYTES) {
-      context.close();
-    }
+    HttpContent content = new DefaultHttpContent(Unpooled.wrappedBuffer(bytes));
+    count(context.writeAndFlush(content), bytes.length);
   }
 
   @Override
@@ -325,6 +367,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext handlerContext) {
     server.closed(this);
+    flow.close();
     queued.forEach(ReferenceCountUtil::release);
     queued.clear();
     ClientCall left = call;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.baykeel.gateway.buffering.HeldBytes;
 import org.baykeel.gateway.call.CallCoordinator;
 import org.baykeel.gateway.call.GatewayState;
 import org.baykeel.gateway.call.GracefulStop;
@@ -34,15 +35,26 @@
   private final CallCoordinator coordinator;
   private final CallTranslator translator;
   private final GatewayState state;
+  private final HeldBytes held;
   private final DecisionLog log;
   private final Set<IngressConnection> connections = new LinkedHashSet<>();
   private Channel listener;
 
+  /**
+   * Creates a server that does not listen.
+   *
+   * @param held counts what is held for callers
+   */
   public IngressServer(
-      CallCoordinator coordinator, CallTranslator translator, GatewayState state, DecisionLog log) {
+      CallCoordinator coordinator,
+      CallTranslator translator,
+      GatewayState state,
+      HeldBytes held,
+      DecisionLog log) {
     this.coordinator = coordinator;
     this.translator = translator;
     this.state = state;
+    this.held = held;
     this.log = log;
   }
 
@@ -95,6 +107,10 @@
     return configuration == null ? RequestLimits.DEFAULT : configuration.limits();
   }
 
+  HeldBytes held() {
+    return held;
+  }
+
   void closed(IngressConnection connection) {
     connections.remove(connection);
   }
@@ -105,6 +121,7 @@
     for (IngressConnection connection : new ArrayList<>(connections)) {
       connection.closeIfStalled(now, limits);
     }
+    held.sweep();
   }
 
   @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
@@ -11,6 +11,7 @@
   private final EngineTransport.Listener listener;
   private final SilenceListener onSilence;
   private EngineConnection connection;
+  private boolean paused;
   private boolean cancelled;
   private boolean ended;
 
@@ -46,6 +47,9 @@
 
   void attach(EngineConnection carrier) {
     connection = carrier;
+    if (paused) {
+      connection.pauseReading();
+    }
   }
 
   boolean cancelled() {
@@ -63,6 +67,22 @@
     }
   }
 
+  @Override
+  public void pauseReading() {
+    paused = true;
+    if (connection != null && !ended) {
+      connection.pauseReading();
+    }
+  }
+
+  @Override
+  public void resumeReading() {
+    paused = false;
+    if (connection != null && !ended) {
+      connection.resumeReading();
+    }
+  }
+
   void head(AnswerHead head) {
     if (!cancelled) {
       listener.onHead(head);
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/buffering/TestHeldBytes.java
@@ -0,0 +1,197 @@
+package org.baykeel.gateway.buffering;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class TestHeldBytes {
+  private static final long CALL = 100;
+  private static final long NODE = 1_000;
+  private static final long UNREAD_MILLIS = 10_000;
+
+  private final TestingEventLoop eventLoop = new TestingEventLoop();
+  private final HeldBytes held =
+      new HeldBytes(new HeldBytes.Bounds(CALL, NODE, UNREAD_MILLIS), eventLoop);
+  private final List<String> givenUp = new ArrayList<>();
+
+  /** A call whose engine brings bytes while it is read. */
+  private final class Call implements AnswerSource {
+    private final CallerFlow flow;
+    private boolean read = true;
+
+    Call(String name) {
+      flow = held.open((bytes, node, millis) -> givenUp.add(name + " " + bytes + " " + millis));
+      flow.from(this);
+    }
+
+    @Override
+    public void pause() {
+      read = false;
+    }
+
+    @Override
+    public void resume() {
+      read = true;
+    }
+  }
+
+  private Call holding(String name, long bytes) {
+    Call call = new Call(name);
+    call.flow.hold(bytes);
+    return call;
+  }
+
+  @ParameterizedTest(name = "{0} bytes are held, {1} of them are read: read on {2}")
+  @CsvSource({"99, 0, true", "100, 0, false", "100, 49, false", "100, 50, true", "180, 130, true"})
+  void aCallIsPausedAtItsBoundUntilHalfOfThatIsRead(long bytes, long taken, boolean read) {
+    Call call = holding("a", bytes);
+    call.flow.taken(taken);
+    assertEquals(read, call.read);
+    assertEquals(bytes - taken, held.total());
+  }
+
+  @Test
+  void anEngineThatTakesTheAnswerOverIsNotReadEither() {
+    Call call = holding("a", CALL);
+    Call next = new Call("unused");
+    call.flow.from(next);
+    assertEquals(List.of(false, 1L), List.of(next.read, held.paused()));
+    call.flow.taken(CALL);
+    assertTrue(next.read);
+  }
+
+  @Test
+  void atTheNodesBoundTheCallThatHoldsMostGivesWayFirst() {
+    Call most = holding("most", 90);
+    eventLoop.advance(5);
+    Call longest = holding("longest", 80);
+    eventLoop.advance(5);
+    Call later = holding("later", 80);
+    List<Call> small = new ArrayList<>();
+    for (int i = 0; i < 74; i++) {
+      small.add(holding("small", 10));
+    }
+    assertEquals(0, held.paused());
+    small.get(0).flow.hold(10);
+    assertEquals(List.of(false, true, true), List.of(most.read, longest.read, later.read));
+    small.get(0).flow.hold(10);
+    assertEquals(List.of(false, false, true), List.of(most.read, longest.read, later.read));
+    small.get(0).flow.hold(10);
+    assertEquals(List.of(false, false, false), List.of(most.read, longest.read, later.read));
+    assertEquals(74, small.stream().filter(call -> call.read).count());
+  }
+
+  @Test
+  void whileTheNodeIsFullACallWhoseCallerHasReadAllGoesOn() {
+    Call reader = holding("reader", 99);
+    for (int i = 0; i < 11; i++) {
+      holding("other", 90);
+    }
+    assertEquals(false, reader.read);
+    reader.flow.taken(60);
+    assertEquals(false, reader.read);
+    reader.flow.taken(39);
+    assertTrue(reader.read);
+  }
+
+  @Test
+  void atHalfOfTheNodesBoundAllGoOnThatHoldLittle() {
+    List<Call> calls = new ArrayList<>();
+    for (int i = 0; i < 25; i++) {
+      calls.add(holding("c", 40));
+    }
+    assertEquals(1, held.paused());
+    calls.subList(1, 13).forEach(call -> call.flow.taken(40));
+    assertEquals(1, held.paused());
+    calls.get(13).flow.taken(40);
+    assertEquals(0, held.paused());
+  }
+
+  @ParameterizedTest(name = "{0} of 10 callers read a little after 6 s")
+  @ValueSource(ints = {0, 1, 9})
+  void callersThatReadNothingForLongAreGivenUpOnlyWhileTheNodeIsFull(int readers) {
+    List<Call> calls = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      calls.add(holding("c" + i, CALL + 20));
+    }
+    held.sweep();
+    eventLoop.advance(6_000);
+    calls.subList(0, readers).forEach(call -> call.flow.taken(1));
+    eventLoop.advance(UNREAD_MILLIS - 6_000 - 1);
+    held.sweep();
+    assertEquals(List.of(), givenUp);
+    eventLoop.advance(1);
+    held.sweep();
+    // 1,200 bytes are held: two that are given up make room.
+    assertEquals(Math.min(2, 10 - readers), givenUp.size());
+    assertEquals("c" + readers + " 120 10000", givenUp.get(0));
+    eventLoop.advance(60_000);
+    held.sweep();
+    assertEquals(Math.min(2, 10 - readers) + (readers == 9 ? 1 : 0), givenUp.size());
+  }
+
+  @Test
+  void whatIsHeldStaysDeliverableWhileTheNodeHasRoom() {
+    Call call = holding("a", NODE - 1);
+    call.flow.from(AnswerSource.NONE);
+    eventLoop.advance(600_000);
+    held.sweep();
+    assertEquals(List.of(), givenUp);
+    assertEquals(NODE - 1, call.flow.held());
+  }
+
+  @Test
+  void ofACallerThatIsGoneNothingIsHeld() {
+    Call call = holding("a", 70);
+    call.flow.close();
+    call.flow.close();
+    call.flow.taken(70);
+    call.flow.hold(30);
+    assertEquals(List.of(0L, 0L), List.of(held.total(), held.paused()));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0, 10, 1", "11, 10, 1", "5, 10, 0"})
+  void boundsThatCantBeKeptAreRefused(long call, long node, long millis) {
+    assertThrows(IllegalArgumentException.class, () -> new HeldBytes.Bounds(call, node, millis));
+  }
+
+  /** Four times the node's bound is asked for by callers half of which read nothing. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void whatIsHeldStaysWithinTheBoundAndWhoReadsIsServed(long seed) {
+    Random random = new Random(seed);
+    List<Call> calls = new ArrayList<>();
+    long[] delivered = new long[40];
+    for (int i = 0; i < 40; i++) {
+      calls.add(new Call("c" + i));
+    }
+    for (int step = 0; step < 20_000; step++) {
+      int at = random.nextInt(40);
+      Call call = calls.get(at);
+      if (call.read) {
+        call.flow.hold(1 + random.nextInt(10));
+      }
+      int reader = random.nextInt(20);
+      long taken = calls.get(reader).flow.held();
+      delivered[reader] += taken;
+      calls.get(reader).flow.taken(taken);
+      eventLoop.advance(1);
+      assertEquals(calls.stream().mapToLong(one -> one.flow.held()).sum(), held.total());
+      // At the bound each call may bring one more piece before it is paused.
+      assertTrue(held.total() <= NODE + 40 * 10, "held " + held.total());
+    }
+    for (int i = 0; i < 20; i++) {
+      assertTrue(delivered[i] > 500, "caller " + i + " got " + delivered[i]);
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleEngineNode.java
@@ -0,0 +1,138 @@
+package org.baykeel.gateway.call;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.util.List;
+import java.util.Random;
+import org.baykeel.gateway.budget.GrantIds;
+import org.baykeel.gateway.budget.GrantSource;
+import org.baykeel.gateway.budget.ProgramBudgets;
+import org.baykeel.gateway.configuration.Backend;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.configuration.RequestLimits;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.configuration.ServiceProfile;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.history.TurnSource;
+import org.baykeel.gateway.ratelimit.RequestLimiter;
+import org.baykeel.gateway.residency.Residency;
+import org.baykeel.gateway.scheduling.BackendChooser;
+import org.baykeel.gateway.scheduling.CongestionMonitor;
+import org.baykeel.gateway.scheduling.EngineSelector;
+import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.testing.TestingTenancy;
+import org.baykeel.gateway.testing.TestingTransport;
+
+/** A node in virtual time that knows one route to one service of one engine. */
+final class SingleEngineNode {
+  private static final EngineId ID = new EngineId("e");
+  private static final int TOKENS_PER_EVENT = 25;
+
+  private final TestingEventLoop eventLoop = new TestingEventLoop();
+  private final TestingStore store = new TestingStore(eventLoop);
+  private final TestingTransport transport = new TestingTransport();
+  private final EngineDirectory engines = new EngineDirectory(1);
+  private final CallCoordinator coordinator;
+
+  /** A node whose route has three seconds for a request and allows three runs. */
+  SingleEngineNode(RouteKind kind, boolean resumable) {
+    StoreHealth storeHealth = new StoreHealth();
+    storeHealth.answered(eventLoop.nanoTime());
+    GatewayState state = new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
+    engineBorn(1_000);
+    coordinator =
+        new CallCoordinator(
+            new GatewayContext(
+                eventLoop,
+                state,
+                TestingTenancy.withoutKeys(eventLoop),
+                RequestLimiter.NONE,
+                new EngineSelector(engines, "z", new Random(1)),
+                new BackendChooser(),
+                new CongestionMonitor(new Random(1)),
+                new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
+                new TurnHistory(store, eventLoop, 1 << 20, TurnSource.NONE),
+                transport,
+                storeHealth,
+                (event, fields) -> {},
+                new GatewayMetrics()));
+    state.offer(
+        new GatewayConfiguration(
+            1,
+            List.of(route(kind, resumable)),
+            List.of(new ServiceProfile("s", 100, TOKENS_PER_EVENT)),
+            RequestLimits.DEFAULT));
+  }
+
+  private static Route route(RouteKind kind, boolean resumable) {
+    return new Route(
+        "r",
+        "h",
+        "/",
+        kind,
+        3_000,
+        200,
+        300,
+        1,
+        List.of(new Backend("s", 1)),
+        3,
+        false,
+        0,
+        false,
+        resumable,
+        false,
+        Residency.ANY);
+  }
+
+  TestingEventLoop eventLoop() {
+    return eventLoop;
+  }
+
+  TestingStore store() {
+    return store;
+  }
+
+  TestingTransport transport() {
+    return transport;
+  }
+
+  Engine engine() {
+    return engines.find(ID);
+  }
+
+  /** The engine tells when it started. */
+  void engineBorn(long millis) {
+    engines.put(
+        new EngineRecord(ID.value(), "s", "10.0.0.1", 80, "z", 8, false, 0, millis),
+        eventLoop.nanoTime());
+  }
+
+  /** A request comes that belongs to no program. */
+  void call(CallResponder responder) {
+    call(responder, null, CallAttributes.ABSENT);
+  }
+
+  /** A request of a program comes. */
+  void call(CallResponder responder, String program, long tokenBudget) {
+    CallAttributes attributes =
+        new CallAttributes(
+            "i", 3_000, -1, program, program, tokenBudget, 500, List.of(), null, -1, null, null);
+    coordinator.accept(
+        new CallRequest(
+            "POST",
+            "/x",
+            "h",
+            new DefaultHttpHeaders(),
+            new byte[1],
+            attributes,
+            eventLoop.nanoTime()),
+        responder);
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestCallOfSlowCaller.java
@@ -0,0 +1,108 @@
+package org.baykeel.gateway.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.baykeel.gateway.buffering.HeldBytes;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.testing.TestingResponder;
+import org.baykeel.gateway.testing.TestingStore.Fault;
+import org.baykeel.gateway.testing.TestingTransport.Sent;
+import org.junit.jupiter.api.Test;
+
+/** A stream whose caller reads more slowly than its engine answers. */
+class TestCallOfSlowCaller {
+  private static final long CALL_BYTES = 100;
+
+  private final SingleEngineNode node = new SingleEngineNode(RouteKind.STREAMING, true);
+  private final HeldBytes held =
+      new HeldBytes(new HeldBytes.Bounds(CALL_BYTES, 100_000, 10_000), node.eventLoop());
+  private final TestingResponder responder = new TestingResponder(held);
+
+  private Sent streaming() {
+    node.call(responder);
+    return node.transport().last().stream().event(1);
+  }
+
+  @Test
+  void anEngineThatIsNotReadIsNotSilent() {
+    Sent sent = streaming();
+    responder.flow().hold(CALL_BYTES);
+    assertTrue(sent.paused());
+    node.eventLoop().advance(2_000);
+    assertEquals(1, node.transport().count());
+    assertFalse(sent.cancelled());
+    responder.flow().taken(CALL_BYTES);
+    assertFalse(sent.paused());
+    node.eventLoop().advance(599);
+    assertEquals(1, node.transport().count());
+    sent.event(2).complete();
+    assertEquals(List.of("begin", "id: 1 data: d1", "id: 2 data: d2", "end"), responder.heard());
+  }
+
+  @Test
+  void anEngineThatIsReadAgainAndSaysNothingIsSilent() {
+    Sent sent = streaming();
+    responder.flow().hold(CALL_BYTES);
+    node.eventLoop().advance(1_000);
+    responder.flow().taken(CALL_BYTES);
+    node.eventLoop().advance(1_300);
+    assertTrue(sent.cancelled());
+  }
+
+  @Test
+  void theTimeForWhichAnEngineIsNotReadIsNotItsPace() {
+    Sent sent = streaming();
+    double before = node.engine().gapMillis();
+    responder.flow().hold(CALL_BYTES);
+    node.eventLoop().advance(1_500);
+    responder.flow().taken(CALL_BYTES);
+    sent.event(2);
+    assertEquals(before, node.engine().gapMillis());
+  }
+
+  @Test
+  void eventsThatWaitForTheirGrantAreCountedAndHoldTheEngineBack() {
+    node.store().fault(Fault.REFUSE);
+    node.call(responder, "p", 100_000);
+    Sent sent = node.transport().last().stream();
+    int events = 0;
+    while (!sent.paused() && events < CALL_BYTES) {
+      assertTrue(held.total() < CALL_BYTES, "held " + held.total());
+      events++;
+      sent.event(events);
+    }
+    assertEquals(List.of(), responder.heard());
+    assertTrue(held.total() >= CALL_BYTES, "held " + held.total());
+    node.store().fault(Fault.NONE);
+    for (int millis = 0; sent.paused() && millis < 1_000; millis += 10) {
+      node.eventLoop().advance(10);
+    }
+    assertFalse(sent.paused());
+    assertEquals(1 + events, responder.heard().size());
+    assertEquals(0, held.total());
+  }
+
+  @Test
+  void aCallThatEndsWithoutItsGrantHoldsNothing() {
+    node.store().fault(Fault.REFUSE);
+    node.call(responder, "p", 100_000);
+    node.transport().last().stream().event(1);
+    assertTrue(held.total() > 0);
+    node.eventLoop().advance(4_000);
+    assertEquals(0, held.total());
+  }
+
+  @Test
+  void aStreamThatIsWholeStaysHeldUntilItsCallerReadsIt() {
+    Sent sent = streaming();
+    responder.flow().hold(CALL_BYTES - 1);
+    sent.complete();
+    node.eventLoop().advance(60_000);
+    held.sweep();
+    assertEquals("end", responder.heard().get(responder.heard().size() - 1));
+    assertEquals(CALL_BYTES - 1, held.total());
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
@@ -0,0 +1,121 @@
+package org.baykeel.gateway.http;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.baykeel.gateway.budget.GrantIds;
+import org.baykeel.gateway.budget.GrantSource;
+import org.baykeel.gateway.budget.ProgramBudgets;
+import org.baykeel.gateway.buffering.HeldBytes;
+import org.baykeel.gateway.call.CallCoordinator;
+import org.baykeel.gateway.call.GatewayContext;
+import org.baykeel.gateway.call.GatewayState;
+import org.baykeel.gateway.configuration.GatewayConfiguration;
+import org.baykeel.gateway.configuration.RequestLimits;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.history.TurnSource;
+import org.baykeel.gateway.ratelimit.RequestLimiter;
+import org.baykeel.gateway.scheduling.BackendChooser;
+import org.baykeel.gateway.scheduling.CongestionMonitor;
+import org.baykeel.gateway.scheduling.EngineSelector;
+import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.testing.TestingTenancy;
+import org.baykeel.gateway.testing.TestingTranslator;
+import org.baykeel.gateway.topology.RoundTrips;
+import org.baykeel.gateway.topology.Topology;
+
+/** A node on loopback with one route to one engine. */
+final class LoopbackGateway implements AutoCloseable {
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<GatewayEvent> events = new CopyOnWriteArrayList<>();
+  private final HeldBytes held;
+  private final int port;
+
+  LoopbackGateway(int enginePort, Route route, RequestLimits limits, HeldBytes.Bounds bounds)
+      throws IOException {
+    NettyEventLoop eventLoop = new NettyEventLoop(group.next());
+    held = new HeldBytes(bounds, eventLoop);
+    StoreHealth health = new StoreHealth();
+    health.answered(System.nanoTime());
+    EngineDirectory engines = new EngineDirectory(1);
+    GatewayState state = new GatewayState(eventLoop, health, engines, (event, fields) -> {});
+    state.replaceEngines(
+        List.of(new EngineRecord("e", "s", "127.0.0.1", enginePort, "z", 4, false)));
+    state.offer(new GatewayConfiguration(1, List.of(route), List.of(), limits));
+    TestingStore store = new TestingStore(new TestingEventLoop());
+    TestingTranslator translator = new TestingTranslator();
+    GatewayContext context =
+        new GatewayContext(
+            eventLoop,
+            state,
+            TestingTenancy.withoutKeys(eventLoop),
+            RequestLimiter.NONE,
+            new EngineSelector(engines, "z", new Random(1)),
+            new BackendChooser(),
+            new CongestionMonitor(new Random(1)),
+            new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
+            new TurnHistory(store, eventLoop, 1_000, TurnSource.NONE),
+            new NettyEngineTransport(
+                group,
+                translator,
+                new GatewayMetrics(),
+                new RoundTrips(Topology.ofOneRegion("z")),
+                (event, fields) -> {}),
+            health,
+            (event, fields) -> {},
+            new GatewayMetrics());
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    CallCoordinator coordinator = new CallCoordinator(context);
+    new IngressServer(coordinator, translator, state, held, (event, fields) -> events.add(event))
+        .listen(group, new InetSocketAddress("127.0.0.1", port))
+        .syncUninterruptibly();
+  }
+
+  /** Where callers connect. */
+  int port() {
+    return port;
+  }
+
+  /** What was logged of callers. */
+  List<GatewayEvent> events() {
+    return events;
+  }
+
+  /** Bytes held for all callers. */
+  long heldBytes() throws Exception {
+    return onLoop(held::total);
+  }
+
+  /** Calls whose engines are not read. */
+  long paused() throws Exception {
+    return onLoop(held::paused);
+  }
+
+  private long onLoop(LongSupplier reading) throws Exception {
+    return group.next().submit(reading::getAsLong).get(20, TimeUnit.SECONDS);
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -4,49 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
-import org.baykeel.gateway.budget.GrantIds;
-import org.baykeel.gateway.budget.GrantSource;
-import org.baykeel.gateway.budget.ProgramBudgets;
-import org.baykeel.gateway.call.CallCoordinator;
-import org.baykeel.gateway.call.GatewayContext;
-import org.baykeel.gateway.call.GatewayState;
+import org.baykeel.gateway.buffering.HeldBytes;
 import org.baykeel.gateway.configuration.Backend;
-import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.configuration.RequestLimits;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
-import org.baykeel.gateway.directory.EngineDirectory;
-import org.baykeel.gateway.directory.EngineRecord;
-import org.baykeel.gateway.history.TurnHistory;
-import org.baykeel.gateway.history.TurnSource;
-import org.baykeel.gateway.ratelimit.RequestLimiter;
 import org.baykeel.gateway.residency.Residency;
-import org.baykeel.gateway.scheduling.BackendChooser;
-import org.baykeel.gateway.scheduling.CongestionMonitor;
-import org.baykeel.gateway.scheduling.EngineSelector;
-import org.baykeel.gateway.storage.StoreHealth;
-import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.testing.ScriptedEngine;
 import org.baykeel.gateway.testing.ScriptedEngine.After;
 import org.baykeel.gateway.testing.ScriptedEngine.Answer;
-import org.baykeel.gateway.testing.TestingEventLoop;
-import org.baykeel.gateway.testing.TestingStore;
-import org.baykeel.gateway.testing.TestingTenancy;
-import org.baykeel.gateway.testing.TestingTranslator;
-import org.baykeel.gateway.topology.RoundTrips;
-import org.baykeel.gateway.topology.Topology;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -61,22 +31,13 @@
   private static final int LONG_BODY = 16 << 20;
   private static final RequestLimits LIMITS = new RequestLimits(2_000, 100, 3_000, 15_000);
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private ScriptedEngine engine;
+  private LoopbackGateway gateway;
   private int port;
 
   @BeforeEach
   void start() throws IOException {
     engine = new ScriptedEngine(new Answer(ANSWER, After.KEEP));
-    NettyEventLoop eventLoop = new NettyEventLoop(group.next());
-    StoreHealth health = new StoreHealth();
-    health.answered(System.nanoTime());
-    EngineDirectory engines = new EngineDirectory(1);
-    engines.put(new EngineRecord("e", "s", "127.0.0.1", engine.port(), "z", 4, false));
-    GatewayState state = new GatewayState(eventLoop, health, engines, (event, fields) -> {});
-    state.replaceEngines(
-        List.of(new EngineRecord("e", "s", "127.0.0.1", engine.port(), "z", 4, false)));
     Route route =
         new Route(
             "r",
@@ -95,41 +56,14 @@
             false,
             false,
             Residency.ANY);
-    state.offer(new GatewayConfiguration(1, List.of(route), List.of(), LIMITS));
-    TestingStore store = new TestingStore(new TestingEventLoop());
-    TestingTranslator translator = new TestingTranslator();
-    GatewayContext context =
-        new GatewayContext(
-            eventLoop,
-            state,
-            TestingTenancy.withoutKeys(eventLoop),
-            RequestLimiter.NONE,
-            new EngineSelector(engines, "z", new Random(1)),
-            new BackendChooser(),
-            new CongestionMonitor(new Random(1)),
-            new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE),
-            new TurnHistory(store, eventLoop, 1_000, TurnSource.NONE),
-            new NettyEngineTransport(
-                group,
-                translator,
-                new GatewayMetrics(),
-                new RoundTrips(Topology.ofOneRegion("z")),
-                (event, fields) -> {}),
-            health,
-            (event, fields) -> {},
-            new GatewayMetrics());
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      port = free.getLocalPort();
-    }
-    new IngressServer(new CallCoordinator(context), translator, state, (event, fields) -> {})
-        .listen(group, new InetSocketAddress("127.0.0.1", port))
-        .syncUninterruptibly();
+    gateway = new LoopbackGateway(engine.port(), route, LIMITS, HeldBytes.Bounds.DEFAULT);
+    port = gateway.port();
   }
 
   @AfterEach
   void stop() throws IOException {
     engine.close();
-    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    gateway.close();
   }
 
   /** Sends bytes and returns all that comes back until the node closes the connection. */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedEngines.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedEngines.java
@@ -52,6 +52,16 @@
       cancelled = true;
     }
 
+    @Override
+    public void pauseReading() {
+      throw new IllegalStateException("callers read at once");
+    }
+
+    @Override
+    public void resumeReading() {
+      throw new IllegalStateException("callers read at once");
+    }
+
     private void later(long millis, Runnable step) {
       eventLoop.schedule(
           millis,
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedProgram.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedProgram.java
@@ -6,6 +6,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.baykeel.gateway.buffering.CallerFlow;
+import org.baykeel.gateway.buffering.HeldBytes;
 import org.baykeel.gateway.call.AnswerHead;
 import org.baykeel.gateway.call.CallAttributes;
 import org.baykeel.gateway.call.CallRequest;
@@ -31,6 +33,8 @@
     private final String id;
     private final String previous;
     private final StringBuilder output = new StringBuilder();
+    private final CallerFlow flow =
+        new HeldBytes(HeldBytes.Bounds.DEFAULT, new TestingEventLoop()).open((a, b, c) -> {});
     private int events;
     private Refusal refusal;
     private boolean ended;
@@ -63,6 +67,11 @@
       return disordered;
     }
 
+    @Override
+    public CallerFlow flow() {
+      return flow;
+    }
+
     void nodeGone() {
       nodeGone = true;
       over = true;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingResponder.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingResponder.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.baykeel.gateway.buffering.CallerFlow;
+import org.baykeel.gateway.buffering.HeldBytes;
 import org.baykeel.gateway.call.AnswerHead;
 import org.baykeel.gateway.call.CallResponder;
 import org.baykeel.gateway.call.Refusal;
@@ -10,8 +12,24 @@
 /** Notes what a caller gets. */
 public final class TestingResponder implements CallResponder {
   private final List<String> heard = new ArrayList<>();
+  private final CallerFlow flow;
   private Refusal refusal;
 
+  /** A caller that reads all that it gets. */
+  public TestingResponder() {
+    this(new HeldBytes(HeldBytes.Bounds.DEFAULT, new TestingEventLoop()));
+  }
+
+  /** A caller for which is held what the test says. */
+  public TestingResponder(HeldBytes held) {
+    flow = held.open((bytes, nodeBytes, unreadMillis) -> heard.add("too slow"));
+  }
+
+  @Override
+  public CallerFlow flow() {
+    return flow;
+  }
+
   /** All that was heard, in order. */
   public List<String> heard() {
     return heard;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTranslator.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTranslator.java
@@ -39,7 +39,10 @@
   public AnswerTraits traits(HttpResponse response) {
     HttpHeaders headers = response.headers();
     return new AnswerTraits(
-        headers.get(ID), headers.contains("X-Not-Run"), headers.contains("X-Signed"), false);
+        headers.get(ID),
+        headers.contains("X-Not-Run"),
+        headers.contains("X-Signed"),
+        "text/event-stream".equals(headers.get("Content-Type")));
   }
 
   @Override
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
@@ -20,6 +20,7 @@
     private final EngineRequest request;
     private final Listener listener;
     private boolean cancelled;
+    private boolean paused;
 
     Sent(Engine engine, EngineRequest request, Listener listener) {
       this.engine = engine;
@@ -48,6 +49,21 @@
       cancelled = true;
     }
 
+    @Override
+    public void pauseReading() {
+      paused = true;
+    }
+
+    @Override
+    public void resumeReading() {
+      paused = false;
+    }
+
+    /** Whether the answer is not read at the moment. */
+    public boolean paused() {
+      return paused;
+    }
+
     /** Answers with a head. */
     public Sent head(int status, boolean signed, boolean eventStream, boolean notExecuted) {
       AnswerTraits traits = new AnswerTraits("r", notExecuted, signed, eventStream);
