--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -324,6 +324,6 @@
         attempts.firstEventNanos(),
         attempts.sends(),
         attempts.runs(),
-        relay.eventsPassed());
+        relay.close());
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.buffering.AnswerSource;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.runtime.EventLoop;
@@ -15,7 +16,7 @@
  * <p>Invariant: a request that may run only once is sent again only if the engine states that it
  * did not run it or if not one byte of it was sent.
  */
-final class EngineAttempts implements EngineAttempt.Owner {
+final class EngineAttempts implements EngineAttempt.Owner, AnswerSource {
   /** Engines that are asked one after the other before the request waits for room. */
   private static final int MAX_SENDS = 6;
 
@@ -143,9 +144,27 @@
         context.transport(),
         new EngineRequest(
             call.request(), engineBody, remaining, call.caller(), relay.lastEventId(), rank));
+    relay.readsFrom(this);
     silenceWatch.sent();
   }
 
+  /** While the caller reads nothing, the engine is not listened to and can't fall silent. */
+  @Override
+  public void pause() {
+    silenceWatch.pause();
+    if (attempt != null) {
+      attempt.pause();
+    }
+  }
+
+  @Override
+  public void resume() {
+    silenceWatch.resume();
+    if (attempt != null) {
+      attempt.resume();
+    }
+  }
+
   private EngineSelector.Criteria criteria() {
     return new EngineSelector.Criteria(
         call.service(),
