--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -19,6 +19,7 @@
   private static final long STORE_RETRY_MILLIS = 800;
 
   private final GatewayContext context;
+  private final RoomQueue roomQueue;
   private final CallRequest request;
   private final CallResponder responder;
   private final EventLoop eventLoop;
@@ -35,8 +36,10 @@
   private boolean streamComplete;
   private boolean over;
 
-  ClientCall(GatewayContext context, CallRequest request, CallResponder responder) {
+  ClientCall(
+      GatewayContext context, RoomQueue roomQueue, CallRequest request, CallResponder responder) {
     this.context = context;
+    this.roomQueue = roomQueue;
     this.request = request;
     this.responder = responder;
     this.eventLoop = context.eventLoop();
@@ -70,7 +73,7 @@
     long leftMillis = Math.max(0, (call.deadlineNanos() - eventLoop.nanoTime()) / 1_000_000);
     deadlineTimer = eventLoop.schedule(leftMillis, this::onDeadline);
     relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
-    attempts = new EngineAttempts(context, call, record, relay, this);
+    attempts = new EngineAttempts(context, roomQueue, call, record, relay, this);
     budget = new TurnBudget(context, attributes(), route, caller, call.service());
     budget.admit(this::onProgramAdmitted, this::refuse);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -6,6 +6,7 @@
 import org.baykeel.gateway.buffering.AnswerSource;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.PromptPart;
+import org.baykeel.gateway.directory.ServicePerformance;
 import org.baykeel.gateway.runtime.EventLoop;
 
 /**
@@ -15,7 +16,6 @@
  */
 final class EngineAttempt implements EngineTransport.Listener, AnswerSource {
   private static final int MISDIRECTED = 421;
-  private static final long FULL_PENALTY_MILLIS = 30;
 
   /** Why an engine did not run a request. */
   enum NotRun {
@@ -29,6 +29,9 @@
 
   /** Hears what became of the attempt; exactly one of the last four ends it. */
   interface Owner {
+    /** Requests of its service that wait for room at this process. */
+    int waitingForRoom();
+
     /** Something arrived. */
     void onAttemptProgress();
 
@@ -91,6 +94,7 @@
 
   void send(EngineTransport transport, EngineRequest request) {
     engine.requestStarted(startedNanos);
+    engine.room().sent(startedNanos);
     exchange = transport.send(engine, request, this);
   }
 
@@ -146,12 +150,21 @@
     }
   }
 
+  private void saidFull() {
+    ServicePerformance performance = engine.performance();
+    double answerMillis = prompt.isEmpty() ? performance.workMillis() : performance.streamMillis();
+    engine
+        .room()
+        .saidFull(
+            answerMillis, engine.record().slots(), owner.waitingForRoom(), eventLoop.nanoTime());
+  }
+
   private void onNotExecuted() {
     boolean misdirected = head.status() == MISDIRECTED;
     if (misdirected) {
       engine.failed(eventLoop.nanoTime());
     } else {
-      engine.full(eventLoop.nanoTime(), FULL_PENALTY_MILLIS);
+      saidFull();
     }
     owner.onNotRun(misdirected ? NotRun.MISDIRECTED : NotRun.FULL, "not_executed_" + head.status());
   }
@@ -204,6 +217,7 @@
     if (closed) {
       return;
     }
+    engine.room().answered(eventLoop.nanoTime());
     if (body != null) {
       if (!heldBack) {
         engine.performance().observeWork((eventLoop.nanoTime() - startedNanos) / 1e6);
