Nodes of two versions: bytes recorded from the build in production, and a rule for changes

On a connection between nodes a kind of message that isn't known ended the connection, with all that was under way on it; a budget row longer than 17 bytes wasn't read.

Ruled out: telling versions to each other, which needs a version of each peer before the first message; a second set of messages. The build in production can't be changed: new kinds on a connection and longer budget rows must wait until it has this build.

Change: unknown kinds on a connection are passed over; a budget row's later bytes too.

Seen to fail before the change: aMessageOfALaterKindIsPassedOverAndTheConnectionStays, TestBudgetRow.whatALaterBuildAddsIsPassedOver. The other tests hold for the code before as well, as they must.

Conclusion: whole for bytes; processes of both builds together were not run.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/BudgetRow.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/BudgetRow.java
@@ -18,9 +18,10 @@
     return ByteBuffer.allocate(LENGTH).put(FORMAT).putLong(grantedTokens).putLong(grantId).array();
   }
 
+  /** Reads a row; what a later build may have added behind it is passed over. */
   static BudgetRow decode(byte[] value) {
     ByteBuffer buffer = ByteBuffer.wrap(value);
-    if (value.length != LENGTH || buffer.get() != FORMAT) {
+    if (value.length < LENGTH || buffer.get() != FORMAT) {
       throw new IllegalArgumentException("not a budget row: " + value.length + " bytes");
     }
     return new BudgetRow(buffer.getLong(), buffer.getLong());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkChannel.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkChannel.java
@@ -37,7 +37,10 @@
     return Unpooled.wrappedBuffer(LinkCodec.encode(message));
   }
 
-  /** Hands messages on; a connection with anything else on it is closed. */
+  /**
+   * Hands messages on and passes over those of a kind that is not known here; a connection with
+   * anything else on it is closed.
+   */
   private static final class Reader extends SimpleChannelInboundHandler<ByteBuf> {
     private final Consumer<LinkMessage> onMessage;
     private final Runnable onClosed;
@@ -51,7 +54,14 @@
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
       byte[] bytes = new byte[frame.readableBytes()];
       frame.readBytes(bytes);
-      onMessage.accept(LinkCodec.decode(bytes));
+      LinkMessage message;
+      try {
+        message = LinkCodec.decode(bytes);
+      } catch (LinkCodec.UnknownMessageException e) {
+        // Whoever asked hears nothing and gives the question up.
+        return;
+      }
+      onMessage.accept(message);
     }
 
     @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkCodec.java
@@ -44,7 +44,7 @@
   }
 
   /** Bytes that are not a message. */
-  static final class MalformedMessageException extends RuntimeException {
+  static class MalformedMessageException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     MalformedMessageException(String message) {
@@ -52,6 +52,15 @@
     }
   }
 
+  /** A message of a kind that a later build has added. */
+  static final class UnknownMessageException extends MalformedMessageException {
+    private static final long serialVersionUID = 1L;
+
+    UnknownMessageException(int templateId) {
+      super("template " + templateId);
+    }
+  }
+
   private LinkCodec() {}
 
   static byte[] encode(LinkMessage message) {
@@ -158,6 +167,7 @@
   /**
    * Reads a message.
    *
+   * @throws UnknownMessageException if they are one of a kind that is not known here
    * @throws MalformedMessageException if the bytes are none
    */
   static LinkMessage decode(byte[] bytes) {
@@ -193,7 +203,7 @@
         yield new LinkMessage.TurnsRequest(decoder.correlationId(), decoder.turnId());
       }
       case TurnsAnswerDecoder.TEMPLATE_ID -> decodeTurnsAnswer(buffer, header);
-      default -> throw new MalformedMessageException("template " + header.templateId());
+      default -> throw new UnknownMessageException(header.templateId());
     };
   }
 
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestKeptTurnCodec.java
@@ -0,0 +1,41 @@
+package org.baykeel.gateway.history;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Arrays;
+import java.util.List;
+import org.baykeel.gateway.testing.RecordedBytes;
+import org.junit.jupiter.api.Test;
+
+class TestKeptTurnCodec {
+  private static final int VALUE_BYTES = 16;
+  private static final RecordedBytes RECORDED = new RecordedBytes("rows.hex");
+  private static final List<byte[]> VALUES =
+      List.of(RECORDED.named("turn-0"), RECORDED.named("turn-1"));
+
+  private static void assertIsTheTurn(KeptTurn turn) {
+    assertEquals(List.of("t1", "t2", "t3"), turn.chain());
+    assertArrayEquals(new byte[] {1, 2, 3}, turn.input());
+    assertArrayEquals(new byte[] {4, 5, 6, 7}, turn.output());
+  }
+
+  @Test
+  void theRowsOfProductionAreReadAndWritten() {
+    assertEquals(VALUES.size(), KeptTurnCodec.pieces(VALUES.get(0)));
+    KeptTurn turn = KeptTurnCodec.decode("t3", VALUES);
+    assertIsTheTurn(turn);
+    List<byte[]> written = KeptTurnCodec.encode(turn, VALUE_BYTES);
+    assertEquals(VALUES.size(), written.size());
+    for (int i = 0; i < VALUES.size(); i++) {
+      assertArrayEquals(VALUES.get(i), written.get(i));
+    }
+  }
+
+  @Test
+  void whatALaterBuildAddsIsPassedOver() {
+    byte[] last = VALUES.get(1);
+    byte[] longer = Arrays.copyOf(last, last.length + 3);
+    assertIsTheTurn(KeptTurnCodec.decode("t3", List.of(VALUES.get(0), longer)));
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestMessagesOfProduction.java
@@ -0,0 +1,84 @@
+package org.baykeel.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.tenancy.ConfigurationProof;
+import org.baykeel.gateway.tenancy.TenantId;
+import org.baykeel.gateway.testing.RecordedBytes;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Datagrams between nodes of this build and of the one in production. */
+class TestMessagesOfProduction {
+  private static final RecordedBytes RECORDED = new RecordedBytes("peer.hex");
+  private static final ProgramId PROGRAM = new ProgramId("t/3fa81c");
+
+  private static final Map<String, PeerMessage> MESSAGES =
+      Map.of(
+          "announcement",
+          new PeerMessage.NodeAnnouncement("hall"),
+          "suspicion",
+          new PeerMessage.EngineSuspicion(new EngineId("i-7f3a91c2")),
+          "holder-announcement",
+          new PeerMessage.HolderAnnouncement(PROGRAM),
+          "holder-query",
+          new PeerMessage.HolderQuery(81, PROGRAM),
+          "holder-reply",
+          new PeerMessage.HolderReply(81, Optional.of(new PeerAddress("10.1.0.38", 7380))),
+          "holder-reply-none",
+          new PeerMessage.HolderReply(82, Optional.empty()),
+          "limit-request",
+          new PeerMessage.LimitTokenRequest(91, 4, true, -77, new TenantId("acme")),
+          "limit-reply",
+          new PeerMessage.LimitTokenReply(
+              91,
+              LimitTokenOutcome.GIVEN,
+              3,
+              true,
+              250,
+              1.5f,
+              Optional.of(new ConfigurationProof(17, 1_700_000_000_123L))));
+
+  private final PeerMessageCodec codec = new PeerMessageCodec();
+
+  static Stream<String> names() {
+    return RECORDED.all().keySet().stream();
+  }
+
+  @Test
+  void eachRecordedMessageIsAsserted() {
+    assertEquals(MESSAGES.keySet(), RECORDED.all().keySet());
+  }
+
+  @ParameterizedTest
+  @MethodSource("names")
+  void whatProductionWritesIsUnderstood(String name) {
+    assertEquals(Optional.of(MESSAGES.get(name)), codec.decode(RECORDED.named(name)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("names")
+  void whatIsWrittenIsReadInProduction(String name) {
+    RecordedBytes.assertReadable(RECORDED.named(name), codec.encode(MESSAGES.get(name)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("names")
+  void laterFieldsArePassedOver(String name) {
+    byte[] later = RecordedBytes.withLaterFields(codec.encode(MESSAGES.get(name)), 5);
+    assertEquals(Optional.of(MESSAGES.get(name)), codec.decode(later));
+  }
+
+  @ParameterizedTest
+  @MethodSource("names")
+  void laterKindsArePassedOver(String name) {
+    byte[] unknown = RecordedBytes.ofUnknownKind(RECORDED.named(name));
+    assertEquals(Optional.empty(), codec.decode(unknown));
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestNodeRow.java
@@ -0,0 +1,67 @@
+package org.baykeel.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.baykeel.gateway.storage.RangeRead;
+import org.baykeel.gateway.storage.ReadOutcome;
+import org.baykeel.gateway.storage.RowAddress;
+import org.baykeel.gateway.storage.StoredRow;
+import org.baykeel.gateway.storage.Transaction;
+import org.baykeel.gateway.testing.RecordedBytes;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingPeerNetwork;
+import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.topology.Locality;
+import org.baykeel.gateway.topology.Topology;
+import org.junit.jupiter.api.Test;
+
+/** The rows in which nodes tell their addresses. */
+class TestNodeRow {
+  private static final byte[] RECORDED = new RecordedBytes("rows.hex").named("node");
+  private static final PeerAddress NODE = new PeerAddress("10.1.0.38", 7380);
+
+  private final TestingEventLoop eventLoop = new TestingEventLoop();
+  private final TestingStore store = new TestingStore(eventLoop);
+  private final TestingPeerNetwork network = new TestingPeerNetwork(eventLoop);
+
+  private PeerDirectory joined(String name, PeerAddress address) {
+    PeerDirectory peers =
+        new PeerDirectory(
+            name,
+            address,
+            store,
+            eventLoop,
+            network.transportOf(address),
+            new PeerMessageCodec(),
+            Topology.ofOneRegion("hall"),
+            (event, fields) -> {});
+    peers.join();
+    eventLoop.advance(1_000);
+    return peers;
+  }
+
+  @Test
+  void theRowOfProductionIsRead() {
+    RowAddress address = new RowAddress("node", "", "front-1");
+    List<Transaction.Put> puts = List.of(new Transaction.Put(address, RECORDED));
+    store.transact(new Transaction(List.of(), puts, List.of()), outcome -> {});
+    eventLoop.advance(1_000);
+    PeerDirectory peers = joined("front-2", new PeerAddress("10.1.0.39", 7380));
+    assertEquals(List.of(NODE), List.copyOf(peers.peers()));
+    assertEquals(Locality.SAME_ZONE, peers.localityOf(NODE));
+  }
+
+  @Test
+  void theRowThatIsWrittenIsThatOfProduction() {
+    joined("front-1", NODE);
+    List<StoredRow> rows = new ArrayList<>();
+    store.read(
+        new RangeRead("node", "", null, 10),
+        outcome -> rows.addAll(((ReadOutcome.Rows) outcome).rows()));
+    eventLoop.advance(1_000);
+    assertArrayEquals(RECORDED, rows.get(0).value());
+  }
+}
