--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Opening.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Opening.java
@@ -1,7 +1,7 @@
 package org.baykeel.gateway.admission;
 
-import java.util.OptionalDouble;
 import org.baykeel.gateway.tenancy.Caller;
+import org.baykeel.gateway.tenancy.LimitUse;
 
 /**
  * The first turn of a program that asks to begin.
@@ -12,7 +12,7 @@
  * @param service the service of its turns
  * @param targetMillis the time within which its route wants an answer to begin
  * @param finishMillis the time left until the whole program should be over; 0 or less if unknown
- * @param limitUse the part of its limit that its tenant uses; absent if it has none or nobody knows
+ * @param use what its tenant asked for lately
  */
 public record Opening(
     String kind,
@@ -21,4 +21,4 @@
     String service,
     long targetMillis,
     long finishMillis,
-    OptionalDouble limitUse) {}
+    LimitUse use) {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ProgramAdmission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ProgramAdmission.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.fairness.OpeningShares;
 import org.baykeel.gateway.telemetry.DecisionLog;
 
 /**
@@ -56,7 +57,11 @@
    * one.
    */
   public boolean unrestricted(Opening opening, long nowNanos) {
-    return share(opening, nowNanos) >= 1;
+    boolean unrestricted = share(opening, nowNanos) >= 1;
+    if (unrestricted) {
+      shares.shareOf(1, opening.use());
+    }
+    return unrestricted;
   }
 
   /**
@@ -76,7 +81,7 @@
     Judgement.Cause cause = Judgement.Cause.NO_ROOM;
     if (left > 0 && left < prediction.turnMillis()) {
       cause = Judgement.Cause.TOO_LATE;
-    } else if (kind.admits(shares.shareOf(opening, share, nowNanos))) {
+    } else if (kind.admits(shares.shareOf(share, opening.use()))) {
       return new Judgement(Judgement.Cause.ADMITTED, 0);
     }
     double untilRoomMillis = (1 - share) * kind.programMillis();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AdmittedCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AdmittedCall.java
@@ -6,6 +6,7 @@
 import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.scheduling.BackendChooser;
 import org.baykeel.gateway.tenancy.Caller;
+import org.baykeel.gateway.tenancy.LimitUse;
 
 /**
  * A request that was admitted, and what is decided about it before an engine is chosen.
@@ -13,6 +14,7 @@
  * @param request the caller's request
  * @param route how it is served
  * @param caller on whose behalf it runs
+ * @param use what its tenant asked for lately
  * @param service the service that runs it
  * @param tokensPerEvent tokens of one event of a stream of that service
  * @param deadlineNanos when its caller no longer waits, by the event loop's clock
@@ -21,6 +23,7 @@
     CallRequest request,
     Route route,
     Caller caller,
+    LimitUse use,
     String service,
     int tokensPerEvent,
     long deadlineNanos) {
@@ -37,7 +40,7 @@
     long patience = attributes.patienceMillis(route.timeoutMillis());
     long deadlineNanos = request.receivedNanos() + patience * 1_000_000;
     return new AdmittedCall(
-        request, route, admitted.caller(), service, tokensPerEvent, deadlineNanos);
+        request, route, admitted.caller(), admitted.use(), service, tokensPerEvent, deadlineNanos);
   }
 
   CallAttributes attributes() {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -74,7 +74,7 @@
     deadlineTimer = eventLoop.schedule(leftMillis, this::onDeadline);
     relay = new AnswerRelay(responder, attributes().lastEventId(), route.retained());
     attempts = new EngineAttempts(context, roomQueue, call, record, relay, this);
-    budget = new TurnBudget(context, attributes(), route, caller, call.service());
+    budget = new TurnBudget(context, call);
     budget.admit(this::onProgramAdmitted, this::refuse);
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ProgramOpening.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ProgramOpening.java
@@ -1,6 +1,5 @@
 package org.baykeel.gateway.call;
 
-import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.admission.Judgement;
@@ -10,7 +9,6 @@
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
 import org.baykeel.gateway.directory.Engine;
-import org.baykeel.gateway.tenancy.Caller;
 
 /**
  * Whether a turn is the first of its program, and if so whether the program may begin; also tells
@@ -19,9 +17,9 @@
  */
 final class ProgramOpening {
   private final GatewayContext context;
+  private final AdmittedCall call;
   private final CallAttributes attributes;
   private final Route route;
-  private final Caller caller;
   private final String service;
   private final ProgramAdmission admission;
   private final String program;
@@ -32,20 +30,15 @@
   private boolean closed;
 
   /** Creates an opening on which nothing is decided. */
-  ProgramOpening(
-      GatewayContext context,
-      CallAttributes attributes,
-      Route route,
-      Caller caller,
-      String service) {
+  ProgramOpening(GatewayContext context, AdmittedCall call) {
     this.context = context;
-    this.attributes = attributes;
-    this.route = route;
-    this.caller = caller;
-    this.service = service;
+    this.call = call;
+    this.attributes = call.attributes();
+    this.route = call.route();
+    this.service = call.service();
     this.admission = context.admission();
-    this.program = caller.scoped(attributes.programId());
-    this.line = caller.scoped(attributes.sessionId());
+    this.program = call.caller().scoped(attributes.programId());
+    this.line = call.caller().scoped(attributes.sessionId());
   }
 
   /**
@@ -151,12 +144,12 @@
   private Opening opening() {
     return new Opening(
         route.name(),
-        caller.priority(route.priority()),
-        caller,
+        call.caller().priority(route.priority()),
+        call.caller(),
         service,
         route.targetLatencyMillis(),
         attributes.finishMillis(),
-        OptionalDouble.empty());
+        call.use());
   }
 
   private long now() {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnBudget.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnBudget.java
@@ -3,8 +3,6 @@
 import java.util.function.Consumer;
 import org.baykeel.gateway.budget.Grant;
 import org.baykeel.gateway.budget.Reservation;
-import org.baykeel.gateway.configuration.Route;
-import org.baykeel.gateway.tenancy.Caller;
 
 /**
  * Whether a turn may run at all, and the tokens that it may hand out. A turn without a budget has
@@ -13,26 +11,17 @@
 final class TurnBudget {
   private final GatewayContext context;
   private final CallAttributes attributes;
-  private final Route route;
-  private final Caller caller;
-  private final String service;
+  private final AdmittedCall call;
   private final ProgramOpening opening;
   private Reservation reservation;
   private boolean programKnown;
 
   /** Creates a budget of which nothing is reserved. */
-  TurnBudget(
-      GatewayContext context,
-      CallAttributes attributes,
-      Route route,
-      Caller caller,
-      String service) {
+  TurnBudget(GatewayContext context, AdmittedCall call) {
     this.context = context;
-    this.attributes = attributes;
-    this.route = route;
-    this.caller = caller;
-    this.service = service;
-    this.opening = new ProgramOpening(context, attributes, route, caller, service);
+    this.call = call;
+    this.attributes = call.attributes();
+    this.opening = new ProgramOpening(context, call);
   }
 
   /**
@@ -53,7 +42,8 @@
     return !context.storeHealth().reachable()
         && !context
             .admission()
-            .timeToSpare(service, route.targetLatencyMillis(), context.eventLoop().nanoTime());
+            .timeToSpare(
+                call.service(), call.route().targetLatencyMillis(), context.eventLoop().nanoTime());
   }
 
   /**
@@ -64,7 +54,7 @@
    * @return the decision, or {@link Grant#PENDING}
    */
   Grant reserve(long giveUpNanos, Runnable onDecided) {
-    String program = caller.scoped(attributes.programId());
+    String program = call.caller().scoped(attributes.programId());
     programKnown = context.budgets().knows(program) || opening.begunElsewhere();
     reservation =
         context
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -43,12 +43,6 @@
    */
   private static final double STREAM_IN_FLIGHT_WEIGHT = 1.0 / 200;
 
-  /**
-   * Where the load of engines is known, an engine's pace counts in full once it differs from the
-   * usual one by this factor, either way; below, the difference is that of what happens to run.
-   */
-  private static final double EQUAL_PACE = 1.25;
-
   /**
    * What speaks against an engine that is expected to be full. More than any wait that is worth its
    * while; less than what speaks against an engine that probably loses the request.
@@ -320,15 +314,9 @@
     return waitPrediction.expectedMillis(engine) + tieMillis;
   }
 
-  /** What an engine needs for an event beyond the usual time; negative if it is faster. */
-  private double excessGapMillis(Engine engine, double usualGapMillis, long nowNanos) {
-    double gapMillis = engine.gapMillis(nowNanos);
-    if (!waitPrediction.known(engine)) {
-      return Math.max(0, gapMillis - usualGapMillis * SLOW_PACE);
-    }
-    boolean equal =
-        gapMillis < usualGapMillis * EQUAL_PACE && gapMillis * EQUAL_PACE > usualGapMillis;
-    return equal ? 0 : gapMillis - usualGapMillis;
+  /** What an engine that is slow needs for an event beyond the usual time, in milliseconds. */
+  private static double excessGapMillis(Engine engine, double usualGapMillis, long nowNanos) {
+    return Math.max(0, engine.gapMillis(nowNanos) - usualGapMillis * SLOW_PACE);
   }
 
   private double wayMillis(Engine engine, boolean stream) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/LoadedService.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/LoadedService.java
@@ -3,13 +3,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.Random;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineLoad;
 import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.fairness.OpeningShares;
 import org.baykeel.gateway.tenancy.Caller;
+import org.baykeel.gateway.tenancy.LimitUse;
 import org.baykeel.gateway.testing.TestingEventLoop;
 
 /**
@@ -105,13 +106,7 @@
       ProgramAdmission admission = nodes.get(node).admission;
       Opening opening =
           new Opening(
-              kind,
-              rank,
-              Caller.WITHOUT_KEYS,
-              "s",
-              TARGET_MILLIS,
-              aimMillis,
-              OptionalDouble.empty());
+              kind, rank, Caller.WITHOUT_KEYS, "s", TARGET_MILLIS, aimMillis, LimitUse.UNKNOWN);
       Judgement judgement = admission.judge(opening, "r", "p", eventLoop.nanoTime());
       if (admitsAll || judgement.admitted()) {
         begunMillis = millis();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestMessagesOfProduction.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestMessagesOfProduction.java
@@ -8,6 +8,7 @@
 import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.tenancy.ConfigurationProof;
+import org.baykeel.gateway.tenancy.LimitUse;
 import org.baykeel.gateway.tenancy.TenantId;
 import org.baykeel.gateway.testing.RecordedBytes;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,7 @@
               true,
               250,
               1.5f,
+              LimitUse.UNKNOWN,
               Optional.of(new ConfigurationProof(17, 1_700_000_000_123L))));
 
   private final PeerMessageCodec codec = new PeerMessageCodec();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestDecisionsScale.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestDecisionsScale.java
@@ -6,22 +6,22 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.baykeel.gateway.admission.Opening;
-import org.baykeel.gateway.admission.OpeningShares;
 import org.baykeel.gateway.admission.ProgramAdmission;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.directory.ServicePerformance;
+import org.baykeel.gateway.fairness.OpeningShares;
 import org.baykeel.gateway.scheduling.EngineSelector.Criteria;
 import org.baykeel.gateway.tenancy.Caller;
+import org.baykeel.gateway.tenancy.LimitUse;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -99,7 +99,7 @@
 
   private static Opening opening(int rank, long targetMillis) {
     return new Opening(
-        "kind", rank, Caller.WITHOUT_KEYS, SERVICE, targetMillis, 0, OptionalDouble.empty());
+        "kind", rank, Caller.WITHOUT_KEYS, SERVICE, targetMillis, 0, LimitUse.UNKNOWN);
   }
 
   @ParameterizedTest
