Engines that start again in the simulation; a life that only a report told of counts as cold; a stop waits for unread answers

A start that a report tells first left the engine warm until its entry came, so it could get more than a cold engine bears. A planned stop closed connections whose answer was written and not read. The simulation had no engine that starts again under its id.

Ruled out: no new work for such an engine until its entry comes, which loses it for as long as the store is away; three seconds as a cold engine are bounded, and the entry ends them at once. A bound of its own for unread answers at a stop: the grace time is one.

Change: EngineRecord.startedAt is cold for 3 s; IngressConnection.active counts bytes held; SimulatedEngines.restart, nodes that learn of starts late, in any order, from entry or report, and checks of what they know at the end; a gauge of unusable entries.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
@@ -109,6 +109,11 @@
     noteFault(fault);
   }
 
+  /** Entries that name no engine to use, as far as they are told apart. */
+  public long unusableEntries() {
+    return entryFaults.size();
+  }
+
   private void noteFault(EngineEntryFault fault) {
     if (entryFaults.note(fault)) {
       log.write(
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -135,7 +135,7 @@
 
   /**
    * Something other than its entry tells when an engine started. If that is later than known, all
-   * beliefs are dropped at once; the entry of the new life is adopted when it comes.
+   * beliefs are dropped at once, and the engine counts as cold until its entry comes or is overdue.
    *
    * @param bornMillis its start in Unix milliseconds; 0 if it was not told
    * @return false if the engine is not known, or if what was told is of an earlier life of it and
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineRecord.java
@@ -24,6 +24,9 @@
     long coldMillis,
     long bornMillis) {
 
+  /** Longer than the entry of an engine takes to come after its start. */
+  private static final long UNTOLD_COLD_MILLIS = 3_000;
+
   /** An engine that does not say when it started. */
   public EngineRecord(
       String id,
@@ -48,9 +51,10 @@
     return new EngineRecord(id, service, host, port, zone, slots, true, coldMillis, bornMillis);
   }
 
-  /** The same engine with another start, about whose warmth nothing is known. */
+  /** The same engine with another start; it counts as cold until it says how warm it is. */
   EngineRecord startedAt(long startMillis) {
-    return new EngineRecord(id, service, host, port, zone, slots, draining, 0, startMillis);
+    return new EngineRecord(
+        id, service, host, port, zone, slots, draining, UNTOLD_COLD_MILLIS, startMillis);
   }
 
   /** The same statement with the start that is known, if it names none itself. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -88,8 +88,9 @@
     context = handlerContext;
   }
 
+  /** Whether a request is under way, or a part of its answer is not read yet. */
   boolean active() {
-    return answering || head != null;
+    return answering || head != null || flow.held() > 0;
   }
 
   void close() {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
@@ -119,6 +119,19 @@
         for (int i = 0; i < NODES; i++) {
           losePower(i);
         }
+      } else if (luck < 24) {
+        restartEngine("e" + random.nextInt(SimulatedEngines.ENGINES));
+      }
+    }
+
+    /** Nodes learn of a start at different times, and of two starts in any order. */
+    private void restartEngine(String engine) {
+      engines.restart(engine);
+      long born = engines.bornMillis(engine);
+      for (SimulatedNode node : nodes) {
+        boolean entryFirst = random.nextBoolean();
+        eventLoop.schedule(random.nextInt(2_000), () -> node.engineBorn(engine, born, entryFirst));
+        eventLoop.schedule(random.nextInt(2_000), () -> node.engineBorn(engine, born, !entryFirst));
       }
     }
 
@@ -142,6 +155,16 @@
         }
       }
       checkHistory(seed);
+      checkEngines(seed);
+    }
+
+    private void checkEngines(String seed) {
+      for (SimulatedNode node : nodes) {
+        for (int i = 0; i < SimulatedEngines.ENGINES; i++) {
+          assertEquals(engines.bornMillis("e" + i), node.bornMillis("e" + i), seed + ": e" + i);
+        }
+        assertEquals(0, node.inFlight(), seed + ": requests under way");
+      }
     }
 
     private void checkTry(String what, SimulatedProgram program, SimulatedProgram.Try attempt) {
