--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -16,6 +16,12 @@
   /** After this time without a stream an engine's pace no longer says anything. */
   private static final long PACE_STALE_NANOS = 4_000_000_000L;
 
+  /**
+   * Times between events after which an engine's own pace counts as much as that of its service.
+   * Those of one stream tell what else the engine happened to do, so a few streams are needed.
+   */
+  private static final double PACE_EVIDENCE = 30;
+
   private EngineRecord record;
   private final ServicePerformance performance;
   private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
@@ -28,7 +34,7 @@
   private double waitMillis;
   private long waitObservedNanos;
   private double gapMillis;
-  private boolean gapObserved;
+  private int gapsObserved;
   private boolean everCold;
   private long coldUntilNanos;
 
@@ -133,6 +139,9 @@
    * @param millis the wait; negative values count as none
    */
   public void observeWait(double millis, long nowNanos) {
+    if (nowNanos - waitObservedNanos >= PACE_STALE_NANOS) {
+      gapsObserved = 0;
+    }
     double before = waitMillis(nowNanos);
     waitMillis = before + WAIT_SMOOTHING * (Math.max(0, millis) - before);
     waitObservedNanos = nowNanos;
@@ -148,23 +157,28 @@
   public void observeGap(double millis) {
     double counted = Math.min(millis, performance.gapMillis() * LONGEST_GAP_FACTOR);
     gapMillis = gapMillis() + GAP_SMOOTHING * (counted - gapMillis());
-    gapObserved = true;
+    gapsObserved++;
     performance.observeGap(counted);
   }
 
   /** The smoothed time between two events of a stream; that of its service if none was seen. */
   public double gapMillis() {
-    return gapObserved ? gapMillis : performance.gapMillis();
+    return gapsObserved > 0 ? gapMillis : performance.gapMillis();
   }
 
   /**
    * The time between two events that is to be expected of its next stream. A pace of which nothing
    * was heard for a while may be over: the engine then counts as usual until one stream is under
-   * way there again, which shows its pace anew.
+   * way there again, which shows its pace anew. The fewer events were seen, the more the usual pace
+   * of its service counts.
    */
   public double gapMillis(long nowNanos) {
     boolean forgotten = inFlight == 0 && nowNanos - waitObservedNanos >= PACE_STALE_NANOS;
-    return forgotten ? performance.gapMillis() : gapMillis();
+    if (forgotten) {
+      return performance.gapMillis();
+    }
+    double own = gapsObserved / (gapsObserved + PACE_EVIDENCE);
+    return performance.gapMillis() + own * (gapMillis() - performance.gapMillis());
   }
 
   /**
