Engines of one node are told in one round; nodes that are first for an engine go before substitutes

Cause: each engine was asked when its own interval was over, so a datagram told of one engine, and where bytes bind, substitutes spent what first nodes needed.

Change: who asks one engine asks those that are nearly due with it; a round waits until there is room for all engines of which the node is the first; substitutes get what is left. Answers that come apart may overdraw the bytes, which are then saved first (ByteBudget.spend). The time between two notices counts as the usual one up to 4 s, so that a long interval is no silence.

Tests: rounds, the way and a stall of the process in the age, a third node that gives way to the second, an interval that is stretched for want of bytes, the connection to an engine that is not asked any more, two whole nodes before an engine.

Ruled out: relays between the nodes; larger bytes, the whole of a node's control being bounded at 19 KB a second.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/load/EngineView.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/EngineView.java
@@ -14,7 +14,7 @@
   private static final double LOADED_MEMORY = 0.75;
 
   /** A longer time between two notices is a silence, and not how often a node tells. */
-  private static final long LONGEST_GAP_NANOS = 2_000_000_000L;
+  private static final long LONGEST_GAP_NANOS = 4_000_000_000L;
 
   private final Engine engine;
   private final EngineId id;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoadNotices.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoadNotices.java
@@ -54,18 +54,25 @@
     this.budget = new ByteBudget(BYTES_PER_SECOND, MAX_SAVED_BYTES, eventLoop.nanoTime());
   }
 
-  /**
-   * Sets bytes aside for telling of an engine.
-   *
-   * @return how many; negative if there is no room now
-   */
-  long reserve(EngineId engine) {
-    long cost = EngineLoadNoticeCodec.bytesOnLink(engine) * peers.nearby().size();
-    if (budget.available(eventLoop.nanoTime()) - reservedBytes < cost) {
-      return -1;
-    }
-    reservedBytes += cost;
-    return cost;
+  /** The bytes that a round costs besides its engines. */
+  long roundBytes() {
+    return EngineLoadNoticeCodec.emptyBytesOnLink() * peers.nearby().size();
+  }
+
+  /** The bytes that telling of an engine adds to a round. */
+  long entryBytes(EngineId engine) {
+    return (long) EngineLoadNoticeCodec.entryBytes(engine) * peers.nearby().size();
+  }
+
+  /** Whether there is room for bytes, or as much as there ever is. */
+  boolean room(long wanted) {
+    return budget.available(eventLoop.nanoTime()) - reservedBytes
+        >= Math.min(wanted, MAX_SAVED_BYTES);
+  }
+
+  /** Sets bytes aside for what is asked now and told later. */
+  void reserve(long aside) {
+    reservedBytes += aside;
   }
 
   /** Gives back what {@link #reserve} set aside. */
@@ -113,12 +120,11 @@
   private void send(PeerMessage.EngineLoadNotice notice, long nowNanos) {
     byte[] datagram = codec.encode(notice);
     long cost = ByteBudget.onLink(datagram.length) * peers.nearby().size();
-    // Nodes may have become known since the bytes were set aside; the next round tells them.
-    if (budget.take(cost, nowNanos)) {
-      peers.nearby().forEach(peer -> transport.send(peer, datagram));
-      datagrams += peers.nearby().size();
-      bytes += cost;
-    }
+    // Answers that came apart, or nodes that became known since, cost more than was set aside.
+    budget.spend(cost, nowNanos);
+    peers.nearby().forEach(peer -> transport.send(peer, datagram));
+    datagrams += peers.nearby().size();
+    bytes += cost;
   }
 
   /** Datagrams sent so far. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoadReporter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoadReporter.java
@@ -83,7 +83,8 @@
   private void askWhoIsDue(long now) {
     int nodes = peers.nearby().size();
     int placesLeft = PLACES_PER_TICK;
-    List<ReporterTurn> due = new ArrayList<>();
+    List<ReporterTurn> round = new ArrayList<>();
+    boolean anyDue = false;
     for (Engine engine : engines.all()) {
       if (engine.record().draining()) {
         continue;
@@ -93,12 +94,40 @@
         placesLeft--;
         turn.place(order.placeOfSelf(engine.record().id()), nodes);
       }
-      if (turn.due(now)) {
-        due.add(turn);
+      if (turn.nearlyDue(now)) {
+        anyDue |= turn.due(now);
+        round.add(turn);
       }
     }
-    due.sort(Comparator.<ReporterTurn>comparingLong(turn -> turn.waitedNanos(now)).reversed());
-    due.forEach(turn -> ask(turn, now));
+    if (anyDue) {
+      askRound(round, now);
+    }
+  }
+
+  /**
+   * Asks engines together, so that one notice tells of them. Those of which this node is the first
+   * wait until there is room for all of them; the others get what is left.
+   */
+  private void askRound(List<ReporterTurn> round, long now) {
+    Comparator<ReporterTurn> byPlace = Comparator.comparingInt(ReporterTurn::place);
+    round.sort(byPlace.thenComparingLong(turn -> -turn.waitedNanos(now)));
+    long ownBytes =
+        round.stream()
+            .filter(turn -> turn.place() == 0)
+            .mapToLong(turn -> notices.entryBytes(turn.view().id()))
+            .sum();
+    if (!notices.room(notices.roundBytes() + ownBytes)) {
+      return;
+    }
+    long shared = notices.roundBytes();
+    for (ReporterTurn turn : round) {
+      long bytes = shared + notices.entryBytes(turn.view().id());
+      if (!notices.room(bytes)) {
+        return;
+      }
+      shared = 0;
+      ask(turn, bytes, now);
+    }
   }
 
   private ReporterTurn turnOf(Engine engine, long now) {
@@ -108,11 +137,8 @@
             new ReporterTurn(view, topology.localityOf(engine.record().zone()).inRegion(), now));
   }
 
-  private void ask(ReporterTurn turn, long now) {
-    long reserved = notices.reserve(turn.view().id());
-    if (reserved < 0) {
-      return;
-    }
+  private void ask(ReporterTurn turn, long reserved, long now) {
+    notices.reserve(reserved);
     turn.asked(now);
     reports.ask(turn.view().engine(), answer -> onAnswer(turn, reserved, answer));
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/load/ReporterTurn.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/ReporterTurn.java
@@ -36,6 +36,12 @@
   /** An engine of which something was told within this time gives reports. */
   private static final long REPORTS_NANOS = 10_000_000_000L;
 
+  /**
+   * Part of the interval from which on an engine is asked together with others: beyond a half,
+   * engines of one interval end in two rounds at most.
+   */
+  private static final double NEARLY_DUE = 0.6;
+
   private static final int UNKNOWN = -1;
 
   private final EngineView view;
@@ -79,11 +85,21 @@
     return place;
   }
 
+  /** Whether it is time to ask. */
   boolean due(long nowNanos) {
+    return dueAfter(intervalNanos(nowNanos), nowNanos);
+  }
+
+  /** Whether asking now, with others, spares a notice of its own soon. */
+  boolean nearlyDue(long nowNanos) {
+    return dueAfter((long) (NEARLY_DUE * intervalNanos(nowNanos)), nowNanos);
+  }
+
+  private boolean dueAfter(long intervalNanos, long nowNanos) {
     if (underWay || place == UNKNOWN || nowNanos - notBeforeNanos < 0) {
       return false;
     }
-    if (everAsked && nowNanos - askedNanos < intervalNanos(nowNanos)) {
+    if (everAsked && nowNanos - askedNanos < intervalNanos) {
       return false;
     }
     return place == 0 || ownTurn(nowNanos);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/ByteBudget.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/ByteBudget.java
@@ -46,7 +46,12 @@
     return true;
   }
 
-  /** The bytes that may be sent now. */
+  /** Takes bytes also if there are not as many; what is missing must be saved first. */
+  public void spend(long bytes, long nowNanos) {
+    savedBytes = available(nowNanos) - bytes;
+  }
+
+  /** The bytes that may be sent now; negative after spending more than there were. */
   public double available(long nowNanos) {
     savedBytes = Math.min(maxSavedBytes, savedBytes + (nowNanos - savedAtNanos) * bytesPerNano);
     savedAtNanos = nowNanos;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineLoadNoticeCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineLoadNoticeCodec.java
@@ -52,12 +52,13 @@
     return notices;
   }
 
-  /** The bytes on a link of a notice that tells of one engine alone. */
-  public static long bytesOnLink(EngineId engineId) {
-    return ByteBudget.onLink(EMPTY_BYTES + entryBytes(engineId));
+  /** The bytes on a link of a notice that tells of no engine. */
+  public static long emptyBytesOnLink() {
+    return ByteBudget.onLink(EMPTY_BYTES);
   }
 
-  private static int entryBytes(EngineId engineId) {
+  /** The bytes that an engine adds to a notice. */
+  public static int entryBytes(EngineId engineId) {
     return EngineLoadNoticeEncoder.EnginesEncoder.sbeBlockLength()
         + ID_LENGTH_BYTES
         + engineId.value().getBytes(StandardCharsets.UTF_8).length;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestHttpLoadReports.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestHttpLoadReports.java
@@ -35,6 +35,9 @@
   private static final long LAG_MILLIS = 200;
   private static final String REPORT = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7";
 
+  /** Longer than a connection is kept without questions, with a round of clearing up. */
+  private static final long UNUSED_MILLIS = 4_500;
+
   /** A report is one number, the requests that run. */
   private static final LoadReportFormat FORMAT =
       new LoadReportFormat() {
@@ -103,6 +106,18 @@
     }
   }
 
+  @Test
+  void theConnectionToAnEngineThatIsNotAskedAnyMoreIsClosed() throws Exception {
+    try (ScriptedEngine server = new ScriptedEngine(new Answer(REPORT, After.KEEP))) {
+      Engine engine = engineAt(server.port());
+      ask(engine);
+      Thread.sleep(UNUSED_MILLIS);
+      assertEquals(0, server.open());
+      assertInstanceOf(LoadAnswer.Reported.class, ask(engine));
+      assertEquals(2, server.connections());
+    }
+  }
+
   @ParameterizedTest(name = "{0}: {1}")
   @CsvSource({
     "404 Not Found, Unavailable[reason=status 404]",
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/load/TestLoadBoard.java
@@ -0,0 +1,58 @@
+package org.baykeel.gateway.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerMessage;
+import org.baykeel.gateway.peer.RendezvousOrder;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.junit.jupiter.api.Test;
+
+class TestLoadBoard {
+  private static final PeerAddress SELF = new PeerAddress("10.0.0.1", 1);
+  private static final PeerAddress PEER = new PeerAddress("10.0.0.2", 1);
+  private static final EngineId ENGINE = new EngineId("e0");
+  private static final long TICK_NANOS = 50_000_000;
+
+  private final TestingEventLoop eventLoop = new TestingEventLoop();
+  private final EngineDirectory engines = new EngineDirectory(1);
+  private final LoopStall stall = new LoopStall(TICK_NANOS, eventLoop.nanoTime());
+
+  private long ageMillisOfNotice(long toldAgeMillis, long roundTripMillis) {
+    engines.put(LoadRegion.record(ENGINE.value()));
+    LoadBoard board =
+        new LoadBoard(
+            engines,
+            new RendezvousOrder(SELF, () -> List.of(PEER)),
+            peer -> roundTripMillis,
+            eventLoop,
+            stall);
+    board.onMessage(
+        PEER,
+        new PeerMessage.EngineLoadNotice(
+            List.of(new PeerMessage.ReportedLoad(ENGINE, toldAgeMillis, 0, LoadRegion.CALM))));
+    return engines.find(ENGINE).load().ageNanos(eventLoop.nanoTime()) / 1_000_000;
+  }
+
+  @Test
+  void theWayCountsIntoTheAgeOfANotice() {
+    assertEquals(140, ageMillisOfNotice(100, 40));
+  }
+
+  @Test
+  void whatWasReceivedWhileTheProcessStoodStillIsAsOldAsThat() {
+    eventLoop.advance(1_050);
+    assertEquals(1_100, ageMillisOfNotice(100, 0));
+  }
+
+  @Test
+  void whatIsReadAfterTheFirstTickThatIsLateIsAsOldToo() {
+    eventLoop.advance(1_050);
+    stall.ticked(eventLoop.nanoTime());
+    eventLoop.advance(10);
+    assertEquals(1_100, ageMillisOfNotice(100, 0));
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/load/TestSharedLoad.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/load/TestSharedLoad.java
@@ -88,6 +88,21 @@
     region.nodes.forEach(node -> assertEquals(5, node.seen("e1"), node.name));
   }
 
+  @Test
+  void theSecondNodeTakesOverFromTheThirdWhenItIsBack() {
+    LoadRegion region = new LoadRegion(9, 3, LoadRegion.CALM);
+    region.reporterOf("e1").kill();
+    region.eventLoop.advance(1_500);
+    LoadRegion.Node second = region.reporterOf("e1");
+    second.kill();
+    region.eventLoop.advance(1_500);
+    LoadRegion.Node third = region.reporterOf("e1");
+    region.start(Integer.parseInt(second.name.substring(1)));
+    region.eventLoop.advance(4_000);
+    assertEquals(Set.of(second.name), Set.copyOf(region.askers("e1", 1_500)));
+    assertEquals(2, third.events.size(), "it began and ended");
+  }
+
   @Test
   void aReporterThatCanNotReachTheOthersIsReplacedThere() {
     LoadRegion region = new LoadRegion(9, 3, LoadRegion.CALM);
@@ -258,6 +273,25 @@
     }
   }
 
+  @Test
+  void enginesOfOneNodeAreToldTogether() {
+    LoadRegion region = new LoadRegion(2, 0, LoadRegion.CALM);
+    for (int i = 0; i < 20; i++) {
+      String engine = "e" + i;
+      region.reports.set(engine, LoadRegion.CALM);
+      region.nodes.forEach(node -> node.engines.put(LoadRegion.record(engine)));
+      region.eventLoop.advance(130);
+    }
+    region.eventLoop.advance(2_000);
+    LoadRegion.Node node = region.nodes.get(0);
+    long before = node.figure("datagrams_sent");
+    region.eventLoop.advance(7_000);
+    long rounds = 7_000 / 700;
+    assertTrue(node.figure("engines_reported_here") > 5);
+    long sent = node.figure("datagrams_sent") - before;
+    assertTrue(sent <= 2 * rounds + 2, "sent " + sent);
+  }
+
   @Test
   void bytesOfEachNodeStayWithinTheirBudgetWhenAllEnginesAreLoaded() {
     LoadRegion region = new LoadRegion(77, 40, LoadRegion.LOADED);
@@ -273,5 +307,9 @@
         assertEquals(19, node.seen("e" + e), "the view stays in place");
       }
     }
+    for (int e = 0; e < 40; e += 8) {
+      List<String> askers = region.askers("e" + e, 2_000);
+      assertEquals(1, Set.copyOf(askers).size(), "a longer interval is no silence: " + askers);
+    }
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineLoadNoticeCodec.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineLoadNoticeCodec.java
@@ -42,10 +42,14 @@
 
   @Test
   void theBytesOfANoticeAreKnownBeforehand() {
-    PeerMessage.ReportedLoad one = entry("i-7f3a91c2", 3);
-    byte[] datagram = codec.encode(new PeerMessage.EngineLoadNotice(List.of(one)));
+    PeerMessage.EngineLoadNotice notice = new PeerMessage.EngineLoadNotice(entries(3));
+    long entries =
+        notice.engines().stream()
+            .mapToLong(entry -> EngineLoadNoticeCodec.entryBytes(entry.engineId()))
+            .sum();
     assertEquals(
-        ByteBudget.onLink(datagram.length), EngineLoadNoticeCodec.bytesOnLink(one.engineId()));
+        ByteBudget.onLink(codec.encode(notice).length),
+        EngineLoadNoticeCodec.emptyBytesOnLink() + entries);
   }
 
   @Test
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
@@ -27,6 +27,7 @@
   private final List<Answer> answers;
   private final AtomicInteger next = new AtomicInteger();
   private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger open = new AtomicInteger();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final List<String> requests = new CopyOnWriteArrayList<>();
 
@@ -51,6 +52,11 @@
     return connections.get();
   }
 
+  /** How many connections are open now, as far as this side has noticed. */
+  public int open() {
+    return open.get();
+  }
+
   /** The heads of the requests, in order of arrival. */
   public List<String> requests() {
     return requests;
@@ -62,6 +68,7 @@
         Socket socket = listener.accept();
         sockets.add(socket);
         connections.incrementAndGet();
+        open.incrementAndGet();
         start(() -> serve(socket));
       }
     } catch (IOException e) {
@@ -91,6 +98,8 @@
       }
     } catch (IOException | InterruptedException e) {
       // The connection is over.
+    } finally {
+      open.decrementAndGet();
     }
   }
 
