--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/load/EngineView.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/EngineView.java
@@ -14,12 +14,11 @@
   private static final double LOADED_MEMORY = 0.75;
 
   /** A longer time between two notices is a silence, and not how often a node tells. */
-  private static final long LONGEST_GAP_NANOS = 2_000_000_000L;
+  private static final long LONGEST_GAP_NANOS = 4_000_000_000L;
 
   private final Engine engine;
   private final EngineId id;
   private EngineLoad told;
-  private long bornMillis;
   private long toldNanos;
   private long heardNanos;
   private long heardGapNanos;
@@ -42,13 +41,12 @@
   /**
    * Adopts a report unless a later one is known.
    *
-   * @return false if it is too old to be of use, or of an earlier life of the engine
+   * @return false if it is too old to be of use
    */
   boolean adopt(LoadReport report, long asOfNanos, long nowNanos) {
-    if (nowNanos - asOfNanos >= LoadEstimate.STALE_NANOS || earlierLife(report)) {
+    if (nowNanos - asOfNanos >= LoadEstimate.STALE_NANOS) {
       return false;
     }
-    bornMillis = Math.max(bornMillis, report.bornMillis());
     if (engine.load().reported(report.load(), asOfNanos)) {
       told = report.load();
     }
@@ -56,17 +54,6 @@
     return true;
   }
 
-  /** Lives are told apart by when they began; a later one makes what was known void. */
-  private boolean earlierLife(LoadReport report) {
-    if (bornMillis == 0 || report.bornMillis() == 0) {
-      return false;
-    }
-    if (report.bornMillis() > bornMillis) {
-      engine.load().forget();
-    }
-    return report.bornMillis() < bornMillis;
-  }
-
   /** A node that comes before this one has told of the engine. */
   void heardBefore(long nowNanos) {
     long gap = nowNanos - heardNanos;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoadBoard.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/load/LoadBoard.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerDistance;
 import org.baykeel.gateway.peer.PeerMessage;
@@ -64,6 +65,16 @@
     return view;
   }
 
+  /**
+   * Whether a report is of the present life of a known engine. One of a later life makes all that
+   * is believed of the engine void.
+   *
+   * @param bornMillis when the life that reports began, in Unix milliseconds; 0 if it did not say
+   */
+  boolean ofPresentLife(EngineId engine, long bornMillis) {
+    return engines.bornElsewhere(engine, bornMillis, eventLoop.nanoTime());
+  }
+
   /** What is known about the reports of all engines that were seen. */
   Collection<EngineView> views() {
     return viewById.values();
@@ -88,10 +99,10 @@
   }
 
   private void onTold(PeerAddress sender, PeerMessage.ReportedLoad told) {
-    Engine engine = engines.find(told.engineId());
-    if (engine == null) {
+    if (!ofPresentLife(told.engineId(), told.bornMillis())) {
       return;
     }
+    Engine engine = engines.find(told.engineId());
     long now = eventLoop.nanoTime();
     long ageMillis = told.ageMillis() + distance.roundTripMillis(sender);
     long asOf = now - ageMillis * NANOS_PER_MILLI - stall.lateNanos(now);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
@@ -63,6 +63,11 @@
     }
   }
 
+  /** How many connections are open now, as far as this side has noticed. */
+  public int open() {
+    return open.get();
+  }
+
   /** The heads of the requests, in order of arrival. */
   public List<String> requests() {
     return requests;
