An aim that can no longer be met bounds no wait; the learnt way between zones and an unreachable round have tests

Cause: a repeatable request with less time to its program's aim than its work takes was refused the moment that all engines were full, while one that came after its aim waited; a program in its last turn would have lost what one that is late got.

Change: an aim counts in the wait for room only if the usual work still fits before it; otherwise the request waits until its deadline, behind those that can meet theirs.

Ruled out: waiting past an aim that could be met, since then the most urgent of the line could be one that gains nothing.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
@@ -203,9 +203,14 @@
     return new RoomQueue.Need(call.service(), call.residency());
   }
 
-  /** Whether the request came before the time at which its program is to be over. */
+  /** Whether the request came early enough to end before its program is to be over. */
   private boolean hasAim() {
-    return call.attributes().finishMillis() > 0;
+    return call.attributes().finishMillis() > workMillis();
+  }
+
+  /** The usual time of its work. */
+  private double workMillis() {
+    return Math.max(SHORTEST_WORK_MILLIS, context.selector().answerMillis(criteria));
   }
 
   /** When the program is to be over or the caller no longer waits, whichever is first. */
@@ -220,10 +225,8 @@
    * in what is left of the program's aim.
    */
   private long giveUpNanos() {
-    double answerMillis = context.selector().answerMillis(criteria);
-    long workNanos = Math.round(Math.max(SHORTEST_WORK_MILLIS, answerMillis) * 1e6);
     long endNanos = call.route().repeatable() ? dueNanos() : call.deadlineNanos();
-    return endNanos - workNanos;
+    return endNanos - Math.round(workMillis() * 1e6);
   }
 
   private void onNoRoom() {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/RoomQueue.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/RoomQueue.java
@@ -11,8 +11,8 @@
 /**
  * The requests of one node that wait until an engine has a place, by what they need of an engine.
  * When a place is expected the most urgent of them is woken: the one whose program has least time
- * left until its aim or until its caller leaves. Those whose aim was past when they came, or is not
- * known, come after all others, by their deadlines.
+ * left until its aim or until its caller leaves. Those that came too late for their aim, or have
+ * none, come after all others, by their deadlines.
  */
 final class RoomQueue {
   private static final Comparator<Ticket> MOST_URGENT_FIRST =
@@ -179,7 +179,7 @@
   /**
    * Begins a wait.
    *
-   * @param hasAim whether the request came before the time at which its program is to be over
+   * @param hasAim whether the request came early enough to end before its program is to be over
    * @param dueNanos that time or when its caller no longer waits, whichever is first
    * @param giveUpNanos when the wait is no longer worth its while
    */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -125,16 +125,20 @@
 
   private ClientCall call(
       String path, String id, String previousTurn, String program, String session, long budget) {
-    CallAttributes attributes =
+    return call(
+        path,
         new CallAttributes(
-            id, 3_000, -1, program, session, budget, 500, List.of(), previousTurn, -1, null, null);
+            id, 3_000, -1, program, session, budget, 500, List.of(), previousTurn, -1, null, null));
+  }
+
+  private ClientCall call(String path, CallAttributes attributes) {
     CallRequest request =
         new CallRequest(
             "POST",
             path + "x",
             "h",
             new DefaultHttpHeaders(),
-            ("in " + id + ";").getBytes(StandardCharsets.UTF_8),
+            ("in " + attributes.requestId() + ";").getBytes(StandardCharsets.UTF_8),
             attributes,
             eventLoop.nanoTime());
     return new CallCoordinator(context).accept(request, responder);
@@ -189,6 +193,42 @@
     assertTrue(waited >= TIMEOUT_MILLIS - 100 && waited < TIMEOUT_MILLIS - 20, waited + " ms");
   }
 
+  @ParameterizedTest(name = "{0}, {1} ms to the aim: at least {2} ms, less than {3} ms")
+  @CsvSource({
+    "/safe/, 1000, 900, 980",
+    "/safe/, -1, 2900, 2980",
+    "/safe/, 10, 2900, 2980",
+    "/unsafe/, 1000, 2900, 2980"
+  })
+  void aRepeatableRequestWaitsForRoomOnlyWithinAnAimThatItCanMeet(
+      String path, long finishMillis, long least, long below) {
+    CallAttributes attributes =
+        new CallAttributes(
+            "r", 3_000, finishMillis, "p", "p", -1, 500, List.of(), null, -1, null, null);
+    call(path, attributes);
+    long waited = 0;
+    while (responder.heard().isEmpty() && waited < TIMEOUT_MILLIS) {
+      transport.last().notExecuted();
+      eventLoop.advance(5);
+      waited += 5;
+    }
+    assertEquals(List.of("refuse NO_BACKEND"), responder.heard());
+    assertTrue(waited >= least && waited < below, waited + " ms");
+  }
+
+  @Test
+  void aRoundOfEnginesThatCannotBeReachedIsNoReasonToWait() {
+    for (int i = 3; i < 9; i++) {
+      engines.put(new EngineRecord("e" + i, "s", "10.0.0." + i, 80, "z", 8, false));
+    }
+    call("/unsafe/");
+    for (int i = 0; i < 6; i++) {
+      transport.last().neverSent();
+    }
+    assertEquals(6, transport.count());
+    assertEquals(List.of("refuse NO_BACKEND"), responder.heard());
+  }
+
   @Test
   void aRequestThatWaitedForRoomIsServedOnceThereIsSome() {
     call("/unsafe/");
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestSharedLoad.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestSharedLoad.java
@@ -149,6 +149,28 @@
     assertEquals(expected, selector.select(criteria, Set.of(), 0).record().id());
   }
 
+  /** A tool engine in each of two zones; the one here has work, demand swings to and fro. */
+  @ParameterizedTest(name = "{0} ms there and back, {1} under way here: {2}")
+  @CsvSource({"1, 1, here", "1, 5, there", "12, 12, here", "12, 40, there"})
+  void aToolCallPaysTheWayToAnotherZoneAsItWasLearnt(
+      double wayMillis, int underWay, String expected) {
+    EngineDirectory directory = new EngineDirectory(1);
+    directory.put(new EngineRecord("here", "s", "10.0.0.1", 80, "z", 16, false));
+    directory.put(new EngineRecord("there", "s", "10.0.0.2", 80, "other", 16, false));
+    for (int i = 0; i < 200; i++) {
+      directory.performanceOf("s").observeWork(8);
+    }
+    for (int i = 0; i < underWay; i++) {
+      directory.find(new EngineId("here")).requestStarted();
+    }
+    Topology topology = Topology.ofOneRegion("z");
+    RoundTrips roundTrips = new RoundTrips(topology);
+    roundTrips.observe("other", wayMillis, 0);
+    EngineSelector selector =
+        new EngineSelector(directory, topology, roundTrips, List.of(), new SplittableRandom(1));
+    assertEquals(expected, selector.select(TOOL, Set.of(), 0).record().id());
+  }
+
   private static void load(EngineDirectory directory, String id, long used, long total) {
     directory.put(new EngineRecord(id, "s", "10.0.0.1", 80, "z", 8, false));
     Engine engine = directory.find(new EngineId(id));
