Admission without a view and by young nodes; tests of each guard; programs counted by outcome

A node knew its own waits only once they were over, believed the last view of a vanished reporter for 1.5 s, and took fewer pains with waits that it sees late; the band for kinds of which little is known was wide.

Change: requests that still wait count with twice their age; a view older than 0.7 s on average tells of no free places; what a node sees alone counts double; the band without a prediction is 0.25 to 0.75 wanted first answers (was 0.25 to 1). The bands on the slack are 0.2 to 0.7 (were 0.3 to 0.8), each rank answers 0.06 of it earlier. Without a view the strictest of the kinds at least as urgent says whether there is room. The least slack is a quarter of the aim. Programs are counted by outcome in the metrics.

Conclusion: all four loads hold in the fixture.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/KindAdmission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/KindAdmission.java
@@ -5,19 +5,19 @@
 /** What is known and decided of the programs of one kind and rank at one service. */
 final class KindAdmission {
   /** Where refusals begin and where all are refused, in parts of what the aim leaves. */
-  private static final double SLACK_BEGIN = 0.3;
+  private static final double SLACK_BEGIN = 0.2;
 
-  private static final double SLACK_FULL = 0.8;
+  private static final double SLACK_FULL = 0.7;
 
   /** The same for kinds of which too little was seen, in multiples of the wanted first answer. */
   private static final double WAIT_BEGIN = 0.25;
 
-  private static final double WAIT_FULL = 1;
+  private static final double WAIT_FULL = 0.75;
 
   /** Refusals begin so much earlier for each rank below the most urgent. */
-  private static final double EARLIER_PER_RANK = 0.03;
+  private static final double EARLIER_PER_RANK = 0.06;
 
-  private static final double MOST_EARLIER = 0.09;
+  private static final double MOST_EARLIER = 0.18;
 
   /** The program time of a kind of which too little was seen, in wanted first answers. */
   private static final double UNKNOWN_PROGRAM_TARGETS = 4;
@@ -56,6 +56,10 @@
     return prediction;
   }
 
+  long targetMillis() {
+    return targetMillis;
+  }
+
   /** A program of this kind asks to begin. */
   void asked(long target, long nowNanos) {
     targetMillis = Math.max(1, target);
@@ -71,23 +75,30 @@
    * Adopts the present state of its service.
    *
    * @param waitMillis the wait of a turn for a place
+   * @param caution multiplies the predicted excess
    * @param room whether there is room for any program
    */
-  void follow(ServicePerformance performance, double waitMillis, boolean room, long nowNanos) {
+  void follow(
+      ServicePerformance performance,
+      double waitMillis,
+      double caution,
+      boolean room,
+      long nowNanos) {
     if (room) {
       usual.observe(Prediction.workMillis(performance), profile.pauseMillis(), nowNanos);
     }
     prediction = Prediction.of(profile, usual, performance, waitMillis, nowNanos);
-    share.follow(room ? 1 : target(), programMillis(), nowNanos);
+    share.follow(room ? 1 : target(caution), programMillis(), nowNanos);
   }
 
-  private double target() {
+  private double target(double caution) {
     double earlier = Math.min(MOST_EARLIER, rank * EARLIER_PER_RANK);
     if (prediction.slackUse().isPresent()) {
-      return between(prediction.slackUse().getAsDouble() + earlier, SLACK_BEGIN, SLACK_FULL);
+      return between(
+          prediction.slackUse().getAsDouble() * caution + earlier, SLACK_BEGIN, SLACK_FULL);
     }
     double targets = prediction.waitMillis() / targetMillis;
-    return between(targets * (1 + earlier), WAIT_BEGIN, WAIT_FULL);
+    return between(targets * caution * (1 + earlier), WAIT_BEGIN, WAIT_FULL);
   }
 
   private static double between(double value, double begin, double full) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/OwnWait.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/OwnWait.java
@@ -5,24 +5,53 @@
   /** Weight of one observation; about the last five count. */
   private static final double SMOOTHING = 0.2;
 
+  private static final double OBSERVATIONS = 1 / SMOOTHING;
+
   /** Between two requests of a node that gets few of them nothing fades. */
   private static final double HOLD_NANOS = 300e6;
 
   private static final double FADE_NANOS = 500e6;
 
+  /** The ages of requests that wait lie evenly between none and their whole wait. */
+  private static final double WAITS_PER_AGE = 2;
+
   private double millis;
   private long observedNanos;
+  private int pending;
+  private long sumSentNanos;
+
+  /** A request was sent; its first event is not there yet. */
+  void sent(long sentNanos) {
+    pending++;
+    sumSentNanos += sentNanos;
+  }
 
-  /** Notes one wait; negative values count as none. */
+  /** A request that was sent got its first event, or came to nothing. */
+  void answered(long sentNanos) {
+    pending--;
+    sumSentNanos -= sentNanos;
+  }
+
+  /** Notes how long a request waited; negative values count as none. */
   void observe(double waitMillis, long nowNanos) {
-    double before = millis(nowNanos);
+    double before = observedMillis(nowNanos);
     millis = before + SMOOTHING * (Math.max(0, waitMillis) - before);
     observedNanos = nowNanos;
   }
 
-  /** The smoothed wait in milliseconds; without observations it fades out within seconds. */
-  double millis(long nowNanos) {
+  /**
+   * The smoothed wait of the requests that have waited, in milliseconds; without observations it
+   * fades out within seconds.
+   */
+  double observedMillis(long nowNanos) {
     double fading = Math.max(0, nowNanos - observedNanos - HOLD_NANOS);
     return millis * Math.exp(-fading / FADE_NANOS);
   }
+
+  /** The same, with the requests that still wait, in milliseconds. */
+  double presentMillis(long nowNanos) {
+    double sumAgeMillis = (pending * nowNanos - sumSentNanos) / 1e6;
+    double sumMillis = observedMillis(nowNanos) * OBSERVATIONS + sumAgeMillis * WAITS_PER_AGE;
+    return sumMillis / (OBSERVATIONS + pending);
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Prediction.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Prediction.java
@@ -25,7 +25,7 @@
     double aimMillis) {
 
   /** The least that counts as slack, in parts of the aim. */
-  private static final double LEAST_SLACK = 0.15;
+  private static final double LEAST_SLACK = 0.25;
 
   static Prediction of(
       ProgramProfile profile,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ProgramAdmission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ProgramAdmission.java
@@ -46,6 +46,11 @@
     this.retryDelay = new RetryDelay(random);
   }
 
+  /** Creates an admission that gives everybody of a kind the same share. */
+  public ProgramAdmission(EngineDirectory engines, RandomGenerator random, DecisionLog log) {
+    this(engines, random, OpeningShares.EVEN, log);
+  }
+
   /** Spreads the times at which refused callers return. */
   public RetryDelay retryDelay() {
     return retryDelay;
@@ -139,6 +144,16 @@
     pauses.toolUsed(line, service);
   }
 
+  /** A request was sent to an engine; {@link #requestAnswered} follows. */
+  public void requestSent(String service, long sentNanos) {
+    service(service).ownWait().sent(sentNanos);
+  }
+
+  /** A request that was sent got its first event, or came to nothing. */
+  public void requestAnswered(String service, long sentNanos) {
+    service(service).ownWait().answered(sentNanos);
+  }
+
   /**
    * Notes how long a request waited at an engine beyond what its prompt explains.
    *
@@ -154,6 +169,6 @@
    * @param targetMillis the time within which the route wants an answer to begin
    */
   public boolean timeToSpare(String service, long targetMillis, long nowNanos) {
-    return service(service).ownWait().millis(nowNanos) <= targetMillis * SPARE_TARGETS;
+    return service(service).ownWait().presentMillis(nowNanos) <= targetMillis * SPARE_TARGETS;
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceAdmission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceAdmission.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.ServicePerformance;
 
 /** The kinds of programs whose turns run at one service, and their shares. */
 final class ServiceAdmission {
@@ -16,6 +17,9 @@
   /** No kind gets less than this part of the share of the most urgent one. */
   private static final double LEAST_OF_MOST_URGENT = 0.25;
 
+  /** What a node sees of its own is late and of few requests: it counts for so much more. */
+  private static final double UNSEEN_CAUTION = 2;
+
   private static final long LOOK_EVERY_NANOS = 20_000_000L;
 
   private final String service;
@@ -79,32 +83,43 @@
     asking.asked(targetMillis, nowNanos);
     look(nowNanos);
     double waitMillis = waitMillis(nowNanos);
+    double caution = room.recent() ? 1 : UNSEEN_CAUTION;
+    ServicePerformance performance = engines.performanceOf(service);
     for (KindAdmission kind : kinds.values()) {
       if (kind.recent(nowNanos)) {
-        boolean roomy = roomy(kind, targetMillis, nowNanos);
-        kind.follow(engines.performanceOf(service), waitMillis, roomy, nowNanos);
+        boolean roomy = roomy(kind, nowNanos);
+        kind.follow(performance, waitMillis, caution, roomy, nowNanos);
       }
     }
-    return roomy(asking, targetMillis, nowNanos) ? 1 : ranked(asking, nowNanos);
+    return roomy(asking, nowNanos) ? 1 : ranked(asking, nowNanos);
   }
 
   private double waitMillis(long nowNanos) {
-    double own = ownWait.millis(nowNanos);
-    if (!room.known()) {
-      return own;
-    }
+    double own = room.recent() ? ownWait.observedMillis(nowNanos) : ownWait.presentMillis(nowNanos);
     double work = Prediction.workMillis(engines.performanceOf(service));
     return Math.max(own, room.waitingPerPlace() * work);
   }
 
-  private boolean roomy(KindAdmission kind, long targetMillis, long nowNanos) {
+  private boolean roomy(KindAdmission kind, long nowNanos) {
     boolean here =
-        room.known()
+        room.recent()
             ? room.occupancy() < ROOMY_OCCUPANCY
-            : ownWait.millis(nowNanos) < targetMillis * ROOMY_TARGETS;
+            : ownWait.presentMillis(nowNanos)
+                < strictestTargetMillis(kind, nowNanos) * ROOMY_TARGETS;
     return here && toolsRoomy(kind, nowNanos);
   }
 
+  /** What is no room for a more urgent kind is none for this one. */
+  private long strictestTargetMillis(KindAdmission kind, long nowNanos) {
+    long strictest = kind.targetMillis();
+    for (KindAdmission other : kinds.values()) {
+      if (other.recent(nowNanos) && other.rank() <= kind.rank()) {
+        strictest = Math.min(strictest, other.targetMillis());
+      }
+    }
+    return strictest;
+  }
+
   private boolean toolsRoomy(KindAdmission kind, long nowNanos) {
     for (String tool : kind.profile().toolServices()) {
       ServiceRoom there = ServiceRoom.of(engines.ofService(tool), nowNanos);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceRoom.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceRoom.java
@@ -12,7 +12,7 @@
  * @param requestsPerPlace requests that engines have taken, for each place; above 1 while some wait
  * @param memoryShare the part of their memory that is in use
  * @param waitingPerPlace requests that wait for a place, for each place
- * @param ageMillis the age of the oldest report that counts
+ * @param ageMillis the mean age of the reports that count; -1 if there are none
  */
 record ServiceRoom(
     boolean known,
@@ -22,6 +22,9 @@
     long ageMillis) {
   static final ServiceRoom UNKNOWN = new ServiceRoom(false, 0, 0, 0, -1);
 
+  /** Programs that begin on the word of an older report may have filled the service since. */
+  private static final long RECENT_MILLIS = 700;
+
   private static final double KNOWN_PART = 0.5;
 
   static ServiceRoom of(List<Engine> engines, long nowNanos) {
@@ -30,7 +33,7 @@
     int requests = 0;
     int waiting = 0;
     double usedMemory = 0;
-    long oldestNanos = 0;
+    double sumAgeNanos = 0;
     for (Engine engine : engines) {
       if (!takesWork(engine, nowNanos)) {
         continue;
@@ -43,7 +46,7 @@
         requests += load.requests(nowNanos);
         waiting += load.waiting(slots, nowNanos);
         usedMemory += slots * load.memoryShare(nowNanos);
-        oldestNanos = Math.max(oldestNanos, load.ageNanos(nowNanos));
+        sumAgeNanos += (double) slots * load.ageNanos(nowNanos);
       }
     }
     if (knownPlaces == 0 || knownPlaces < places * KNOWN_PART) {
@@ -54,7 +57,12 @@
         (double) requests / knownPlaces,
         usedMemory / knownPlaces,
         (double) waiting / knownPlaces,
-        oldestNanos / 1_000_000);
+        Math.round(sumAgeNanos / knownPlaces / 1e6));
+  }
+
+  /** Whether it is recent enough to tell of free places. */
+  boolean recent() {
+    return known && ageMillis < RECENT_MILLIS;
   }
 
   /** Requests for each place, or the part of the memory in use if that is more. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -65,6 +65,7 @@
   private ByteArrayOutputStream body;
   private long lastEventNanos;
   private int events;
+  private boolean waiting;
   private boolean closed;
 
   EngineAttempt(
@@ -88,6 +89,10 @@
 
   void send(EngineTransport transport, EngineRequest request) {
     engine.requestStarted();
+    waiting = !prompt.isEmpty();
+    if (waiting) {
+      admission.requestSent(engine.record().service(), startedNanos);
+    }
     exchange = transport.send(engine, request, this);
   }
 
@@ -106,6 +111,14 @@
   void close() {
     closed = true;
     engine.requestEnded();
+    noteAnswered();
+  }
+
+  private void noteAnswered() {
+    if (waiting) {
+      waiting = false;
+      admission.requestAnswered(engine.record().service(), startedNanos);
+    }
   }
 
   @Override
@@ -167,6 +180,7 @@
   }
 
   private void noteFirstEvent(long now) {
+    noteAnswered();
     engine.cachedPrefixes().add(prompt);
     double firstMillis = (now - startedNanos) / 1e6;
     engine.performance().observeFirstEvent(unreadTokens, firstMillis);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ProgramOpening.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ProgramOpening.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.call;
 
+import java.util.Locale;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import org.baykeel.core.error.ErrorKind;
@@ -113,6 +114,7 @@
     if (judgement.admitted()) {
       begin(admitted);
     } else {
+      context.metrics().programJudged(judgement.cause().name().toLowerCase(Locale.ROOT));
       refused.accept(
           new Refusal(ErrorKind.OVERLOADED, judgement.retryMillis(), judgement.cause().phrase()));
     }
@@ -131,6 +133,7 @@
 
   /** The program turned out to be a new one. */
   void opened() {
+    context.metrics().programJudged("admitted");
     admission.programOpened(route.name(), attributes.finishMillis(), now());
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -41,6 +41,7 @@
   private final Map<String, long[]> keyVerdicts = new TreeMap<>();
   private final Map<String, long[]> sendsByLocality = new TreeMap<>();
   private final Map<String, LongSupplier> gauges = new TreeMap<>();
+  private final Map<String, long[]> programs = new TreeMap<>();
   private long engineConnections;
   private long engineConnectionsToReport;
   private long failedAttempts;
@@ -120,6 +121,15 @@
     keyVerdicts.computeIfAbsent(verdict, key -> new long[1])[0]++;
   }
 
+  /**
+   * Counts a program that asked to begin.
+   *
+   * @param outcome one of a few words
+   */
+  public void programJudged(String outcome) {
+    programs.computeIfAbsent(outcome, key -> new long[1])[0]++;
+  }
+
   /**
    * Adds a figure that is read whenever somebody asks for the figures.
    *
@@ -167,6 +177,11 @@
                 "Tokens of the tenants' limits, and requests refused for want of them",
                 "state",
                 limitFigures),
+            counters(
+                "baykeel_gateway_programs",
+                "Programs that asked to begin, by what became of it",
+                "outcome",
+                programs),
             counters("baykeel_gateway_keys", "Keys judged, by verdict", "verdict", keyVerdicts),
             counters(
                 "baykeel_gateway_sends",
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/LoadedService.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/LoadedService.java
@@ -76,7 +76,7 @@
     final int turns = 3 + random.nextInt(6);
     final long askedMillis = millis();
     final long aimMillis;
-    private final String kind;
+    final String kind;
     private final int rank;
     private int node = random.nextInt(NODES);
     private int turn;
@@ -97,10 +97,6 @@
       return endedMillis > 0 && endedMillis - begunMillis <= aimMillis;
     }
 
-    String kind() {
-      return kind;
-    }
-
     private void ask() {
       ProgramAdmission admission = nodes.get(node).admission;
       Opening opening =
@@ -148,8 +144,8 @@
   private final class Turn {
     private final Program program;
     private final Node node;
-    private final long sentMillis = millis();
     private int at;
+    private final long sentNanos = eventLoop.nanoTime();
 
     Turn(Program program, Node node) {
       this.program = program;
@@ -160,22 +156,28 @@
       int one = random.nextInt(enginesLeft);
       int other = random.nextInt(enginesLeft);
       at = load(one) <= load(other) ? one : other;
+      node.admission.requestSent("s", sentNanos);
       engines.get(at).waiting.add(this);
       serve(engines.get(at));
     }
 
+    void leave() {
+      node.admission.requestAnswered("s", sentNanos);
+    }
+
     void begin(Place place) {
       double gap = IDLE_GAP_MILLIS + GAP_MILLIS_PER_RUNNING * place.running;
-      eventLoop.schedule(Math.round(FIRST_MILLIS), () -> observeFirst());
+      eventLoop.schedule(Math.round(FIRST_MILLIS), this::observeFirst);
       eventLoop.schedule(Math.round(FIRST_MILLIS + EVENTS * gap), () -> end(place, gap));
     }
 
     private void observeFirst() {
       Engine engine = node.directory.ofService("s").get(at % node.directory.size());
-      double first = millis() - sentMillis;
+      double first = millis() - sentNanos / 1_000_000;
       double expected = engine.expectedFirstEventMillis(List.of());
       engine.performance().observeFirstEvent(0, first);
       engine.performance().observeNewTokens(0);
+      leave();
       node.admission.observeWait("s", first - expected, eventLoop.nanoTime());
     }
 
@@ -198,9 +200,11 @@
   private void serve(Place place) {
     while (place.running < PLACES && !place.waiting.isEmpty()) {
       Turn turn = place.waiting.poll();
-      if (millis() - turn.sentMillis < DEADLINE_MILLIS) {
+      if (millis() - turn.sentNanos / 1_000_000 < DEADLINE_MILLIS) {
         place.running++;
         turn.begin(place);
+      } else {
+        turn.leave();
       }
     }
   }
@@ -247,6 +251,7 @@
     for (Place place : leaving) {
       List<Turn> moved = List.copyOf(place.waiting);
       place.waiting.clear();
+      moved.forEach(Turn::leave);
       moved.forEach(Turn::join);
     }
   }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/TestAdmissionUnderLoad.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/TestAdmissionUnderLoad.java
@@ -101,7 +101,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3})
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
   void threeTimesTheRoomForEightSeconds(long seed) {
     LoadedService service = new LoadedService(seed, false);
     play(service, 1, () -> {}, () -> {});
@@ -109,10 +109,49 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3})
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
   void threeTimesTheRoomThatIsLeftWhenAThirdOfTheEnginesLeave(long seed) {
     LoadedService service = new LoadedService(seed, false);
     play(service, 2.0 / 3, () -> service.loseEngines(LoadedService.ENGINES / 3), () -> {});
     assertServed(service, OF_THE_BEST * 2 / 3);
   }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void threeTimesTheRoomWhileTheViewIsGone(long seed) {
+    LoadedService service = new LoadedService(seed, false);
+    play(service, 1, () -> {}, service::loseView);
+    assertServed(service, OF_THE_BEST);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void threeTimesTheRoomWhileAllNodesRestart(long seed) {
+    LoadedService service = new LoadedService(seed, false);
+    play(service, 1, () -> {}, service::restartNodes);
+    assertServed(service, OF_THE_BEST);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void twiceTheRoomOfTwoKindsServesTheUrgentNoLessAndStarvesNone(long seed) {
+    LoadedService service = new LoadedService(seed, false);
+    service.demand("urgent", 0, best * ORDINARY / 2, CALM_MILLIS);
+    service.demand("other", 2, best * ORDINARY / 2, CALM_MILLIS);
+    service.eventLoop.advance(CALM_MILLIS);
+    burst = service.millis();
+    service.demand("urgent", 0, best, BURST_MILLIS);
+    service.demand("other", 2, best, BURST_MILLIS);
+    service.eventLoop.advance(BURST_MILLIS + 4_000);
+    double urgent = admitted(service, "urgent");
+    double other = admitted(service, "other");
+    String shares = "urgent " + urgent + " other " + other;
+    assertTrue(urgent >= other, shares);
+    assertTrue(other >= urgent / 4, shares);
+  }
+
+  private double admitted(LoadedService service, String kind) {
+    Predicate<Program> asked = p -> p.kind.equals(kind) && p.askedMillis >= burst + FILLING_MILLIS;
+    return count(service, asked.and(p -> p.begunMillis > 0)) / count(service, asked);
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -393,6 +393,63 @@
     assertEquals(0, transport.count());
   }
 
+  @Test
+  void aProgramThatWasSentAwayHasNotBegunAndIsJudgedAnewWhenItReturns() {
+    congest();
+    for (int i = 0; i < 3; i++) {
+      call("/once/", "r" + i, null, "p", 10_000);
+      eventLoop.advance(10);
+      assertEquals(ErrorKind.OVERLOADED, responder.refusal().kind());
+    }
+    assertEquals(0, store.transactions());
+    assertEquals(0, transport.count());
+  }
+
+  @Test
+  void aNewProgramWaitsForNothingWhileThereIsRoom() {
+    call("/once/", "r", null, "p", 10_000);
+    assertEquals(1, transport.count());
+    assertEquals(0, store.reads());
+  }
+
+  @Test
+  void aProgramOfWhichTheStoreSaysNothingIsNotSentAway() {
+    congest();
+    store.failReads(true);
+    call("/once/", "r", null, "p", 10_000);
+    eventLoop.advance(20);
+    assertEquals(1, transport.count());
+  }
+
+  @Test
+  void aTurnWithoutBudgetIsSentAwayAtOnceAndItsProgramOnceItRunsIsNot() {
+    call("/once/", "t1", null, "runs", -1);
+    transport.last().stream().event(1).complete();
+    congest();
+    call("/once/", "r", null, "p", -1);
+    assertEquals(ErrorKind.OVERLOADED, responder.refusal().kind());
+    assertEquals(1, transport.count());
+    call("/once/", "t2", null, "runs", -1);
+    assertEquals(2, transport.count());
+  }
+
+  @Test
+  void aSubAgentIsNeverSentAway() {
+    congest();
+    call("/once/", "r", null, "p", "sub-agent", 10_000);
+    eventLoop.advance(20);
+    assertEquals(1, transport.count());
+  }
+
+  @Test
+  void aCallerThatLeavesWhileItsProgramIsLookedUpEndsIt() {
+    congest();
+    call("/once/", "r", null, "p", 10_000).callerLeft();
+    eventLoop.advance(20);
+    assertEquals(List.of(), responder.heard());
+    assertEquals(0, transport.count());
+  }
+
   @Test
   void aProgramThatRunsGoesOnWhileEnginesKeepWorkWaiting() {
     call("/kept/", "t1", null, "p", 10_000);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestGatewayMetrics.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestGatewayMetrics.java
@@ -17,9 +17,12 @@
     metrics.callEnded(200, 130, -1);
     metrics.callEnded(503, 1, -1);
     metrics.attemptFailed();
+    metrics.programJudged("admitted");
+    metrics.programJudged("no_room");
     String text = new String(metrics.render(), StandardCharsets.UTF_8);
     assertTrue(text.contains("baykeel_gateway_calls_total{status=\"200\"} 2.0"), text);
     assertTrue(text.contains("baykeel_gateway_calls_total{status=\"503\"} 1.0"), text);
+    assertTrue(text.contains("baykeel_gateway_programs_total{outcome=\"no_room\"} 1.0"), text);
     assertTrue(text.contains("baykeel_gateway_failed_attempts_total 1.0"), text);
     assertTrue(text.contains("baykeel_gateway_call_seconds_count 3"), text);
     assertTrue(text.contains("baykeel_gateway_first_event_seconds{quantile=\"0.5\"} 0.02"), text);
