--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -71,6 +71,7 @@
   private long lastEventNanos;
   private int events;
   private boolean heldBack;
+  private boolean waiting;
   private boolean closed;
 
   EngineAttempt(
@@ -95,6 +96,10 @@
   void send(EngineTransport transport, EngineRequest request) {
     engine.requestStarted(startedNanos);
     engine.room().sent(startedNanos);
+    waiting = !prompt.isEmpty();
+    if (waiting) {
+      admission.requestSent(engine.record().service(), startedNanos);
+    }
     exchange = transport.send(engine, request, this);
   }
 
@@ -128,6 +133,14 @@
   void close() {
     closed = true;
     engine.requestEnded(startedNanos);
+    noteAnswered();
+  }
+
+  private void noteAnswered() {
+    if (waiting) {
+      waiting = false;
+      admission.requestAnswered(engine.record().service(), startedNanos);
+    }
   }
 
   @Override
@@ -198,6 +211,7 @@
   }
 
   private void noteFirstEvent(long now) {
+    noteAnswered();
     engine.cachedPrefixes().add(prompt);
     if (heldBack) {
       return;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ProgramOpening.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ProgramOpening.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.call;
 
+import java.util.Locale;
 import java.util.function.Consumer;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.admission.Judgement;
@@ -106,6 +107,7 @@
     if (judgement.admitted()) {
       begin(admitted);
     } else {
+      context.metrics().programJudged(judgement.cause().name().toLowerCase(Locale.ROOT));
       refused.accept(
           new Refusal(ErrorKind.OVERLOADED, judgement.retryMillis(), judgement.cause().phrase()));
     }
@@ -124,6 +126,7 @@
 
   /** The program turned out to be a new one. */
   void opened() {
+    context.metrics().programJudged("admitted");
     admission.programOpened(route.name(), attributes.finishMillis(), now());
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestSharedLoad.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/scheduling/TestSharedLoad.java
@@ -161,7 +161,7 @@
       directory.performanceOf("s").observeWork(8);
     }
     for (int i = 0; i < underWay; i++) {
-      directory.find(new EngineId("here")).requestStarted();
+      directory.find(new EngineId("here")).requestStarted(0);
     }
     Topology topology = Topology.ofOneRegion("z");
     RoundTrips roundTrips = new RoundTrips(topology);
