A test of the count of sends by rank

Cause: the metric came without a test of its own. Change: TestGatewayMetrics reads it back; a send without a rank is not counted. Ruled out: nothing; the counter is as it was. Conclusion: the metric of the order is covered.

--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestGatewayMetrics.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestGatewayMetrics.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.telemetry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
@@ -25,6 +26,17 @@
     assertTrue(text.contains("baykeel_gateway_first_event_seconds{quantile=\"0.5\"} 0.02"), text);
   }
 
+  @Test
+  void tellsSendsByRankAndNoneWithoutOne() {
+    GatewayMetrics metrics = new GatewayMetrics();
+    metrics.requestRanked(8);
+    metrics.requestRanked(8);
+    metrics.requestRanked(-1);
+    String text = new String(metrics.render(), StandardCharsets.UTF_8);
+    assertTrue(text.contains("baykeel_gateway_ranked_sends_total{rank=\"8\"} 2.0"), text);
+    assertFalse(text.contains("rank=\"-1\""), text);
+  }
+
   @Test
   void tellsWhatWasUsedByPurposeOnceAndInAll() {
     GatewayMetrics metrics = new GatewayMetrics();
