Programs keep their home: the shared view counts for them only beyond the time of reading their prompt again

Cause: at three times the demand 323 of some 1,600 turns of seconds 4 to 8 went to another engine than the turn before, where some engines kept two or three requests waiting.

Change: a stream that belongs to a program takes the wait that this node saw, as before the shared view, or what the view tells beyond reading its prompt again. Streams without a program still go wherever there is room, by the view and with pace in full.

TestSharedLoad holds (one engine of nine four times as slow for six seconds).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -44,7 +44,7 @@
   private static final double STREAM_IN_FLIGHT_WEIGHT = 1.0 / 200;
 
   /**
-   * Where the load of engines is known, an engine's pace counts in full once it differs from the
+   * For streams that belong to no program an engine's pace counts in full once it differs from the
    * usual one by this factor, either way; below, the difference is that of what happens to run.
    */
   private static final double EQUAL_PACE = 1.25;
@@ -187,7 +187,7 @@
     double bestMillis = 0;
     double nearMillis = -1;
     for (Engine engine : candidates) {
-      double millis = predictedMillis(engine, criteria, engine == home, usualGapMillis, nowNanos);
+      double millis = predictedMillis(engine, criteria, usualGapMillis, nowNanos);
       if (engine == home) {
         millis -= keptSomewhere ? homeBonusMillis(engine) : assumedAtHomeMillis(engine, criteria);
       }
@@ -277,7 +277,7 @@
   }
 
   private double predictedMillis(
-      Engine engine, Criteria criteria, boolean home, double usualGapMillis, long nowNanos) {
+      Engine engine, Criteria criteria, double usualGapMillis, long nowNanos) {
     ServicePerformance performance = engine.performance();
     boolean stream = !criteria.prompt().isEmpty();
     double answerMillis = stream ? performance.streamMillis() : performance.workMillis();
@@ -286,9 +286,11 @@
       millis += engine.inFlight() * answerMillis * STREAM_IN_FLIGHT_WEIGHT;
       int unread = engine.cachedPrefixes().uncachedTokens(criteria.prompt());
       millis += performance.readingMillis(unread) * READING_WEIGHT;
-      boolean tied = home || engine.cachedPrefixes().containsOwnPart(criteria.prompt());
-      millis += streamWaitMillis(engine, tied, nowNanos);
-      millis += excessGapMillis(engine, usualGapMillis, nowNanos) * performance.eventsPerAnswer();
+      boolean free = criteria.homeKey() == null && waitPrediction.known(engine);
+      millis +=
+          free ? freeWaitMillis(engine, criteria) : programWaitMillis(engine, criteria, nowNanos);
+      double excessGap = excessGapMillis(engine, free, usualGapMillis, nowNanos);
+      millis += excessGap * performance.eventsPerAnswer();
     } else {
       millis += engine.inFlight() * placeMillis(engine);
       millis += waitPrediction.known(engine) ? waitPrediction.expectedMillis(engine) : 0;
@@ -304,15 +306,27 @@
   }
 
   /**
-   * The wait of a stream.
-   *
-   * @param tied whether the stream belongs to the engine more than to others
+   * The wait of a stream of a program: what this process has seen of waits there, or what the
+   * shared view tells beyond the time of reading the whole prompt. Wherever a program moves its
+   * prompt is read again, and all that run there wait for it, so moving for less makes all of them
+   * slower.
    */
-  private double streamWaitMillis(Engine engine, boolean tied, long nowNanos) {
+  private double programWaitMillis(Engine engine, Criteria criteria, long nowNanos) {
+    double seenMillis = engine.waitMillis(nowNanos) * WAIT_WEIGHT;
     if (!waitPrediction.known(engine)) {
-      return engine.waitMillis(nowNanos) * WAIT_WEIGHT;
+      return seenMillis;
+    }
+    int tokens = 0;
+    for (int i = 0; i < criteria.prompt().size(); i++) {
+      tokens += criteria.prompt().get(i).tokens();
     }
-    if (tied) {
+    double readingMillis = engine.performance().readingMillis(tokens) * READING_WEIGHT;
+    return Math.max(seenMillis, waitPrediction.reportedMillis(engine) - readingMillis);
+  }
+
+  /** The wait of a stream that belongs to no program, and so may go wherever there is room. */
+  private double freeWaitMillis(Engine engine, Criteria criteria) {
+    if (engine.cachedPrefixes().containsOwnPart(criteria.prompt())) {
       return waitPrediction.reportedMillis(engine);
     }
     double placeMillis = engine.performance().streamMillis() / slots(engine);
@@ -320,10 +334,15 @@
     return waitPrediction.expectedMillis(engine) + tieMillis;
   }
 
-  /** What an engine needs for an event beyond the usual time; negative if it is faster. */
-  private double excessGapMillis(Engine engine, double usualGapMillis, long nowNanos) {
+  /**
+   * What an engine needs for an event beyond the usual time.
+   *
+   * @param free whether the stream may go wherever there is room; negative then if it is faster
+   */
+  private static double excessGapMillis(
+      Engine engine, boolean free, double usualGapMillis, long nowNanos) {
     double gapMillis = engine.gapMillis(nowNanos);
-    if (!waitPrediction.known(engine)) {
+    if (!free) {
       return Math.max(0, gapMillis - usualGapMillis * SLOW_PACE);
     }
     boolean equal =
