A test of the shared view of load with two regions

Cause: the view's reporters are chosen within a region, and engines of another region are asked slowly; nothing showed it.

Change: the region of the tests knows two; a test with nodes of both and a loaded engine in one: each region has one reporter, the nearer one asks fast, the other at the slow interval, all nodes know the engine.

No statement of the program changes.

--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/load/LoadRegion.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/load/LoadRegion.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
@@ -20,14 +21,20 @@
 import org.baykeel.gateway.testing.TestingLoadReports;
 import org.baykeel.gateway.testing.TestingPeerNetwork;
 import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.topology.RegionId;
 import org.baykeel.gateway.topology.Topology;
 
-/** Nodes and engines of one region, in memory and virtual time. */
+/** Nodes and engines of one region, and of another if a test adds some, in virtual time. */
 final class LoadRegion {
   static final int SLOTS = 16;
   static final EngineLoad CALM = new EngineLoad(0, 2, 10, 100);
   static final EngineLoad LOADED = new EngineLoad(3, 16, 90, 100);
 
+  static final String ZONE = "z";
+  static final String ZONE_OF_OTHER_REGION = "y";
+
+  private static final Map<String, RegionId> REGIONS =
+      Map.of(ZONE, new RegionId("east"), ZONE_OF_OTHER_REGION, new RegionId("west"));
   private static final long JOIN_MILLIS = 2_000;
 
   final TestingEventLoop eventLoop = new TestingEventLoop();
@@ -48,7 +55,7 @@
     final List<GatewayEvent> events = new ArrayList<>();
     private boolean gone;
 
-    Node(int number) {
+    Node(int number, String zone) {
       name = "n" + number;
       address = new PeerAddress("10.0.0." + number, 7_000);
       PeerMessageCodec codec = new PeerMessageCodec();
@@ -59,7 +66,7 @@
               way.send(receiver, datagram);
             }
           };
-      Topology topology = Topology.ofOneRegion("z");
+      Topology topology = new Topology(zone, REGIONS);
       peers =
           new PeerDirectory(
               name, address, store, eventLoop, transport, codec, topology, (event, fields) -> {});
@@ -123,17 +130,26 @@
   LoadRegion(int nodeCount, int engineCount, EngineLoad load) {
     this.engineCount = engineCount;
     IntStream.range(0, engineCount).forEach(i -> reports.set("e" + i, load));
-    IntStream.range(0, nodeCount).forEach(i -> nodes.add(new Node(i)));
+    IntStream.range(0, nodeCount).forEach(i -> nodes.add(new Node(i, ZONE)));
     eventLoop.advance(JOIN_MILLIS);
   }
 
   static EngineRecord record(String id) {
-    return new EngineRecord(id, "s", "10.9.0.1", 80, "z", SLOTS, false);
+    return record(id, ZONE);
+  }
+
+  static EngineRecord record(String id, String zone) {
+    return new EngineRecord(id, "s", "10.9.0.1", 80, zone, SLOTS, false);
   }
 
   /** Starts a node, also one that was there before. */
   Node start(int number) {
-    Node node = new Node(number);
+    return start(number, ZONE);
+  }
+
+  /** Starts a node of a zone. */
+  Node start(int number, String zone) {
+    Node node = new Node(number, zone);
     nodes.add(node);
     return node;
   }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/load/TestSharedLoad.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/load/TestSharedLoad.java
@@ -138,6 +138,24 @@
     }
   }
 
+  @Test
+  void eachRegionHasAReporterAndAnEngineElsewhereIsAskedSlowly() {
+    LoadRegion region = new LoadRegion(6, 0, LoadRegion.CALM);
+    for (int i = 0; i < 3; i++) {
+      region.start(50 + i, LoadRegion.ZONE_OF_OTHER_REGION);
+    }
+    region.reports.set("far", LoadRegion.LOADED);
+    region.nodes.forEach(
+        node -> node.engines.put(LoadRegion.record("far", LoadRegion.ZONE_OF_OTHER_REGION)));
+    region.eventLoop.advance(4_000);
+    List<String> askers = region.askers("far", 7_000);
+    region.nodes.forEach(node -> assertEquals(19, node.seen("far"), node.name));
+    assertEquals(2, Set.copyOf(askers).size(), "one in each region: " + askers);
+    List<String> west = List.of("n50", "n51", "n52");
+    assertTrue(askers.stream().filter(west::contains).count() >= 7_000 / 250);
+    assertTrue(askers.stream().filter(name -> !west.contains(name)).count() <= 7_000 / 700);
+  }
+
   @Test
   void lossOfDatagramsLeavesTheViewInPlace() {
     LoadRegion region = new LoadRegion(20, 10, LoadRegion.LOADED);
