--- a/baykeel-cli/src/main/java/org/baykeel/cli/LogStory.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/LogStory.java
@@ -30,6 +30,7 @@
           "ZONE_UNCORDONED",
           "ENGINE_COLD",
           "CONNECTION_SILENT",
+          "ADMISSION_CHANGED",
           "LINES_DROPPED",
           "FAULT");
 
--- a/baykeel-cli/src/main/java/org/baykeel/cli/ProgramLedger.java
+++ b/baykeel-cli/src/main/java/org/baykeel/cli/ProgramLedger.java
@@ -18,6 +18,8 @@
 final class ProgramLedger {
   private static final String USAGE = "USAGE";
   private static final Set<String> ENDS = Set.of("CALL_ENDED", "CALL_REFUSED");
+  private static final Set<String> NO_ROOM_OUTCOMES =
+      Set.of("refused: no room", "refused: too little time left");
   private static final int FIRST_FAILURE_STATUS = 300;
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final long BUDGET_SPENT = 402;
@@ -29,6 +31,8 @@
     NONE,
     /** A call ended after the time at which the program should have been over. */
     LATE,
+    /** It was refused before it began, for want of room. */
+    NO_ROOM,
     /** Its last call failed. */
     FAILED,
     /** Its last call was told that the budget is spent. */
@@ -98,12 +102,19 @@
     if (lastStatus == UNKNOWN_TURN) {
       return Loss.UNKNOWN_TURN;
     }
+    if (calls.stream().allMatch(ProgramLedger::refusedForRoom)) {
+      return Loss.NO_ROOM;
+    }
     if (lastStatus <= 0 || lastStatus >= FIRST_FAILURE_STATUS) {
       return Loss.FAILED;
     }
     return calls.stream().anyMatch(ProgramLedger::pastItsTime) ? Loss.LATE : Loss.NONE;
   }
 
+  private static boolean refusedForRoom(LogLine call) {
+    return call.field("outcome").filter(NO_ROOM_OUTCOMES::contains).isPresent();
+  }
+
   private static boolean pastItsTime(LogLine call) {
     long left = call.number("finish_ms");
     return left >= 0 && call.number("ms") > left;
--- a/baykeel-cli/src/test/java/org/baykeel/cli/TestProgramLedger.java
+++ b/baykeel-cli/src/test/java/org/baykeel/cli/TestProgramLedger.java
@@ -56,6 +56,8 @@
             + "|FAILED FAILED_CALL",
         "status=402 ms=1 first_ms=-1 finish_ms=500 grant_ms=0 history_ms=0 keep_ms=0 sends=0"
             + "|BUDGET REFUSAL",
+        "status=503 outcome=\"refused: no room\" ms=5 first_ms=-1 finish_ms=500 grant_ms=0"
+            + " history_ms=0 keep_ms=0 sends=0|NO_ROOM REFUSAL",
         "status=404 ms=9 first_ms=-1 finish_ms=500 grant_ms=0 history_ms=3 keep_ms=0 sends=0"
             + "|UNKNOWN_TURN REFUSAL",
       })
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ProgramOpening.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ProgramOpening.java
@@ -110,7 +110,8 @@
   }
 
   private void decide(Runnable admitted, Consumer<Refusal> refused) {
-    Judgement judgement = admission.judge(opening(), attributes.requestId(), program, now());
+    Judgement judgement =
+        admission.judge(opening(), attributes.requestId(), attributes.programId(), now());
     if (judgement.admitted()) {
       begin(admitted);
     } else {
