--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/MemoryPolicy.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/MemoryPolicy.java
@@ -32,7 +32,7 @@
       return NEVER_FITS_PENALTY_MILLIS;
     }
     double leftTokens = (1 - engine.load().memoryShare(nowNanos)) * totalTokens;
-    double needTokens = neededTokens(engine, criteria);
+    double needTokens = neededTokens(criteria);
     if (needTokens <= leftTokens) {
       return 0;
     }
@@ -49,16 +49,12 @@
     return tokens;
   }
 
-  /** Shared parts that the engine keeps need no more memory; the own part may have given way. */
-  private static int neededTokens(Engine engine, EngineSelector.Criteria criteria) {
+  /**
+   * The own part, which may have given way, and the output. Parts that are shared are kept for
+   * other requests as well, also where this process has not seen it.
+   */
+  private static int neededTokens(EngineSelector.Criteria criteria) {
     List<PromptPart> prompt = criteria.prompt();
-    int own = prompt.size() - 1;
-    int tokens = prompt.get(own).tokens() + criteria.outputTokens();
-    for (int i = 0; i < own; i++) {
-      if (!engine.cachedPrefixes().contains(prompt.get(i).id())) {
-        tokens += prompt.get(i).tokens();
-      }
-    }
-    return tokens;
+    return prompt.get(prompt.size() - 1).tokens() + criteria.outputTokens();
   }
 }
