--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/KindAdmission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/KindAdmission.java
@@ -9,7 +9,10 @@
 
   private static final double SLACK_FULL = 0.7;
 
-  /** The same for kinds of which too little was seen, in multiples of the wanted first answer. */
+  /**
+   * The same for kinds of which too little was seen: what a turn takes beyond its usual time, in
+   * multiples of the wanted first answer.
+   */
   private static final double WAIT_BEGIN = 0.25;
 
   private static final double WAIT_FULL = 0.75;
@@ -22,6 +25,9 @@
   /** The program time of a kind of which too little was seen, in wanted first answers. */
   private static final double UNKNOWN_PROGRAM_TARGETS = 4;
 
+  /** What a node sees of its own is late and of few requests: it counts for so much more. */
+  private static final double UNSEEN_CAUTION = 2;
+
   private static final long RECENT_NANOS = 5_000_000_000L;
 
   private final String kind;
@@ -75,30 +81,32 @@
    * Adopts the present state of its service.
    *
    * @param waitMillis the wait of a turn for a place
-   * @param caution multiplies the predicted excess
+   * @param viewed whether a recent view of the engines' load tells that places are few
    * @param room whether there is room for any program
    */
   void follow(
       ServicePerformance performance,
       double waitMillis,
-      double caution,
+      boolean viewed,
       boolean room,
       long nowNanos) {
     if (room) {
       usual.observe(Prediction.workMillis(performance), profile.pauseMillis(), nowNanos);
     }
     prediction = Prediction.of(profile, usual, performance, waitMillis, nowNanos);
-    share.follow(room ? 1 : target(caution), programMillis(), nowNanos);
+    share.follow(room ? 1 : target(viewed), programMillis(), nowNanos);
   }
 
-  private double target(double caution) {
+  private double target(boolean viewed) {
+    double caution = viewed ? 1 : UNSEEN_CAUTION;
     double earlier = Math.min(MOST_EARLIER, rank * EARLIER_PER_RANK);
     if (prediction.slackUse().isPresent()) {
       return between(
           prediction.slackUse().getAsDouble() * caution + earlier, SLACK_BEGIN, SLACK_FULL);
     }
-    double targets = prediction.waitMillis() / targetMillis;
-    return between(targets * caution * (1 + earlier), WAIT_BEGIN, WAIT_FULL);
+    double slowerMillis = viewed ? prediction.slowerMillis() : 0;
+    double excessMillis = prediction.waitMillis() * caution + slowerMillis;
+    return between(excessMillis / targetMillis * (1 + earlier), WAIT_BEGIN, WAIT_FULL);
   }
 
   private static double between(double value, double begin, double full) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Prediction.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Prediction.java
@@ -9,6 +9,7 @@
  * @param ratio the predicted time in parts of the aim; absent while too little was seen
  * @param slackUse what the program is predicted to take beyond its usual time, in parts of what its
  *     aim leaves beyond it; absent like the ratio
+ * @param slowerMillis what the work of a turn takes beyond its usual time
  * @param waitMillis the wait of a turn for a place
  * @param turnMillis a turn, its wait included
  * @param pauseMillis the time between two turns
@@ -18,6 +19,7 @@
 record Prediction(
     OptionalDouble ratio,
     OptionalDouble slackUse,
+    double slowerMillis,
     double waitMillis,
     double turnMillis,
     double pauseMillis,
@@ -37,6 +39,7 @@
     double pauseMillis = profile.pauseMillis();
     double turns = profile.turnsPerProgram();
     double aimMillis = profile.aimMillis();
+    double slowerMillis = Math.max(0, workMillis - usual.work(workMillis));
     OptionalDouble ratio = OptionalDouble.empty();
     OptionalDouble slackUse = OptionalDouble.empty();
     if (profile.known(nowNanos)) {
@@ -47,7 +50,14 @@
       slackUse = OptionalDouble.of(Math.max(0, nowMillis - usualMillis) / slack);
     }
     return new Prediction(
-        ratio, slackUse, waitMillis, waitMillis + workMillis, pauseMillis, turns, aimMillis);
+        ratio,
+        slackUse,
+        slowerMillis,
+        waitMillis,
+        waitMillis + workMillis,
+        pauseMillis,
+        turns,
+        aimMillis);
   }
 
   private static double time(double turns, double turnMillis, double pauseMillis) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceAdmission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceAdmission.java
@@ -17,9 +17,6 @@
   /** No kind gets less than this part of the share of the most urgent one. */
   private static final double LEAST_OF_MOST_URGENT = 0.25;
 
-  /** What a node sees of its own is late and of few requests: it counts for so much more. */
-  private static final double UNSEEN_CAUTION = 2;
-
   private static final long LOOK_EVERY_NANOS = 20_000_000L;
 
   private final String service;
@@ -83,12 +80,11 @@
     asking.asked(targetMillis, nowNanos);
     look(nowNanos);
     double waitMillis = waitMillis(nowNanos);
-    double caution = room.recent() ? 1 : UNSEEN_CAUTION;
     ServicePerformance performance = engines.performanceOf(service);
     for (KindAdmission kind : kinds.values()) {
       if (kind.recent(nowNanos)) {
         boolean roomy = roomy(kind, nowNanos);
-        kind.follow(performance, waitMillis, caution, roomy, nowNanos);
+        kind.follow(performance, waitMillis, room.recent(), roomy, nowNanos);
       }
     }
     return roomy(asking, nowNanos) ? 1 : ranked(asking, nowNanos);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/TestProgramAdmission.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/TestProgramAdmission.java
@@ -83,6 +83,24 @@
     assertTrue(admitted(opening("kind", 0, TARGET_MILLIS), 100) <= 6);
   }
 
+  /** Before the first programs are over, events come twice as late as while there was room. */
+  @Test
+  void withoutFreePlacesASlowPaceDecidesAlsoWhereTooLittleWasSeen() {
+    load("s", 5);
+    pace(30);
+    assertEquals(20, admitted(opening("kind", 0, TARGET_MILLIS), 20));
+    now += 20 * MILLI;
+    load("s", 9);
+    pace(60);
+    assertTrue(admitted(opening("kind", 0, TARGET_MILLIS), 100) <= 6);
+  }
+
+  private void pace(double gapMillis) {
+    for (int i = 0; i < 1_000; i++) {
+      engines.performanceOf("s").observeGap(gapMillis);
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {60, 80, 110, 140, 400})
   void aLessUrgentKindNeverGetsMoreThanAnUrgentOneAndIsNotStarved(int waitMillis) {
