--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -307,9 +307,9 @@
 
   /**
    * The wait of a stream of a program: what this process has seen of waits there, or what the
-   * shared view tells beyond the time of reading the whole prompt. Wherever a program moves its
-   * prompt is read again, and all that run there wait for it, so moving for less makes all of them
-   * slower.
+   * shared view tells beyond the time of reading the whole prompt twice. A program that moves and
+   * returns reads it at both engines, and all that run there wait for it, so moving for less makes
+   * all of them slower.
    */
   private double programWaitMillis(Engine engine, Criteria criteria, long nowNanos) {
     double seenMillis = engine.waitMillis(nowNanos) * WAIT_WEIGHT;
@@ -320,7 +320,7 @@
     for (int i = 0; i < criteria.prompt().size(); i++) {
       tokens += criteria.prompt().get(i).tokens();
     }
-    double readingMillis = engine.performance().readingMillis(tokens) * READING_WEIGHT;
+    double readingMillis = engine.performance().readingMillis(2.0 * tokens) * READING_WEIGHT;
     return Math.max(seenMillis, waitPrediction.reportedMillis(engine) - readingMillis);
   }
 
