--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/AdmissionLog.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/AdmissionLog.java
@@ -67,9 +67,8 @@
   void shared(KindAdmission kind, double share, ServiceRoom room, long nowNanos) {
     Told told = toldByKind.get(kind);
     double before = told == null ? 1 : told.share();
-    boolean crossed = before >= 1 != share >= 1;
     boolean due = told == null || nowNanos - told.nanos() >= SHORTEST_NANOS;
-    if (before == share || !crossed && !due) {
+    if (before == share || !due) {
       return;
     }
     toldByKind.put(kind, new Told(share, nowNanos));
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Opening.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Opening.java
@@ -21,4 +21,10 @@
     String service,
     long targetMillis,
     long finishMillis,
-    LimitUse use) {}
+    LimitUse use) {
+
+  /** What it competes with for the same room: programs of its kind at its service. */
+  String group() {
+    return service + '/' + kind;
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Prediction.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/Prediction.java
@@ -71,6 +71,14 @@
         + performance.streamMillis();
   }
 
+  /**
+   * A program with less time left than this can't end in its aim: not even a turn of its service
+   * would. Kinds whose aim is short against such a turn have shorter turns than it.
+   */
+  double leastMillis() {
+    return aimMillis > 0 ? Math.min(turnMillis, aimMillis / 2) : turnMillis;
+  }
+
   /**
    * The predicted time of a whole program.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ProgramAdmission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ProgramAdmission.java
@@ -64,7 +64,7 @@
   public boolean unrestricted(Opening opening, long nowNanos) {
     boolean unrestricted = share(opening, nowNanos) >= 1;
     if (unrestricted) {
-      shares.shareOf(1, opening.use());
+      shares.shareOf(opening.group(), 1, opening.use());
     }
     return unrestricted;
   }
@@ -84,9 +84,9 @@
     Prediction prediction = kind.prediction();
     long left = opening.finishMillis();
     Judgement.Cause cause = Judgement.Cause.NO_ROOM;
-    if (left > 0 && left < prediction.turnMillis()) {
+    if (left > 0 && left < prediction.leastMillis()) {
       cause = Judgement.Cause.TOO_LATE;
-    } else if (kind.admits(shares.shareOf(share, opening.use()))) {
+    } else if (kind.admits(shares.shareOf(opening.group(), share, opening.use()))) {
       return new Judgement(Judgement.Cause.ADMITTED, 0);
     }
     double untilRoomMillis = (1 - share) * kind.programMillis();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
@@ -221,7 +221,7 @@
   }
 
   private RoomQueue.Need roomNeed() {
-    return new RoomQueue.Need(call.service(), call.residency());
+    return new RoomQueue.Need(call.service(), call.residency(), call.route().repeatable());
   }
 
   /** Whether the request came early enough to end before its program is to be over. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/RoomQueue.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/RoomQueue.java
@@ -21,6 +21,9 @@
           .thenComparingLong(Ticket::dueNanos)
           .thenComparingLong(Ticket::order);
 
+  /** Engines may come, or tell of room, without a word to this queue. */
+  private static final long LONGEST_SLEEP_MILLIS = 100;
+
   private final EventLoop eventLoop;
   private final Map<Need, Line> lines = new HashMap<>();
   private long order;
@@ -30,8 +33,9 @@
    *
    * @param service the service that is to run them
    * @param residency where they may run
+   * @param repeatable whether they may go to engines that lost requests lately
    */
-  record Need(String service, Residency residency) {}
+  record Need(String service, Residency residency, boolean repeatable) {}
 
   /** A request that waits. */
   interface Waiter {
@@ -124,6 +128,7 @@
         nextNanos = Math.min(nextNanos, ticket.giveUpNanos);
       }
       long millis = Math.max(0, (nextNanos - now + 999_999) / 1_000_000);
+      millis = Math.min(millis, LONGEST_SLEEP_MILLIS);
       timer = eventLoop.schedule(millis, this::onTimer);
     }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineRoom.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineRoom.java
@@ -75,7 +75,7 @@
     if (!remembered(nowNanos) || nextPlaceNanos - nowNanos <= 0 || reportedRoom(nowNanos)) {
       return nowNanos;
     }
-    return nextPlaceNanos;
+    return Math.min(nextPlaceNanos, saidNanos + FORGET_NANOS);
   }
 
   private boolean remembered(long nowNanos) {
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/fairness/GroupShares.java
@@ -0,0 +1,119 @@
+package org.baykeel.gateway.fairness;
+
+import java.util.function.Predicate;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.telemetry.DecisionLog;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.tenancy.LimitUse;
+
+/**
+ * The tenants that ask to begin programs of one group, and the level up to which they pass whole.
+ */
+final class GroupShares {
+  /** Nobody gets less than this part of what all get on average. */
+  static final double LEAST_PART = 0.25;
+
+  /** With fewer observations the mix of tenants is not known. */
+  private static final double FEWEST_OBSERVATIONS = 6;
+
+  /**
+   * A tenant that was silent for long counts as one that asks for this multiple: else all small
+   * tenants together would pass whatever the share.
+   */
+  private static final double LEAST_MULTIPLE = 0.05;
+
+  /** Halvings of the range in which the level lies. */
+  private static final int HALVINGS = 30;
+
+  private static final long LOG_INTERVAL_NANOS = 1_000_000_000L;
+
+  /** A smaller change of the level is not worth a line. */
+  private static final double LOGGED_CHANGE = 0.1;
+
+  private final String group;
+  private final EventLoop eventLoop;
+  private final DecisionLog log;
+  private final ObservedUses uses = new ObservedUses();
+  private double share = 1;
+  private double level = Double.POSITIVE_INFINITY;
+  private double loggedLevel = Double.POSITIVE_INFINITY;
+  private long loggedNanos;
+
+  /**
+   * Creates shares that have seen nobody.
+   *
+   * @param group names it in the log
+   */
+  GroupShares(String group, EventLoop eventLoop, DecisionLog log) {
+    this.group = group;
+    this.eventLoop = eventLoop;
+    this.log = log;
+    this.loggedNanos = eventLoop.nanoTime() - LOG_INTERVAL_NANOS;
+  }
+
+  /** The mean share of the tenants of a class that asked lately; 0 if there are none. */
+  double mean(Predicate<LimitUse> tenants) {
+    return uses.mean(multiple -> tenants.test(new LimitUse(multiple)), this::atLevel);
+  }
+
+  double shareOf(double shareOfAll, LimitUse use) {
+    long now = eventLoop.nanoTime();
+    uses.add(use, now);
+    share = Math.max(0, Math.min(1, shareOfAll));
+    if (share < 1 && uses.count() < FEWEST_OBSERVATIONS) {
+      return share;
+    }
+    level = share < 1 ? findLevel() : Double.POSITIVE_INFINITY;
+    logChange(now);
+    return atLevel(use.multiple());
+  }
+
+  private double atLevel(double multiple) {
+    return shareAt(level, multiple);
+  }
+
+  private double shareAt(double someLevel, double multiple) {
+    double counted = Math.max(LEAST_MULTIPLE, multiple);
+    double wanted = counted <= someLevel ? 1 : someLevel / counted;
+    return Math.max(LEAST_PART * share, wanted);
+  }
+
+  private double findLevel() {
+    double low = 0;
+    double high = Math.max(LEAST_MULTIPLE, uses.largestMultiple());
+    for (int i = 0; i < HALVINGS; i++) {
+      double middle = (low + high) / 2;
+      if (uses.mean(multiple -> true, multiple -> shareAt(middle, multiple)) < share) {
+        low = middle;
+      } else {
+        high = middle;
+      }
+    }
+    return high;
+  }
+
+  private void logChange(long nowNanos) {
+    boolean changed =
+        Double.isInfinite(level) || Double.isInfinite(loggedLevel)
+            ? level != loggedLevel
+            : Math.abs(level - loggedLevel) > LOGGED_CHANGE * loggedLevel;
+    if (!changed || nowNanos - loggedNanos < LOG_INTERVAL_NANOS) {
+      return;
+    }
+    loggedLevel = level;
+    loggedNanos = nowNanos;
+    int within = uses.count(multiple -> new LimitUse(multiple).within());
+    log.write(
+        GatewayEvent.SHARES_CHANGED,
+        "level",
+        Double.isInfinite(level) ? "none" : Math.round(level * 1_000) / 1e3,
+        "share",
+        Math.round(share * 1_000) / 1e3,
+        "within",
+        within,
+        "beyond",
+        uses.count(multiple -> true) - within,
+        "group",
+        group);
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/fairness/OpeningShares.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/fairness/OpeningShares.java
@@ -6,15 +6,16 @@
 @FunctionalInterface
 public interface OpeningShares {
   /** The same share for all. */
-  OpeningShares EVEN = (share, use) -> share;
+  OpeningShares EVEN = (group, share, use) -> share;
 
   /**
    * The share of programs like one that asks to begin that may do so. Asked once for each, also
    * while all may begin, so that it is known who asks.
    *
+   * @param group what competes for the same room: programs of one kind at one service
    * @param share the share of all programs that may begin now, 0 to 1
    * @param use what the tenant of the one that asks asked for lately
    * @return 0 to 1
    */
-  double shareOf(double share, LimitUse use);
+  double shareOf(String group, double share, LimitUse use);
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionBuckets.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/PartitionBuckets.java
@@ -19,6 +19,9 @@
   /** The shortest time after which a refused program should come back. */
   private static final long OPENING_RETRY_MILLIS = 150;
 
+  /** What a program must leave to others falls while those end, so longer times mislead. */
+  private static final long LONGEST_OPENING_RETRY_MILLIS = 2_000;
+
   private final double extraTokens;
   private final double firstTokens;
   private final boolean heldBefore;
@@ -108,7 +111,10 @@
 
   private static long retryMillis(RequestClass kind, TokenBucket bucket, double reserve) {
     long untilTokens = Math.max(1, bucket.millisUntil(reserve + 1));
-    return kind == RequestClass.OPENING ? Math.max(OPENING_RETRY_MILLIS, untilTokens) : untilTokens;
+    if (kind != RequestClass.OPENING) {
+      return untilTokens;
+    }
+    return Math.max(OPENING_RETRY_MILLIS, Math.min(LONGEST_OPENING_RETRY_MILLIS, untilTokens));
   }
 
   private void given(Account account, int programHash, int tokens, long nowNanos) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -7,7 +7,6 @@
 import java.util.random.RandomGenerator;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
-import org.baykeel.gateway.directory.EngineStanding;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.directory.ServicePerformance;
 import org.baykeel.gateway.residency.Residency;
@@ -219,13 +218,25 @@
     collectCandidates(criteria, excluded, nowNanos);
     double answerMillis = answerMillis(criteria);
     long earliest = Long.MAX_VALUE;
+    long anyNanos = Long.MAX_VALUE;
     for (Engine engine : candidates) {
-      EngineStanding standing = engine.standing(nowNanos);
-      if (standing.penaltyMillis(criteria.repeatable(), answerMillis) < FULL_PENALTY_MILLIS) {
-        earliest = Math.min(earliest, engine.room().nextPlaceNanos(nowNanos));
+      long nextNanos = engine.room().nextPlaceNanos(nowNanos);
+      anyNanos = Math.min(anyNanos, nextNanos);
+      if (standingMillis(engine, criteria, answerMillis, nowNanos) < FULL_PENALTY_MILLIS) {
+        earliest = Math.min(earliest, nextNanos);
       }
     }
-    return earliest == Long.MAX_VALUE && !candidates.isEmpty() ? nowNanos : earliest;
+    return earliest == Long.MAX_VALUE ? anyNanos : earliest;
+  }
+
+  /** What speaks against an engine whatever its load: how far it is trusted, and the policies. */
+  private double standingMillis(
+      Engine engine, Criteria criteria, double answerMillis, long nowNanos) {
+    double millis = engine.standing(nowNanos).penaltyMillis(criteria.repeatable(), answerMillis);
+    for (EnginePolicy policy : policies) {
+      millis += policy.penaltyMillis(engine, criteria, nowNanos);
+    }
+    return millis;
   }
 
   /** The usual time of a whole answer to a request, in milliseconds. */
@@ -296,13 +307,10 @@
       millis += waitPrediction.known(engine) ? waitPrediction.expectedMillis(engine) : 0;
     }
     millis += wayMillis(engine, stream);
-    for (EnginePolicy policy : policies) {
-      millis += policy.penaltyMillis(engine, criteria, nowNanos);
-    }
     if (engine.room().full(nowNanos)) {
       millis += FULL_PENALTY_MILLIS;
     }
-    return millis + engine.standing(nowNanos).penaltyMillis(criteria.repeatable(), answerMillis);
+    return millis + standingMillis(engine, criteria, answerMillis, nowNanos);
   }
 
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/MemoryPolicy.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/MemoryPolicy.java
@@ -10,7 +10,9 @@
  * one is, and its prompt is read anew. The penalty grows with what is missing, so that among
  * engines that all lack room the largest streams go where most is left.
  *
- * <p>Says nothing of an engine that does not tell its memory.
+ * <p>Says nothing of an engine that does not tell its memory. A stream that belongs to a program
+ * stays where the program's earlier turns are kept, as long as it can ever run there: anywhere else
+ * its whole prompt would be read anew for certain.
  */
 public final class MemoryPolicy implements EnginePolicy {
   /** More than what speaks against an engine that has just failed: it can never run the stream. */
@@ -31,6 +33,9 @@
     if (promptTokens + criteria.outputTokens() > totalTokens) {
       return NEVER_FITS_PENALTY_MILLIS;
     }
+    if (criteria.homeKey() != null) {
+      return 0;
+    }
     double leftTokens = (1 - engine.load().memoryShare(nowNanos)) * totalTokens;
     double needTokens = neededTokens(criteria);
     if (needTokens <= leftTokens) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/TestProgramAdmission.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/admission/TestProgramAdmission.java
@@ -31,7 +31,7 @@
       new ProgramAdmission(
           engines,
           new Random(1),
-          (share, use) -> shares.shareOf(share, use),
+          (group, share, use) -> shares.shareOf(group, share, use),
           (event, fields) -> lines.add(event.name()));
   private long now = 1_000 * MILLI;
 
@@ -195,9 +195,9 @@
   @Test
   void whoGetsTheShareIsDecidedByShares() {
     waits(100);
-    shares = (share, use) -> use == LimitUse.UNKNOWN ? 0 : 1;
+    shares = (group, share, use) -> use == LimitUse.UNKNOWN ? 0 : 1;
     assertEquals(0, admitted(opening("kind", 0, TARGET_MILLIS), 20));
-    shares = (share, use) -> 1;
+    shares = (group, share, use) -> 1;
     assertEquals(20, admitted(opening("kind", 0, TARGET_MILLIS), 20));
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestRoomQueue.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestRoomQueue.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class TestRoomQueue {
-  private static final RoomQueue.Need NEED = new RoomQueue.Need("s", Residency.ANY);
+  private static final RoomQueue.Need NEED = new RoomQueue.Need("s", Residency.ANY, false);
   private static final long NO_AIM = 0;
 
   private final TestingEventLoop eventLoop = new TestingEventLoop();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/fairness/TestFairShares.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/fairness/TestFairShares.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class TestFairShares {
+  private static final String GROUP = "s/kind";
   private static final int NODES = 20;
 
   private final TestingEventLoop eventLoop = new TestingEventLoop();
@@ -64,7 +65,7 @@
           FairShares node = nodes.get(random.nextInt(NODES));
           load.asked++;
           load.begun +=
-              random.nextDouble() < node.shareOf(share, new LimitUse(load.multiple)) ? 1 : 0;
+              random.nextDouble() < node.shareOf(GROUP, share, new LimitUse(load.multiple)) ? 1 : 0;
         }
       }
       eventLoop.advance(1);
@@ -98,7 +99,7 @@
   @ValueSource(doubles = {0.2, 1, 3})
   void tenantsThatAskForTheSameShareEvenly(double multiple) {
     for (int i = 0; i < 100; i++) {
-      assertEquals(0.4, shares.shareOf(0.4, new LimitUse(multiple)), 1e-6);
+      assertEquals(0.4, shares.shareOf(GROUP, 0.4, new LimitUse(multiple)), 1e-6);
       eventLoop.advance(50);
     }
   }
@@ -106,7 +107,7 @@
   @Test
   void whereNoUseIsKnownAllGetTheSame() {
     for (int i = 0; i < 100; i++) {
-      assertEquals(0.7, shares.shareOf(0.7, LimitUse.UNKNOWN), 1e-6);
+      assertEquals(0.7, shares.shareOf(GROUP, 0.7, LimitUse.UNKNOWN), 1e-6);
       eventLoop.advance(20);
     }
   }
@@ -115,27 +116,27 @@
   @CsvSource({"1", "0.9", "0.5", "0.1", "0"})
   void nobodyGetsLessThanAQuarterOfWhatAllGet(double share) {
     for (int i = 0; i < 200; i++) {
-      double got = shares.shareOf(share, new LimitUse(i % 5 == 0 ? 1_000 : 0.1 * (i % 10)));
-      assertTrue(got >= FairShares.LEAST_PART * share && got <= 1, "got " + got);
+      double got = shares.shareOf(GROUP, share, new LimitUse(i % 5 == 0 ? 1_000 : 0.1 * (i % 10)));
+      assertTrue(got >= GroupShares.LEAST_PART * share && got <= 1, "got " + got);
     }
   }
 
   @Test
   void aFewProgramsSayNothingOfTheMix() {
     for (int i = 0; i < 5; i++) {
-      assertEquals(0.5, shares.shareOf(0.5, new LimitUse(i)), 0);
+      assertEquals(0.5, shares.shareOf(GROUP, 0.5, new LimitUse(i)), 0);
     }
     for (int i = 0; i < 20; i++) {
-      shares.shareOf(0.5, new LimitUse(4));
+      shares.shareOf(GROUP, 0.5, new LimitUse(4));
     }
     eventLoop.advance(30_000);
-    assertEquals(0.5, shares.shareOf(0.5, new LimitUse(0.1)), 0);
+    assertEquals(0.5, shares.shareOf(GROUP, 0.5, new LimitUse(0.1)), 0);
   }
 
   @Test
   void atNodesWhereAllMayBeginAllDo() {
     for (int i = 0; i < 50; i++) {
-      assertEquals(1, shares.shareOf(1, new LimitUse(i)), 0);
+      assertEquals(1, shares.shareOf(GROUP, 1, new LimitUse(i)), 0);
     }
     assertEquals(List.of(), lines);
   }
@@ -143,7 +144,7 @@
   @Test
   void aChangeOfTheLevelIsLoggedOnceASecondAtMost() {
     for (int millis = 0; millis < 4_000; millis += 10) {
-      shares.shareOf(millis < 3_000 ? 0.1 + 0.2 * (millis / 50 % 4) : 1, new LimitUse(1));
+      shares.shareOf(GROUP, millis < 3_000 ? 0.1 + 0.2 * (millis / 50 % 4) : 1, new LimitUse(1));
       eventLoop.advance(10);
     }
     assertTrue(lines.size() >= 3 && lines.size() <= 5, lines.toString());
@@ -154,10 +155,35 @@
   @Test
   void theMetricsTellTheSharesOfTenantsWithinAndBeyondTheirLimits() {
     for (int i = 0; i < 60; i++) {
-      shares.shareOf(0.5, new LimitUse(i % 3 == 0 ? 0.2 : 2));
+      shares.shareOf(GROUP, 0.5, new LimitUse(i % 3 == 0 ? 0.2 : 2));
     }
     String text = new String(metrics.render(), StandardCharsets.UTF_8);
     assertTrue(text.contains("opening_share_within_limit_thousandths 1000"), text);
     assertTrue(text.contains("opening_share_beyond_limit_thousandths 250"), text);
   }
+
+  /** Sixty programs of small tenants begin at another service while one tenant asks here. */
+  @Test
+  void aRushAtOneServiceSaysNothingOfWhoAsksAtAnother() {
+    FairShares shares = create();
+    for (int i = 0; i < 60; i++) {
+      shares.shareOf("idle/kind", 1, new LimitUse(0.1));
+    }
+    double got = 0;
+    for (int i = 0; i < 10; i++) {
+      got = shares.shareOf(GROUP, 0.3, new LimitUse(1));
+    }
+    assertEquals(0.3, got, 1e-6);
+  }
+
+  /** All tenants were silent for long, and together ask for more than there is room for. */
+  @Test
+  void tenantsThatWereSilentForLongShareEvenlyToo() {
+    FairShares shares = create();
+    double got = 1;
+    for (int i = 0; i < 20; i++) {
+      got = shares.shareOf(GROUP, 0.4, new LimitUse(0));
+    }
+    assertEquals(0.4, got, 1e-3);
+  }
 }
