A turn that waits for room when its grant comes is sent once

Cause: a soak found a turn (r7203) that ran at two engines at once, and its caller got the head of the one with the events of the other. The node's line says sends=2, runs=2 and there is no end of an attempt between. A turn of a new program may go before its grant is known; where all engines are full it waits in the line for room, so nothing is sent when the grant arrives, and the call began its attempts a second time: two places in the line, two sends.

Ruled out: a second send after a broken answer (no attempt ended); a caller's own repetition (one id per attempt); the stand-in (engine e0 and e1 each noted a run of the id, some ten milliseconds apart).

Change: a call begins its attempts once, whether they were sent or wait.

Conclusion: "at most once" did not hold under a burst since requests wait for room in a line.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -174,7 +174,7 @@
     }
     if (streamComplete) {
       finishStream();
-    } else if (engineBody != null && attempts.sends() == 0) {
+    } else if (engineBody != null && !attempts.begun()) {
       attempts.begin(engineBody);
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempts.java
@@ -98,6 +98,11 @@
     }
   }
 
+  /** Whether the request was sent or waits for room to be sent. */
+  boolean begun() {
+    return engineBody != null;
+  }
+
   /** How often the request was sent. */
   int sends() {
     return sends;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -231,6 +231,19 @@
     assertTrue(waited >= TIMEOUT_MILLIS - 100 && waited < TIMEOUT_MILLIS - 20, waited + " ms");
   }
 
+  @Test
+  void aTurnThatWaitsForRoomWhenItsGrantComesIsSentOnce() {
+    call("/unsafe/");
+    for (int i = 0; i < 3; i++) {
+      transport.last().notExecuted();
+    }
+    int sent = transport.count();
+    call("/once/", "t", null, "p", 10_000);
+    assertEquals(sent, transport.count(), "no engine has room");
+    eventLoop.advance(500);
+    assertEquals(sent + 2, transport.count(), "each of the two is sent when there is room");
+  }
+
   @Test
   void aRequestThatWaitedForRoomIsServedOnceThereIsSome() {
     call("/unsafe/");
