What a newcomer stumbled over: comments and pages that said more or other than the code; one sum of a prompt's tokens

Cause: a reader who knew only the README read the whole change.

Ruled out here: renaming over many files, moving constructors that only tests use, the split of the engine choice; they stay on the list.

Conclusion: no decision changes.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/KindAdmission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/KindAdmission.java
@@ -4,10 +4,10 @@
 
 /** What is known and decided of the programs of one kind and rank at one service. */
 final class KindAdmission {
-  /** Where refusals begin and where all are refused, in parts of what the aim leaves. */
+  /** Where refusals begin, and where only the least share may begin, in parts of the slack. */
   private static final double SLACK_BEGIN = 0.2;
 
-  private static final double SLACK_FULL = 0.7;
+  private static final double SLACK_END = 0.7;
 
   /**
    * The same for kinds of which too little was seen: what a turn takes beyond its usual time, in
@@ -15,7 +15,7 @@
    */
   private static final double WAIT_BEGIN = 0.25;
 
-  private static final double WAIT_FULL = 0.75;
+  private static final double WAIT_END = 0.75;
 
   /** Refusals begin so much earlier for each rank below the most urgent. */
   private static final double EARLIER_PER_RANK = 0.06;
@@ -102,11 +102,11 @@
     double earlier = Math.min(MOST_EARLIER, rank * EARLIER_PER_RANK);
     if (prediction.slackUse().isPresent()) {
       return between(
-          prediction.slackUse().getAsDouble() * caution + earlier, SLACK_BEGIN, SLACK_FULL);
+          prediction.slackUse().getAsDouble() * caution + earlier, SLACK_BEGIN, SLACK_END);
     }
     double slowerMillis = viewed ? prediction.slowerMillis() : 0;
     double excessMillis = prediction.waitMillis() * caution + slowerMillis;
-    return between(excessMillis / targetMillis * (1 + earlier), WAIT_BEGIN, WAIT_FULL);
+    return between(excessMillis / targetMillis * (1 + earlier), WAIT_BEGIN, WAIT_END);
   }
 
   private static double between(double value, double begin, double full) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -172,7 +172,7 @@
         "rank",
         lastRank,
         "prompt",
-        attributes.prompt().stream().mapToInt(PromptPart::tokens).sum(),
+        PromptPart.totalTokens(attributes.prompt()),
         "unread",
         unreadTokens,
         "runs",
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -174,7 +174,7 @@
    * request counts as sent to it.
    *
    * @param excluded identifiers of engines that have had this request
-   * @return a choice, or null if no engine takes work or all that do are expected to be full
+   * @return a choice, or null if no engine takes work or the best one is expected to be full
    */
   public Choice choose(Criteria criteria, Set<String> excluded, long nowNanos) {
     collectCandidates(criteria, excluded, nowNanos);
@@ -324,10 +324,7 @@
     if (!waitPrediction.known(engine)) {
       return seenMillis;
     }
-    int tokens = 0;
-    for (int i = 0; i < criteria.prompt().size(); i++) {
-      tokens += criteria.prompt().get(i).tokens();
-    }
+    int tokens = PromptPart.totalTokens(criteria.prompt());
     double readingMillis = engine.performance().readingMillis(2.0 * tokens) * READING_WEIGHT;
     return Math.max(seenMillis, waitPrediction.reportedMillis(engine) - readingMillis);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/MemoryPolicy.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/MemoryPolicy.java
@@ -29,7 +29,7 @@
     if (totalTokens <= 0 || criteria.prompt().isEmpty()) {
       return 0;
     }
-    int promptTokens = tokens(criteria.prompt());
+    int promptTokens = PromptPart.totalTokens(criteria.prompt());
     if (promptTokens + criteria.outputTokens() > totalTokens) {
       return NEVER_FITS_PENALTY_MILLIS;
     }
@@ -46,14 +46,6 @@
     return preemptedMillis * (1 + (needTokens - leftTokens) / needTokens);
   }
 
-  private static int tokens(List<PromptPart> prompt) {
-    int tokens = 0;
-    for (int i = 0; i < prompt.size(); i++) {
-      tokens += prompt.get(i).tokens();
-    }
-    return tokens;
-  }
-
   /**
    * The own part, which may have given way, and the output. Parts that are shared are kept for
    * other requests as well, also where this process has not seen it.
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/SlowHomePolicy.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/SlowHomePolicy.java
@@ -99,10 +99,7 @@
     }
     ServicePerformance performance = engine.performance();
     double savedMillis = streamMillis(engine, nowNanos) - performance.streamMillis();
-    int tokens = 0;
-    for (PromptPart part : criteria.prompt()) {
-      tokens += part.tokens();
-    }
+    int tokens = PromptPart.totalTokens(criteria.prompt());
     return savedMillis * TURNS_LEFT > performance.readingMillis(tokens);
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/urgency/ProgramUrgency.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/urgency/ProgramUrgency.java
@@ -18,8 +18,8 @@
  */
 public final class ProgramUrgency implements Urgency {
   /**
-   * One in so many requests of a less urgent kind is taken for one of the most urgent. Every kind
-   * is to be served at least a quarter as often as all together, chance set aside.
+   * One in so many requests of a less urgent kind is taken for one of the most urgent, so that its
+   * kind is served at least a third as often as the most urgent one of its standing.
    */
   static final int FAVOURED_ONE_IN = 3;
 
