The pace as this node saw it is forgotten after a silence, for programs too

Ruled out: leaving the forgetting out: a slow engine would be shunned for ever by a node that sends it nothing.

Change: two readings of an engine's pace: as seen, and to be expected by how much of it was seen.

Tests of scheduling and directory pass.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/Engine.java
@@ -167,18 +167,22 @@
   }
 
   /**
-   * The time between two events that is to be expected of its next stream. A pace of which nothing
-   * was heard for a while may be over: the engine then counts as usual until one stream is under
-   * way there again, which shows its pace anew. The fewer events were seen, the more the usual pace
-   * of its service counts.
+   * The time between two events as it was seen here. A pace of which nothing was heard for a while
+   * may be over: the engine then counts as usual until one stream is under way there again, which
+   * shows its pace anew.
    */
-  public double gapMillis(long nowNanos) {
+  public double seenGapMillis(long nowNanos) {
     boolean forgotten = inFlight == 0 && nowNanos - waitObservedNanos >= PACE_STALE_NANOS;
-    if (forgotten) {
-      return performance.gapMillis();
-    }
+    return forgotten ? performance.gapMillis() : gapMillis();
+  }
+
+  /**
+   * The time between two events that is to be expected of its next stream: the fewer events were
+   * seen here, the more the usual pace of its service counts.
+   */
+  public double gapMillis(long nowNanos) {
     double own = gapsObserved / (gapsObserved + PACE_EVIDENCE);
-    return performance.gapMillis() + own * (gapMillis() - performance.gapMillis());
+    return performance.gapMillis() + own * (seenGapMillis(nowNanos) - performance.gapMillis());
   }
 
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/EngineSelector.java
@@ -180,7 +180,7 @@
     collectCandidates(criteria, excluded, nowNanos);
     Engine home = home(criteria, nowNanos);
     boolean keptSomewhere = keptSomewhere(criteria);
-    double usualGapMillis = usualGapMillis(criteria.service());
+    double usualGapMillis = usualGapMillis(criteria.service(), nowNanos);
     waitPrediction.survey(candidates, !criteria.prompt().isEmpty(), nowNanos);
     Engine best = null;
     double bestMillis = 0;
@@ -274,14 +274,14 @@
   }
 
   /** The median time between events over the engines of a service. */
-  private double usualGapMillis(String service) {
+  private double usualGapMillis(String service, long nowNanos) {
     List<Engine> engines = directory.ofService(service);
     int count = engines.size();
     if (gapsMillis.length < count) {
       gapsMillis = new double[count];
     }
     for (int i = 0; i < count; i++) {
-      gapsMillis[i] = engines.get(i).gapMillis();
+      gapsMillis[i] = engines.get(i).seenGapMillis(nowNanos);
     }
     Arrays.sort(gapsMillis, 0, count);
     return count == 0 ? 0 : gapsMillis[(count - 1) / 2];
@@ -347,7 +347,7 @@
   private static double excessGapMillis(
       Engine engine, boolean free, double usualGapMillis, long nowNanos) {
     if (!free) {
-      return Math.max(0, engine.gapMillis() - usualGapMillis * SLOW_PACE);
+      return Math.max(0, engine.seenGapMillis(nowNanos) - usualGapMillis * SLOW_PACE);
     }
     double gapMillis = engine.gapMillis(nowNanos);
     boolean equal =
