Log what work a broken attempt carried and whether its engine still runs

Change: RequestFingerprint identifies the work of a request over its tries; EngineEndDetector looks, after a lost connection, whether the engine has ended (open connections, else a new one); events 332 (work) and 361. A lost connection is told apart from an unusable response, so five rows of TestEngineConnection expect CONNECTION_LOST where they expected BROKEN: the check is stricter than before. No decision depends on any of this yet.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -6,6 +6,8 @@
 import org.baykeel.gateway.buffering.ResponseSource;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.SoftwareVersion;
+import org.baykeel.gateway.quarantine.RequestFingerprint;
+import org.baykeel.gateway.quarantine.RunningRequest;
 import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -60,6 +62,7 @@
   private final SilenceWatch silenceWatch;
   private EngineSelector.Criteria criteria;
   private byte[] engineBody;
+  private RequestFingerprint fingerprint;
   private WaitQueue.Ticket waitTicket;
   private EngineAttempt attempt;
   private int sends;
@@ -346,7 +349,7 @@
       waitQueue.onSlotFree(requirement());
     }
     if (!outcome.equals("complete")) {
-      record.attemptEnded(finished, outcome, relay.eventsSent());
+      record.attemptEnded(finished, outcome, relay.eventsSent(), fingerprint);
     }
   }
 
@@ -402,6 +405,20 @@
     dispatch();
   }
 
+  @Override
+  public void onConnectionLost(String detail) {
+    RunningRequest request = new RunningRequest(fingerprint(), attempt.startedNanos());
+    context.quarantine().connectionLost(attempt.engine(), request, () -> {});
+    onBroken(detail);
+  }
+
+  private RequestFingerprint fingerprint() {
+    if (fingerprint == null) {
+      fingerprint = CallFingerprint.of(call.request(), engineBody);
+    }
+    return fingerprint;
+  }
+
   @Override
   public void onBroken(String detail) {
     attempt.engine().failed(eventLoop.nanoTime());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallAttributes.java
@@ -15,6 +15,7 @@
  * @param sessionId its conversation within the program
  * @param tokenBudget the tokens that all turns of the program together may generate
  * @param maxOutputTokens the most tokens that this turn generates
+ * @param model the model that it asks for
  * @param prompt the parts of its prompt, in order
  * @param previousTurn the turn that it continues
  * @param lastEventId the last event of a broken stream that the caller has
@@ -30,6 +31,7 @@
     String sessionId,
     long tokenBudget,
     int maxOutputTokens,
+    String model,
     List<PromptPart> prompt,
     String previousTurn,
     long lastEventId,
@@ -44,7 +46,9 @@
     prompt = List.copyOf(prompt);
   }
 
-  /** Creates the attributes of a request that does not name the request that it resumes. */
+  /**
+   * Creates the attributes of a request that names neither a model nor the request that it resumes.
+   */
   public CallAttributes(
       String requestId,
       long deadlineMillis,
@@ -66,6 +70,7 @@
         sessionId,
         tokenBudget,
         maxOutputTokens,
+        null,
         prompt,
         previousTurn,
         lastEventId,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -6,6 +6,7 @@
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.directory.SoftwareVersion;
+import org.baykeel.gateway.quarantine.RequestFingerprint;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.telemetry.GatewayEvent;
@@ -124,7 +125,13 @@
     return engine.record().softwareVersion().map(SoftwareVersion::toString).orElse("unknown");
   }
 
-  void attemptEnded(EngineAttempt attempt, String outcome, int eventsPassed) {
+  /**
+   * Records an attempt that brought no whole response.
+   *
+   * @param fingerprint the work of the call, or null if it was not needed so far
+   */
+  void attemptEnded(
+      EngineAttempt attempt, String outcome, int eventsPassed, RequestFingerprint fingerprint) {
     metrics.attemptFailed();
     log.write(
         GatewayEvent.ATTEMPT_ENDED,
@@ -139,7 +146,9 @@
         "ms",
         (eventLoop.nanoTime() - attempt.startedNanos()) / 1_000_000,
         "events",
-        eventsPassed);
+        eventsPassed,
+        "work",
+        fingerprint);
   }
 
   void callEnded(End end) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -30,7 +30,7 @@
   }
 
   /**
-   * Receives the progress and the outcome of the attempt; exactly one of the last four methods ends
+   * Receives the progress and the outcome of the attempt; exactly one of the last five methods ends
    * it.
    */
   interface Owner {
@@ -52,9 +52,12 @@
     /** The engine did not run the request. */
     void onNotRun(NotRun reason, String outcome);
 
-    /** The engine may have run the request, but there is no complete response. */
+    /** The engine may have run the request, but its response is unusable. */
     void onBroken(String detail);
 
+    /** The engine may have run the request, but the connection was lost before a whole response. */
+    void onConnectionLost(String detail);
+
     /** A complete response that is not a stream. */
     void onWholeResponse(ResponseHead head, byte[] body);
   }
@@ -254,7 +257,7 @@
       }
       owner.onWholeResponse(head, body.toByteArray());
     } else if (parser.midEvent()) {
-      owner.onBroken("stream ended within an event");
+      owner.onConnectionLost("stream ended within an event");
     } else {
       engine.succeeded();
       engine.performance().observeEvents(events);
@@ -268,11 +271,13 @@
     if (closed) {
       return;
     }
-    if (failure == EngineTransport.Failure.NOT_SENT) {
-      engine.failed(eventLoop.nanoTime());
-      owner.onNotRun(NotRun.NOT_SENT, "not_sent " + detail);
-    } else {
-      owner.onBroken(detail);
+    switch (failure) {
+      case NOT_SENT -> {
+        engine.failed(eventLoop.nanoTime());
+        owner.onNotRun(NotRun.NOT_SENT, "not_sent " + detail);
+      }
+      case CONNECTION_LOST -> owner.onConnectionLost(detail);
+      case BROKEN -> owner.onBroken(detail);
     }
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
@@ -46,7 +46,9 @@
   enum Failure {
     /** Not one byte of the request left this process. */
     NOT_SENT,
-    /** The engine may have run the request. */
+    /** The connection was lost; the engine may have run the request. */
+    CONNECTION_LOST,
+    /** The response is unusable; the engine may have run the request. */
     BROKEN
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
@@ -3,6 +3,7 @@
 import org.baykeel.gateway.admission.ProgramAdmission;
 import org.baykeel.gateway.budget.ProgramBudgets;
 import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.quarantine.Quarantine;
 import org.baykeel.gateway.ratelimit.RequestLimiter;
 import org.baykeel.gateway.resumption.StreamVersions;
 import org.baykeel.gateway.runtime.EventLoop;
@@ -27,6 +28,7 @@
  * @param budgets token budgets of programs
  * @param history stored turns
  * @param streamVersions knows the software versions of streams
+ * @param quarantine knows the requests under which engines end
  * @param urgency ranks requests for engines
  * @param transport sends requests to engines
  * @param storeHealth whether this node reaches the store
@@ -44,6 +46,7 @@
     ProgramBudgets budgets,
     TurnHistory history,
     StreamVersions streamVersions,
+    Quarantine quarantine,
     Urgency urgency,
     EngineTransport transport,
     StoreHealth storeHealth,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import org.baykeel.gateway.call.EngineTransport.Failure;
 import org.baykeel.gateway.call.ResponseHead;
 import org.baykeel.gateway.call.ResponseTraits;
@@ -46,7 +47,12 @@
   private boolean informational;
   private boolean reused;
   private boolean readingPaused;
+  private boolean connected;
   private boolean closeRecorded;
+
+  /** Whether this node closes the connection. */
+  private boolean closing;
+
   private long idleMillis = DEFAULT_IDLE_MILLIS;
   private long idleUntilNanos;
   private long sentNanos;
@@ -62,6 +68,17 @@
     channel = context.channel();
   }
 
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    connected = true;
+    pool.onConnected();
+    context.fireChannelActive();
+  }
+
+  boolean connected() {
+    return connected;
+  }
+
   boolean usable(long nowNanos) {
     return channel.isActive() && nowNanos - idleUntilNanos < 0;
   }
@@ -74,6 +91,7 @@
   }
 
   void close() {
+    closing = true;
     channel.close();
   }
 
@@ -237,23 +255,21 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     pool.onClosed(this);
-    failCurrent();
+    failCurrent(closing ? Failure.BROKEN : Failure.CONNECTION_LOST);
   }
 
-  private void failCurrent() {
+  private void failCurrent(Failure kind) {
     if (current != null) {
       PendingExchange broken = current;
       current = null;
-      broken.fail(
-          Failure.BROKEN,
-          failure + (reused ? ", on a reused connection" : ", on a new connection"));
+      broken.fail(kind, failure + (reused ? ", on a reused connection" : ", on a new connection"));
     }
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     failure = String.valueOf(cause.getMessage());
-    failCurrent();
+    failCurrent(cause instanceof IOException ? Failure.CONNECTION_LOST : Failure.BROKEN);
     close();
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnectionPool.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnectionPool.java
@@ -10,6 +10,7 @@
   private final Engine engine;
   private final ArrayDeque<EngineConnection> idle = new ArrayDeque<>();
   private int open;
+  private int connected;
 
   EngineConnectionPool(Engine engine) {
     this.engine = engine;
@@ -27,6 +28,16 @@
     open++;
   }
 
+  /** Records that a connection that was opened is established. */
+  void onConnected() {
+    connected++;
+  }
+
+  /** Whether a connection is established and not closed. */
+  boolean connected() {
+    return connected > 0;
+  }
+
   /**
    * Takes the most recently used connection that the engine is not about to close.
    *
@@ -63,6 +74,7 @@
   void onClosed(EngineConnection connection) {
     if (connection.markClosed()) {
       open--;
+      connected -= connection.connected() ? 1 : 0;
       idle.remove(connection);
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -83,6 +83,12 @@
     return exchange;
   }
 
+  /** Whether a connection to an engine is established. */
+  boolean isConnected(Engine engine) {
+    EngineConnectionPool pool = poolByEngine.get(engine);
+    return pool != null && pool.connected();
+  }
+
   private void onSilence(EngineConnectionPool pool, long millis) {
     int closed = pool.closeIdle();
     log.write(
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -0,0 +1,150 @@
+package org.baykeel.gateway.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.telemetry.GatewayLog;
+
+/**
+ * Detects that the process of an engine has ended, as opposed to a connection that was reset or
+ * became silent. One check covers all requests that lose their connections to an engine at about
+ * the same time.
+ *
+ * <p>An engine that was about to leave by plan gives no evidence against the requests that it ran.
+ */
+final class EngineEndDetector {
+  /** The longest time for which a lost request waits for the result of a check. */
+  private static final long MAX_WAIT_MILLIS = 150;
+
+  /** After this time an engine is checked again if connections to it seemed to be open. */
+  private static final long CONFIRMATION_MILLIS = 50;
+
+  private static final long UNKNOWN_RETRY_MILLIS = 1_000;
+
+  /** So many checks take longer than the entry of an engine that has ended takes to be removed. */
+  private static final int MAX_CHECKS = 10;
+
+  private static final int MAX_REQUESTS = 256;
+
+  /** Receives the engines that have ended. */
+  interface Listener {
+    /**
+     * Called when an engine has ended.
+     *
+     * @param endedNanos when the first connection to it was lost, by the event loop's clock
+     * @param requests the requests of this node that it was running
+     */
+    void engineEnded(Engine engine, long endedNanos, List<RunningRequest> requests);
+  }
+
+  private final EngineLivenessCheck livenessCheck;
+  private final EventLoop eventLoop;
+  private final GatewayLog log;
+  private final Listener listener;
+  private final Map<Engine, Check> firstChecks = new HashMap<>();
+
+  /** The check of one engine, from a lost connection to a conclusion. */
+  private final class Check {
+    private final Engine engine;
+    private final long lostNanos = eventLoop.nanoTime();
+    private final List<RunningRequest> requests = new ArrayList<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private int checks;
+
+    Check(Engine engine) {
+      this.engine = engine;
+    }
+
+    void begin() {
+      eventLoop.schedule(MAX_WAIT_MILLIS, this::release);
+      checks++;
+      livenessCheck.check(engine, this::onFirstResult);
+    }
+
+    private void onFirstResult(EngineLiveness liveness) {
+      firstChecks.remove(engine, this);
+      onResult(liveness);
+      release();
+    }
+
+    private void onResult(EngineLiveness liveness) {
+      log.write(
+          GatewayEvent.ENGINE_CHECKED,
+          "engine",
+          engine.record().id(),
+          "state",
+          liveness.name().toLowerCase(Locale.ROOT),
+          "requests",
+          requests.size(),
+          "ms",
+          (eventLoop.nanoTime() - lostNanos) / 1_000_000);
+      switch (liveness) {
+        case ENDED -> listener.engineEnded(engine, lostNanos, List.copyOf(requests));
+        case CONNECTED -> repeatAfter(CONFIRMATION_MILLIS, 2);
+        case UNKNOWN -> repeatAfter(UNKNOWN_RETRY_MILLIS, MAX_CHECKS);
+        case RUNNING -> {}
+      }
+    }
+
+    private void repeatAfter(long millis, int maxChecks) {
+      if (checks < maxChecks) {
+        eventLoop.schedule(millis, this::repeat);
+      }
+    }
+
+    private void repeat() {
+      checks++;
+      if (engine.removed()) {
+        onResult(EngineLiveness.ENDED);
+      } else {
+        livenessCheck.check(engine, this::onResult);
+      }
+    }
+
+    private void release() {
+      List<Runnable> released = List.copyOf(waiting);
+      waiting.clear();
+      released.forEach(Runnable::run);
+    }
+  }
+
+  EngineEndDetector(
+      EngineLivenessCheck livenessCheck, EventLoop eventLoop, GatewayLog log, Listener listener) {
+    this.livenessCheck = livenessCheck;
+    this.eventLoop = eventLoop;
+    this.log = log;
+    this.listener = listener;
+  }
+
+  /**
+   * Checks whether an engine has ended, after a connection to it was lost.
+   *
+   * @param request the request that the engine was running
+   * @param decided is called exactly once, when it is known whether the engine has ended or after a
+   *     time limit
+   */
+  void connectionLost(Engine engine, RunningRequest request, Runnable decided) {
+    if (engine.removed() || engine.record().draining()) {
+      decided.run();
+      return;
+    }
+    Check check = firstChecks.get(engine);
+    boolean first = check == null;
+    if (first) {
+      check = new Check(engine);
+      firstChecks.put(engine, check);
+    }
+    if (check.requests.size() < MAX_REQUESTS) {
+      check.requests.add(request);
+    }
+    check.waiting.add(decided);
+    if (first) {
+      check.begin();
+    }
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineLiveness.java
@@ -0,0 +1,13 @@
+package org.baykeel.gateway.quarantine;
+
+/** Whether the process of an engine still runs. */
+public enum EngineLiveness {
+  /** It accepts connections. */
+  RUNNING,
+  /** Connections to it are open, which may be about to close. */
+  CONNECTED,
+  /** It refuses connections, or its entry has been removed. */
+  ENDED,
+  /** It does not respond: its machine, or the network to it, may be down. */
+  UNKNOWN
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -42,6 +42,7 @@
   ENGINE_RESTARTED(358),
   ENGINE_ENTRY_UNUSABLE(359),
   STREAM_VERSION_FOUND(360),
+  ENGINE_CHECKED(361),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
@@ -144,6 +144,7 @@
             program,
             CallAttributes.ABSENT,
             500,
+            null,
             List.of(),
             null,
             1,
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -598,7 +598,7 @@
     call(
         "/kept/",
         new CallAttributes(
-            "again", 3_000, -1, null, null, -1, 500, List.of(), null, 1, "t1", null, null));
+            "again", 3_000, -1, null, null, -1, 500, null, List.of(), null, 1, "t1", null, null));
     assertEquals(ErrorKind.STREAM_NOT_RESUMABLE, responder.refusal().kind());
     assertEquals("a turn that is to be stored cannot be resumed", responder.refusal().detail());
     assertEquals(0, transport.count());
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -109,15 +109,15 @@
   @CsvSource({
     "complete, HTTP/1.1 200 OK|X-Id: r1|Content-Length: 4||body, KEEP, 200 body",
     "chunked, HTTP/1.1 200 OK|X-Id: r1|Transfer-Encoding: chunked||4|body|0||, KEEP, 200 body",
-    "truncated in its content length, HTTP/1.1 200 OK|X-Id: r1|Content-Length: 9||body, CLOSE, BROKEN",
-    "truncated in its chunks, HTTP/1.1 200 OK|X-Id: r1|Transfer-Encoding: chunked||4|body|, CLOSE, BROKEN",
+    "truncated in its content length, HTTP/1.1 200 OK|X-Id: r1|Content-Length: 9||body, CLOSE, CONNECTION_LOST",
+    "truncated in its chunks, HTTP/1.1 200 OK|X-Id: r1|Transfer-Encoding: chunked||4|body|, CLOSE, CONNECTION_LOST",
     "delimited by the end of the connection, HTTP/1.1 200 OK|X-Id: r1||body, CLOSE, 200 body",
-    "without length and reset, HTTP/1.1 200 OK|X-Id: r1||body, RESET, BROKEN",
-    "no response, '', CLOSE, BROKEN",
+    "without length and reset, HTTP/1.1 200 OK|X-Id: r1||body, RESET, CONNECTION_LOST",
+    "no response, '', CLOSE, CONNECTION_LOST",
     "not HTTP, GARBAGE||, CLOSE, BROKEN",
     "after an interim response, HTTP/1.1 100 Continue||HTTP/1.1 200 OK|X-Id: r1|Content-Length: 2||ok, KEEP, 200 ok",
     "after a response to another request, HTTP/1.1 200 OK|X-Id: zz|Content-Length: 2||noHTTP/1.1 200 OK|X-Id: r1|Content-Length: 2||ok, KEEP, 200 ok",
-    "only a response to another request, HTTP/1.1 200 OK|X-Id: zz|Content-Length: 2||no, CLOSE, BROKEN",
+    "only a response to another request, HTTP/1.1 200 OK|X-Id: zz|Content-Length: 2||no, CLOSE, CONNECTION_LOST",
   })
   void aResponseEndsCompleteOrBroken(String name, String bytes, After after, String outcome)
       throws Exception {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
@@ -13,6 +13,7 @@
 import org.baykeel.gateway.fairness.AdmissionShares;
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.history.TurnSource;
+import org.baykeel.gateway.quarantine.Quarantine;
 import org.baykeel.gateway.ratelimit.RequestLimiter;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.BackendSelector;
@@ -43,6 +44,7 @@
   private ProgramBudgets budgets;
   private TurnHistory history;
   private Urgency urgency = Urgency.NONE;
+  private Quarantine quarantine = Quarantine.NONE;
 
   /**
    * Creates a builder with the components that each node has.
@@ -109,6 +111,12 @@
     return this;
   }
 
+  /** Sets the quarantine of requests. */
+  public TestingContext quarantine(Quarantine newQuarantine) {
+    quarantine = newQuarantine;
+    return this;
+  }
+
   /** Returns the context. */
   public GatewayContext build() {
     return new GatewayContext(
@@ -128,6 +136,7 @@
             ? new TurnHistory(store, eventLoop, HISTORY_CACHE_BYTES, TurnSource.NONE)
             : history,
         new TestingStreamVersions(),
+        quarantine,
         urgency,
         transport,
         storeHealth,
