--- a/baykeel-core/src/main/java/org/baykeel/core/error/ErrorKind.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/error/ErrorKind.java
@@ -37,7 +37,9 @@
   RETRY_REFUSED(26, 409, RAN, RetryAdvice.NEVER, "It ran, failed, and may not be tried again."),
   RATE_LIMITED(27, 429, NOT_RUN, RetryAdvice.AFTER_DELAY, "The tenant's rate limit is reached."),
   RESIDENCY(28, 503, NOT_RUN, RetryAdvice.AFTER_DELAY, "No back end in an allowed region."),
-  STREAM_NOT_RESUMABLE(29, 503, NOT_RUN, RetryAdvice.NEVER, "The stream must start anew.");
+  STREAM_NOT_RESUMABLE(29, 503, NOT_RUN, RetryAdvice.NEVER, "The stream must start anew."),
+  REQUEST_QUARANTINED(30, 400, NOT_RUN, RetryAdvice.NEVER, "Engines ended when they ran it."),
+  ENGINES_ENDED(31, 400, RAN, RetryAdvice.NEVER, "Engines ended while they ran it.");
 
   /** What a caller should do with the same request. */
   public enum RetryAdvice {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -6,8 +6,7 @@
 import org.baykeel.gateway.buffering.ResponseSource;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.SoftwareVersion;
-import org.baykeel.gateway.quarantine.RequestFingerprint;
-import org.baykeel.gateway.quarantine.RunningRequest;
+import org.baykeel.gateway.quarantine.Verdict;
 import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
@@ -26,6 +25,8 @@
 
   private static final long BUSY_RETRY_MILLIS = 150;
 
+  private static final long UNDECIDED_RETRY_MILLIS = 20;
+
   /** The shortest wait after a round of engines that did not take the request. */
   private static final long MIN_WAIT_MILLIS = 10;
 
@@ -60,9 +61,9 @@
   private final Set<String> triedEngines = new HashSet<>();
   private final WaitQueue waitQueue;
   private final SilenceWatch silenceWatch;
+  private final CallQuarantine quarantine;
   private EngineSelector.Criteria criteria;
   private byte[] engineBody;
-  private RequestFingerprint fingerprint;
   private WaitQueue.Ticket waitTicket;
   private EngineAttempt attempt;
   private int sends;
@@ -90,6 +91,7 @@
     this.waitQueue = waitQueue;
     this.criteria = criteria(call);
     this.silenceWatch = new SilenceWatch(eventLoop, call.route(), this::onSilence);
+    this.quarantine = new CallQuarantine(context, call);
   }
 
   /**
@@ -109,7 +111,9 @@
    */
   void start(byte[] body) {
     engineBody = body;
-    if (!waitQueue.hasWaiting(requirement()) || !waitForCapacity()) {
+    quarantine.setBody(body);
+    boolean mayWait = quarantine.verdict().sendable() && waitQueue.hasWaiting(requirement());
+    if (!mayWait || !waitForCapacity()) {
       dispatch();
     }
   }
@@ -152,11 +156,30 @@
   }
 
   private void dispatch() {
+    switch (quarantine.verdict()) {
+      case FATAL -> failAsFatal();
+      case UNDECIDED -> eventLoop.schedule(UNDECIDED_RETRY_MILLIS, this::dispatchUnlessEnded);
+      case CLEAR, SUSPECT -> sendToEngine();
+    }
+  }
+
+  private void dispatchUnlessEnded() {
+    if (!ended) {
+      dispatch();
+    }
+  }
+
+  /** Ends the attempts, since engines ended while they ran the request. */
+  private void failAsFatal() {
+    ErrorKind kind = runs > 0 ? ErrorKind.ENGINES_ENDED : ErrorKind.REQUEST_QUARANTINED;
+    owner.onAttemptsFailed(
+        kind, 0, "engines ended while they ran it, work=" + quarantine.knownFingerprint());
+  }
+
+  private void sendToEngine() {
     long now = eventLoop.nanoTime();
     EngineSelector.Choice choice =
-        sendsInRound >= MAX_SENDS_PER_ROUND
-            ? null
-            : context.selector().choose(criteria, triedEngines, now);
+        sendsInRound >= MAX_SENDS_PER_ROUND ? null : quarantine.choose(criteria, triedEngines, now);
     if (choice == null) {
       onNoEngine();
       return;
@@ -349,7 +372,7 @@
       waitQueue.onSlotFree(requirement());
     }
     if (!outcome.equals("complete")) {
-      record.attemptEnded(finished, outcome, relay.eventsSent(), fingerprint);
+      record.attemptEnded(finished, outcome, relay.eventsSent(), quarantine.knownFingerprint());
     }
   }
 
@@ -363,8 +386,17 @@
     silenceWatch.dataReceived();
   }
 
+  @Override
+  public void onQuarantineChanged() {
+    if (quarantine.verdict() == Verdict.FATAL) {
+      waitTicket.leave();
+      failAsFatal();
+    }
+  }
+
   @Override
   public void onStreamHead(ResponseHead head) {
+    quarantine.responded(attempt);
     relay.setHead(head);
   }
 
@@ -389,6 +421,7 @@
   @Override
   public void onStreamComplete() {
     endAttempt("complete");
+    quarantine.completed();
     context.streamVersions().recordComplete(call.attributes().requestId());
     owner.onStreamComplete();
   }
@@ -405,25 +438,40 @@
     dispatch();
   }
 
+  /**
+   * The next send, or the response to the caller, waits until it is known whether the engine ended
+   * under the request: a caller's next try may reach another node at once.
+   */
   @Override
   public void onConnectionLost(String detail) {
-    RunningRequest request = new RunningRequest(fingerprint(), attempt.startedNanos());
-    context.quarantine().connectionLost(attempt.engine(), request, () -> {});
-    onBroken(detail);
+    Engine engine = attempt.engine();
+    engine.failed(eventLoop.nanoTime());
+    endAttempt("broken " + detail);
+    quarantine.connectionLost(engine, () -> onEngineChecked(detail));
   }
 
-  private RequestFingerprint fingerprint() {
-    if (fingerprint == null) {
-      fingerprint = CallFingerprint.of(call.request(), engineBody);
+  private void onEngineChecked(String detail) {
+    if (ended) {
+      return;
+    }
+    if (quarantine.verdict() == Verdict.UNDECIDED) {
+      eventLoop.schedule(UNDECIDED_RETRY_MILLIS, () -> onEngineChecked(detail));
+    } else {
+      continueAfterFailure(detail);
     }
-    return fingerprint;
   }
 
   @Override
   public void onBroken(String detail) {
     attempt.engine().failed(eventLoop.nanoTime());
     endAttempt("broken " + detail);
-    if (mayRunAgain()) {
+    continueAfterFailure(detail);
+  }
+
+  private void continueAfterFailure(String detail) {
+    if (quarantine.verdict() == Verdict.FATAL) {
+      failAsFatal();
+    } else if (mayRunAgain()) {
       dispatch();
     } else {
       boolean repeatable = call.route().repeatable();
@@ -438,6 +486,7 @@
       onBroken("status " + head.status() + " instead of the rest of the stream");
       return;
     }
+    quarantine.responded(attempt);
     boolean engineFailed = head.status() >= 500;
     if (engineFailed && mayRunAgain() && sends < 2) {
       attempt.engine().serverErrorReceived(eventLoop.nanoTime());
@@ -447,6 +496,7 @@
     }
     if (!engineFailed) {
       attempt.engine().succeeded();
+      quarantine.completed();
     }
     endAttempt("complete");
     owner.onWholeResponse(head, body);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallCoordinator.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallCoordinator.java
@@ -8,6 +8,7 @@
   public CallCoordinator(GatewayContext context) {
     this.context = context;
     this.waitQueue = new WaitQueue(context.eventLoop());
+    context.quarantine().onFatalRequest(waitQueue::onQuarantineChanged);
   }
 
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -6,7 +6,7 @@
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.directory.SoftwareVersion;
-import org.baykeel.gateway.quarantine.RequestFingerprint;
+import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.telemetry.GatewayEvent;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/WaitQueue.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/WaitQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
@@ -62,6 +63,9 @@
 
     /** Ends the wait: its time limit has passed. */
     void onWaitTooLong();
+
+    /** A request was found to be fatal; the waiter leaves the queue if it is that request. */
+    void onQuarantineChanged();
   }
 
   /** The position of a request in its group. */
@@ -203,6 +207,13 @@
     }
   }
 
+  /** Notifies all waiting requests that one of them may have been found to be fatal. */
+  void onQuarantineChanged() {
+    List<Ticket> tickets = new ArrayList<>();
+    groups.values().forEach(group -> tickets.addAll(group.tickets));
+    tickets.forEach(ticket -> ticket.waiter.onQuarantineChanged());
+  }
+
   /**
    * Adds a request.
    *
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineIncarnation.java
@@ -0,0 +1,15 @@
+package org.baykeel.gateway.directory;
+
+/**
+ * One run of an engine, from its start to its end.
+ *
+ * @param id the identifier of the engine
+ * @param startMillis when it started, in Unix milliseconds; 0 if not given
+ */
+public record EngineIncarnation(EngineId id, long startMillis) {
+
+  /** Returns the incarnation that a record describes. */
+  public static EngineIncarnation of(EngineRecord record) {
+    return new EngineIncarnation(new EngineId(record.id()), record.startMillis());
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Optional;
 import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.directory.EngineLoad;
 import org.baykeel.gateway.directory.SoftwareVersion;
 import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.tenancy.ConfigurationProof;
 import org.baykeel.gateway.tenancy.LimitUse;
 import org.baykeel.gateway.tenancy.TenantId;
@@ -89,6 +91,39 @@
   record StreamVersionReply(long queryId, StreamVersionEvidence evidence, SoftwareVersion version)
       implements PeerMessage {}
 
+  /**
+   * Reports that an engine ended while it ran requests of the sender.
+   *
+   * @param engine the engine
+   * @param ageMillis the time since its end when the notice was sent, in milliseconds
+   * @param requests the requests, at most {@link EngineEndCodec#MAX_REQUESTS}
+   */
+  record EngineEndNotice(
+      EngineIncarnation engine, long ageMillis, List<RequestFingerprint> requests)
+      implements PeerMessage {
+    public EngineEndNotice {
+      requests = List.copyOf(requests);
+    }
+  }
+
+  /**
+   * Reports that an engine that was reported as ended has responded to the sender.
+   *
+   * @param engine the engine
+   */
+  record EngineEndWithdrawal(EngineIncarnation engine) implements PeerMessage {}
+
+  /**
+   * Reports that requests that were running at engines that ended have completed at others.
+   *
+   * @param requests the requests, at most {@link EngineEndCodec#MAX_REQUESTS}
+   */
+  record RequestClearance(List<RequestFingerprint> requests) implements PeerMessage {
+    public RequestClearance {
+      requests = List.copyOf(requests);
+    }
+  }
+
   /**
    * Announces that the sender now serves a program.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -8,6 +8,8 @@
 import org.baykeel.gateway.tenancy.ConfigurationProof;
 import org.baykeel.gateway.tenancy.LimitUse;
 import org.baykeel.gateway.tenancy.TenantId;
+import org.baykeel.protocol.generated.EngineEndNoticeDecoder;
+import org.baykeel.protocol.generated.EngineEndWithdrawalDecoder;
 import org.baykeel.protocol.generated.EngineLoadNoticeDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeEncoder;
@@ -25,6 +27,7 @@
 import org.baykeel.protocol.generated.MessageHeaderEncoder;
 import org.baykeel.protocol.generated.NodeAnnouncementDecoder;
 import org.baykeel.protocol.generated.NodeAnnouncementEncoder;
+import org.baykeel.protocol.generated.RequestClearanceDecoder;
 import org.baykeel.protocol.generated.StreamVersionNoticeDecoder;
 import org.baykeel.protocol.generated.StreamVersionQueryDecoder;
 import org.baykeel.protocol.generated.StreamVersionReplyDecoder;
@@ -70,6 +73,15 @@
     if (message instanceof PeerMessage.StreamVersionReply reply) {
       return StreamVersionCodec.encode(reply, buffer, header);
     }
+    if (message instanceof PeerMessage.EngineEndNotice notice) {
+      return EngineEndCodec.encode(notice, buffer, header);
+    }
+    if (message instanceof PeerMessage.EngineEndWithdrawal withdrawal) {
+      return EngineEndCodec.encode(withdrawal, buffer, header);
+    }
+    if (message instanceof PeerMessage.RequestClearance clearance) {
+      return EngineEndCodec.encode(clearance, buffer, header);
+    }
     if (message instanceof PeerMessage.HolderAnnouncement announcement) {
       return new HolderAnnouncementEncoder()
           .wrapAndApplyHeader(buffer, 0, header)
@@ -173,6 +185,12 @@
           Optional.of(StreamVersionCodec.decodeQuery(received, header));
       case StreamVersionReplyDecoder.TEMPLATE_ID ->
           StreamVersionCodec.decodeReply(received, header);
+      case EngineEndNoticeDecoder.TEMPLATE_ID ->
+          Optional.of(EngineEndCodec.decodeNotice(received, header));
+      case EngineEndWithdrawalDecoder.TEMPLATE_ID ->
+          Optional.of(EngineEndCodec.decodeWithdrawal(received, header));
+      case RequestClearanceDecoder.TEMPLATE_ID ->
+          Optional.of(EngineEndCodec.decodeClearance(received, header));
       case HolderAnnouncementDecoder.TEMPLATE_ID -> {
         HolderAnnouncementDecoder decoder = new HolderAnnouncementDecoder();
         decoder.wrapAndApplyHeader(received, 0, header);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/program/package-info.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/program/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The identifier of a program, which the packages for budgets, rate limits, handover and calls
- * share. The package holds no state.
+ * Identifiers of programs and of requests, which the packages for budgets, rate limits, handover,
+ * quarantine, messages and calls share. The package holds no state.
  */
 package org.baykeel.gateway.program;
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/BlameAssessment.java
@@ -0,0 +1,185 @@
+package org.baykeel.gateway.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baykeel.gateway.program.RequestFingerprint;
+
+/**
+ * Assesses which requests made engines end. An assessment depends only on the recorded ends, so
+ * nodes with the same records agree.
+ *
+ * <p>Ends within a short time form one moment. An end blames each request that the engine was
+ * running. The blame is smaller if another engine ended in the same moment without that request and
+ * without a request that was blamed before: then a cause outside of the engines is likely, such as
+ * the failure of a rack. Once a request is found to be fatal, the ends under it blame no other
+ * request.
+ */
+final class BlameAssessment {
+  /** The longest time between the first and the last end of one moment. */
+  static final long MOMENT_NANOS = 100_000_000L;
+
+  /** The blame of an end for which a request may be the only cause. */
+  private static final int BLAME_OF_END = 2;
+
+  /** The blame of a moment that is likely to have a cause outside of the engines. */
+  private static final int BLAME_OF_SHARED_CAUSE = 1;
+
+  /** The blame of three ends, from which on a request counts as fatal. */
+  private static final int FATAL_BLAME = 3 * BLAME_OF_END;
+
+  private static final int MAX_PASSES = 64;
+
+  private final List<List<EngineEnd>> moments;
+  private final Map<RequestFingerprint, Suspect> suspects = new HashMap<>();
+  private final Set<RequestFingerprint> fatal = new LinkedHashSet<>();
+
+  /** What speaks against one request. */
+  private static final class Suspect {
+    private int blame;
+    private int moments;
+    private long lastEndedNanos;
+
+    private void add(int blameOfMoment, long endedNanos) {
+      blame += blameOfMoment;
+      moments++;
+      lastEndedNanos = endedNanos;
+    }
+  }
+
+  /**
+   * Creates an assessment.
+   *
+   * @param ends the recorded ends, earliest first
+   */
+  BlameAssessment(List<EngineEnd> ends) {
+    this.moments = moments(ends);
+    int passes = 0;
+    while (assess() && passes < MAX_PASSES) {
+      passes++;
+    }
+  }
+
+  private static List<List<EngineEnd>> moments(List<EngineEnd> ends) {
+    List<List<EngineEnd>> moments = new ArrayList<>();
+    for (EngineEnd end : ends) {
+      List<EngineEnd> last = moments.isEmpty() ? null : moments.get(moments.size() - 1);
+      if (last == null || end.endedNanos() - last.get(0).endedNanos() > MOMENT_NANOS) {
+        last = new ArrayList<>();
+        moments.add(last);
+      }
+      last.add(end);
+    }
+    return moments;
+  }
+
+  /**
+   * Assesses the moments in order, up to the first one in which requests are found to be fatal.
+   *
+   * @return whether there was such a moment: the ends under these requests blame no other one, so
+   *     that all moments must be assessed again
+   */
+  private boolean assess() {
+    suspects.clear();
+    for (List<EngineEnd> moment : moments) {
+      Map<RequestFingerprint, Integer> blames = new LinkedHashMap<>();
+      for (EngineEnd end : moment) {
+        for (RequestFingerprint request : end.requests()) {
+          blames.computeIfAbsent(request, any -> blameOf(request, moment));
+        }
+      }
+      long endedNanos = moment.get(moment.size() - 1).endedNanos();
+      blames.forEach(
+          (request, blame) -> {
+            if (blame > 0) {
+              suspects.computeIfAbsent(request, any -> new Suspect()).add(blame, endedNanos);
+            }
+          });
+      List<RequestFingerprint> found = blames.keySet().stream().filter(this::becomesFatal).toList();
+      if (!found.isEmpty()) {
+        fatal.addAll(found);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private int blameOf(RequestFingerprint request, List<EngineEnd> moment) {
+    int ends = 0;
+    boolean sharedCause = false;
+    for (EngineEnd end : moment) {
+      boolean explained = !fatal.contains(request) && !Collections.disjoint(end.requests(), fatal);
+      if (end.ran(request) && !explained) {
+        ends++;
+      }
+      sharedCause |= !end.ran(request) && !explained && !ranSuspect(end);
+    }
+    if (ends == 0) {
+      return 0;
+    }
+    return sharedCause ? BLAME_OF_SHARED_CAUSE : ends * BLAME_OF_END;
+  }
+
+  private boolean ranSuspect(EngineEnd end) {
+    return !Collections.disjoint(end.requests(), suspects.keySet());
+  }
+
+  /** A request becomes fatal unless another one, equally blamed, ran at all its engines. */
+  private boolean becomesFatal(RequestFingerprint request) {
+    int blame = blame(request);
+    return blame >= FATAL_BLAME
+        && !fatal.contains(request)
+        && alwaysBeside(request).stream().noneMatch(rival -> blame(rival) >= blame);
+  }
+
+  /** Returns the other requests that ran at all engines that ended under a request. */
+  private Set<RequestFingerprint> alwaysBeside(RequestFingerprint request) {
+    Set<RequestFingerprint> beside = null;
+    for (List<EngineEnd> moment : moments) {
+      for (EngineEnd end : moment) {
+        if (end.ran(request) && beside == null) {
+          beside = new HashSet<>(end.requests());
+        } else if (end.ran(request)) {
+          beside.retainAll(end.requests());
+        }
+      }
+    }
+    beside.remove(request);
+    return beside;
+  }
+
+  /** Returns the blame of a request; 0 if it is no suspect. */
+  int blame(RequestFingerprint request) {
+    Suspect suspect = suspects.get(request);
+    return suspect == null ? 0 : suspect.blame;
+  }
+
+  /** Returns whether a request made at least three engines end. */
+  boolean isFatal(RequestFingerprint request) {
+    return fatal.contains(request);
+  }
+
+  /** Returns whether all ends that blame a request were in one moment. */
+  boolean isBlamedOnce(RequestFingerprint request) {
+    return suspects.containsKey(request) && suspects.get(request).moments == 1;
+  }
+
+  /** Returns when the last engine that was running a suspect ended. */
+  long lastEndedNanos(RequestFingerprint request) {
+    return suspects.get(request).lastEndedNanos;
+  }
+
+  Set<RequestFingerprint> fatal() {
+    return Collections.unmodifiableSet(fatal);
+  }
+
+  Set<RequestFingerprint> suspects() {
+    return Collections.unmodifiableSet(suspects.keySet());
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
@@ -39,7 +40,7 @@
      * @param endedNanos when the first connection to it was lost, by the event loop's clock
      * @param requests the requests of this node that it was running
      */
-    void engineEnded(Engine engine, long endedNanos, List<RunningRequest> requests);
+    void engineEnded(Engine engine, long endedNanos, List<RequestFingerprint> requests);
   }
 
   private final EngineLivenessCheck livenessCheck;
@@ -52,7 +53,7 @@
   private final class Check {
     private final Engine engine;
     private final long lostNanos = eventLoop.nanoTime();
-    private final List<RunningRequest> requests = new ArrayList<>();
+    private final List<RequestFingerprint> requests = new ArrayList<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private int checks;
 
@@ -128,7 +129,7 @@
    * @param decided is called exactly once, when it is known whether the engine has ended or after a
    *     time limit
    */
-  void connectionLost(Engine engine, RunningRequest request, Runnable decided) {
+  void connectionLost(Engine engine, RequestFingerprint request, Runnable decided) {
     if (engine.removed() || engine.record().draining()) {
       decided.run();
       return;
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndHistory.java
@@ -0,0 +1,148 @@
+package org.baykeel.gateway.quarantine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.baykeel.gateway.directory.EngineIncarnation;
+import org.baykeel.gateway.program.RequestFingerprint;
+
+/**
+ * The ends of engines that this node knows of. They expire after a time; beyond a number the oldest
+ * are evicted.
+ *
+ * <p>Invariant: what was withdrawn is not recorded again by a report of an earlier time, since
+ * reports are repeated and may arrive late.
+ */
+final class EngineEndHistory {
+  /** How long an end speaks against the requests that the engine was running: 10 minutes. */
+  static final long LIFETIME_NANOS = 600_000_000_000L;
+
+  private static final int MAX_ENDS = 512;
+  private static final int MAX_WITHDRAWALS = 4_096;
+
+  private final Map<EngineIncarnation, EngineEnd> ends = new HashMap<>();
+
+  /** When an engine was found to run, or a request completed. */
+  private final Map<Object, Long> withdrawnNanos =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Object, Long> eldest) {
+          return size() > MAX_WITHDRAWALS;
+        }
+      };
+
+  private BlameAssessment assessment = new BlameAssessment(List.of());
+  private boolean assessed = true;
+
+  /** Returns whether no end is recorded. */
+  boolean isEmpty() {
+    return ends.isEmpty();
+  }
+
+  /**
+   * Adds what a node knows of an end.
+   *
+   * @return whether any of it was new
+   */
+  boolean add(
+      EngineIncarnation engine, long endedNanos, List<RequestFingerprint> requests, long nowNanos) {
+    evict(nowNanos);
+    if (nowNanos - endedNanos > LIFETIME_NANOS || isWithdrawn(engine, endedNanos)) {
+      return false;
+    }
+    EngineEnd end = ends.get(engine);
+    boolean added = end == null;
+    if (added) {
+      end = new EngineEnd(engine, endedNanos);
+      ends.put(engine, end);
+      removeOldestBeyondLimit();
+    }
+    List<RequestFingerprint> suspected =
+        requests.stream().filter(request -> !isWithdrawn(request, endedNanos)).toList();
+    boolean changed = end.add(suspected) || added;
+    assessed &= !changed;
+    return changed;
+  }
+
+  private void removeOldestBeyondLimit() {
+    if (ends.size() > MAX_ENDS) {
+      ends.remove(sorted().get(0).engine());
+    }
+  }
+
+  private boolean isWithdrawn(Object engineOrRequest, long endedNanos) {
+    Long withdrawn = withdrawnNanos.get(engineOrRequest);
+    return withdrawn != null && endedNanos - withdrawn <= 0;
+  }
+
+  private void recordWithdrawal(Object engineOrRequest, long nowNanos) {
+    withdrawnNanos.remove(engineOrRequest);
+    withdrawnNanos.put(engineOrRequest, nowNanos);
+  }
+
+  /**
+   * Removes the end of an engine that has not ended.
+   *
+   * @return whether it was recorded
+   */
+  boolean withdraw(EngineIncarnation engine, long nowNanos) {
+    recordWithdrawal(engine, nowNanos);
+    boolean withdrawn = ends.remove(engine) != null;
+    assessed &= !withdrawn;
+    return withdrawn;
+  }
+
+  /**
+   * Withdraws the suspicion of a request.
+   *
+   * @return whether it was suspected
+   */
+  boolean clear(RequestFingerprint request, long nowNanos) {
+    recordWithdrawal(request, nowNanos);
+    boolean cleared = false;
+    for (EngineEnd end : ends.values()) {
+      cleared |= end.clear(request);
+    }
+    assessed &= !cleared;
+    return cleared;
+  }
+
+  /** Returns the end of an engine, or null. */
+  EngineEnd find(EngineIncarnation engine) {
+    return ends.get(engine);
+  }
+
+  /** Returns the identifiers of the engines that ended while they ran a request. */
+  List<String> enginesThatRan(RequestFingerprint request) {
+    return sorted().stream()
+        .filter(end -> end.ran(request))
+        .map(end -> end.engine().id().value())
+        .toList();
+  }
+
+  /** Returns the assessment of all ends that have not expired. */
+  BlameAssessment assessment(long nowNanos) {
+    evict(nowNanos);
+    if (!assessed) {
+      assessment = new BlameAssessment(sorted());
+      assessed = true;
+    }
+    return assessment;
+  }
+
+  private void evict(long nowNanos) {
+    boolean evicted = ends.values().removeIf(end -> nowNanos - end.endedNanos() > LIFETIME_NANOS);
+    assessed &= !evicted;
+  }
+
+  private List<EngineEnd> sorted() {
+    List<EngineEnd> sorted = new ArrayList<>(ends.values());
+    sorted.sort(
+        Comparator.comparingLong(EngineEnd::endedNanos)
+            .thenComparing(end -> end.engine().id().value()));
+    return sorted;
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Quarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Quarantine.java
@@ -1,12 +1,30 @@
 package org.baykeel.gateway.quarantine;
 
+import java.util.List;
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.program.RequestFingerprint;
 
 /** What a node knows of the requests under which engines end. */
 public interface Quarantine {
 
   /** A quarantine that knows of no request. */
-  Quarantine NONE = (engine, request, decided) -> decided.run();
+  Quarantine NONE = new NoQuarantine();
+
+  /**
+   * Returns whether a suspect may have a fingerprint with this head. If not, the body of a request
+   * need not be hashed.
+   */
+  boolean isSuspectHead(int head);
+
+  /** Returns whether a request may be sent. */
+  Verdict verdict(RequestFingerprint request);
+
+  /**
+   * Returns the identifiers of the engines that should run a suspect, the best first.
+   *
+   * @param service the service that is to run it
+   */
+  List<String> preferredEngines(RequestFingerprint suspect, String service);
 
   /**
    * Records that the connection on which an engine ran a request was lost.
@@ -14,5 +32,19 @@
    * @param decided is called exactly once, possibly before this method returns, when it is known
    *     whether the engine has ended or after a short time limit
    */
-  void connectionLost(Engine engine, RunningRequest request, Runnable decided);
+  void connectionLost(Engine engine, RequestFingerprint request, Runnable decided);
+
+  /**
+   * Records that an engine responded, which proves that it had not ended before the request was
+   * sent.
+   *
+   * @param sentNanos when the request was sent, by the event loop's clock
+   */
+  void responded(Engine engine, long sentNanos);
+
+  /** Records that an engine ran a suspect to its end, which proves that it is not fatal. */
+  void completed(RequestFingerprint suspect);
+
+  /** Adds a listener that is called whenever a request is found to be fatal. */
+  void onFatalRequest(Runnable listener);
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -1,26 +1,261 @@
 package org.baykeel.gateway.quarantine;
 
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineIncarnation;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.PeerMessage;
+import org.baykeel.gateway.peer.PeerMessageCodec;
+import org.baykeel.gateway.peer.PeerMessageListener;
+import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.storage.DurableStore;
+import org.baykeel.gateway.storage.StoreClock;
+import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
 
-/** The quarantine of one node. Used only from the event loop. */
-public final class RequestQuarantine implements Quarantine {
+/**
+ * The quarantine of one node. Records the ends of engines from its own lost connections, from
+ * notices of peers and from the store, and assesses the requests that the engines were running.
+ * Used only from the event loop.
+ *
+ * <p>Invariants: a request is found fatal only if at least three engines ended while they ran it,
+ * and no completed run of it is known; while no engine has ended recently, nothing is sent, stored
+ * or hashed.
+ */
+public final class RequestQuarantine implements Quarantine, PeerMessageListener {
+  /**
+   * How long a request waits whose engines all ended at once. A request that many callers send may
+   * run on all engines of a failed rack, and completes elsewhere within this time.
+   */
+  private static final long SIMULTANEOUS_ENDS_NANOS = 300_000_000L;
+
+  /** Nodes report the requests that an engine was running at slightly different times. */
+  private static final long SETTLE_NANOS = 100_000_000L;
+
+  /** More than the error of a time that was converted between the clocks of two nodes. */
+  private static final long CLOCK_TOLERANCE_NANOS = 100_000_000L;
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final EngineDirectory engines;
+  private final EventLoop eventLoop;
+  private final GatewayLog log;
+  private final EngineEndHistory history = new EngineEndHistory();
+  private final SuspectPlacement placement = new SuspectPlacement(history);
   private final EngineEndDetector detector;
+  private final EngineEndNotifier notifier;
+  private final EngineEndTable table;
+  private final List<Runnable> listeners = new ArrayList<>();
+  private final Set<RequestFingerprint> reported = new HashSet<>();
+  private final Set<Integer> suspectHeads = new HashSet<>();
+
+  /** From what a node learnt that an engine ended, for the log. */
+  private enum Source {
+    /** This node lost its connections to the engine. */
+    OBSERVED,
+    /** A notice of a peer. */
+    PEER,
+    /** The store. */
+    STORE
+  }
 
   /**
    * Creates a quarantine without evidence.
    *
+   * @param nodeName the name of this node, the key of its row in the store
    * @param livenessCheck finds out whether an engine has ended
-   * @param log receives one line for each check
+   * @param log receives one line for each check, each new end and each fatal request
    */
-  public RequestQuarantine(EngineLivenessCheck livenessCheck, EventLoop eventLoop, GatewayLog log) {
-    this.detector =
-        new EngineEndDetector(livenessCheck, eventLoop, log, (engine, ended, requests) -> {});
+  public RequestQuarantine(
+      String nodeName,
+      EngineDirectory engines,
+      EngineLivenessCheck livenessCheck,
+      PeerDirectory peers,
+      PeerTransport transport,
+      PeerMessageCodec codec,
+      DurableStore store,
+      StoreClock storeClock,
+      EventLoop eventLoop,
+      GatewayLog log) {
+    this.engines = engines;
+    this.eventLoop = eventLoop;
+    this.log = log;
+    this.detector = new EngineEndDetector(livenessCheck, eventLoop, log, this::onObserved);
+    this.notifier = new EngineEndNotifier(peers, transport, codec, eventLoop);
+    this.table =
+        new EngineEndTable(
+            nodeName,
+            store,
+            storeClock,
+            codec,
+            eventLoop,
+            log,
+            (engine, endedNanos, requests) -> add(engine, endedNanos, requests, Source.STORE));
+  }
+
+  /** Reads the evidence that the store has. */
+  public void start() {
+    table.load();
+  }
+
+  /** Returns the number of requests that are suspected at present. */
+  public long suspects() {
+    return assessment().suspects().size();
+  }
+
+  /** Returns how many notices to peers were not sent because of their limit. */
+  public long noticesDropped() {
+    return notifier.noticesDropped();
+  }
+
+  private BlameAssessment assessment() {
+    return history.assessment(eventLoop.nanoTime());
+  }
+
+  @Override
+  public boolean isSuspectHead(int head) {
+    return suspectHeads.contains(head);
+  }
+
+  @Override
+  public Verdict verdict(RequestFingerprint request) {
+    BlameAssessment assessment = assessment();
+    if (assessment.blame(request) == 0) {
+      return Verdict.CLEAR;
+    }
+    if (!assessment.isFatal(request)) {
+      return Verdict.SUSPECT;
+    }
+    long sinceNanos = eventLoop.nanoTime() - assessment.lastEndedNanos(request);
+    long undecidedNanos = assessment.isBlamedOnce(request) ? SIMULTANEOUS_ENDS_NANOS : SETTLE_NANOS;
+    return sinceNanos < undecidedNanos ? Verdict.UNDECIDED : Verdict.FATAL;
+  }
+
+  @Override
+  public List<String> preferredEngines(RequestFingerprint suspect, String service) {
+    return placement.preferredEngines(suspect, engines.ofService(service), assessment());
   }
 
   @Override
-  public void connectionLost(Engine engine, RunningRequest request, Runnable decided) {
+  public void connectionLost(Engine engine, RequestFingerprint request, Runnable decided) {
     detector.connectionLost(engine, request, decided);
   }
+
+  private void onObserved(Engine engine, long endedNanos, List<RequestFingerprint> requests) {
+    EngineIncarnation incarnation = EngineIncarnation.of(engine.record());
+    add(incarnation, endedNanos, requests, Source.OBSERVED);
+    notifier.sendEnd(incarnation, endedNanos, requests);
+    table.addOwn(incarnation, endedNanos, requests);
+  }
+
+  private void add(
+      EngineIncarnation engine, long endedNanos, List<RequestFingerprint> requests, Source source) {
+    long now = eventLoop.nanoTime();
+    if (!history.add(engine, endedNanos, requests, now)) {
+      return;
+    }
+    log.write(
+        GatewayEvent.ENGINE_ENDED,
+        "engine",
+        engine.id().value(),
+        "source",
+        source.name().toLowerCase(Locale.ROOT),
+        "age_ms",
+        (now - endedNanos) / NANOS_PER_MILLI,
+        "work",
+        requests);
+    onEvidenceChanged();
+  }
+
+  private void onEvidenceChanged() {
+    BlameAssessment assessment = assessment();
+    suspectHeads.clear();
+    assessment.suspects().forEach(suspect -> suspectHeads.add(suspect.head()));
+    reported.retainAll(assessment.fatal());
+    boolean found = false;
+    for (RequestFingerprint request : assessment.fatal()) {
+      if (reported.add(request)) {
+        found = true;
+        log.write(
+            GatewayEvent.REQUEST_FATAL,
+            "work",
+            request,
+            "blame",
+            assessment.blame(request),
+            "engines",
+            history.enginesThatRan(request));
+      }
+    }
+    if (found) {
+      notifyListenersAfter(SETTLE_NANOS);
+      notifyListenersAfter(SIMULTANEOUS_ENDS_NANOS);
+    }
+  }
+
+  private void notifyListenersAfter(long nanos) {
+    eventLoop.schedule(nanos / NANOS_PER_MILLI + 1, () -> listeners.forEach(Runnable::run));
+  }
+
+  @Override
+  public void responded(Engine engine, long sentNanos) {
+    if (history.isEmpty()) {
+      return;
+    }
+    EngineIncarnation incarnation = EngineIncarnation.of(engine.record());
+    EngineEnd end = history.find(incarnation);
+    if (end != null && sentNanos - end.endedNanos() > CLOCK_TOLERANCE_NANOS) {
+      notifier.sendWithdrawal(incarnation);
+      withdraw(incarnation);
+    }
+  }
+
+  private void withdraw(EngineIncarnation engine) {
+    table.withdraw(engine);
+    if (history.withdraw(engine, eventLoop.nanoTime())) {
+      log.write(GatewayEvent.ENGINE_END_WITHDRAWN, "engine", engine.id().value());
+      onEvidenceChanged();
+    }
+  }
+
+  @Override
+  public void completed(RequestFingerprint suspect) {
+    if (clear(suspect)) {
+      notifier.sendClearance(suspect);
+    }
+  }
+
+  private boolean clear(RequestFingerprint request) {
+    int blame = assessment().blame(request);
+    boolean cleared = history.clear(request, eventLoop.nanoTime());
+    if (cleared) {
+      log.write(GatewayEvent.REQUEST_CLEARED, "work", request, "blame", blame);
+      onEvidenceChanged();
+    }
+    return cleared;
+  }
+
+  @Override
+  public void onFatalRequest(Runnable listener) {
+    listeners.add(listener);
+  }
+
+  @Override
+  public void onMessage(PeerAddress sender, PeerMessage message) {
+    if (message instanceof PeerMessage.EngineEndNotice notice) {
+      long endedNanos = eventLoop.nanoTime() - notice.ageMillis() * NANOS_PER_MILLI;
+      add(notice.engine(), endedNanos, notice.requests(), Source.PEER);
+    } else if (message instanceof PeerMessage.EngineEndWithdrawal withdrawal) {
+      withdraw(withdrawal.engine());
+    } else if (message instanceof PeerMessage.RequestClearance clearance) {
+      clearance.requests().forEach(this::clear);
+    }
+  }
 }
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Verdict.java
@@ -0,0 +1,27 @@
+package org.baykeel.gateway.quarantine;
+
+/** Whether a request may be sent to an engine, by the engines that ended while they ran it. */
+public enum Verdict {
+  /** Nothing speaks against the request. */
+  CLEAR(true),
+  /** Engines ended while they ran it, but other requests may have been the cause. */
+  SUSPECT(true),
+  /**
+   * Engines ended just now while they ran it. It must wait for a short time, in which other nodes
+   * report what else these engines ran, and a try that runs elsewhere may complete.
+   */
+  UNDECIDED(false),
+  /** It made several engines end and must not be sent to another one. */
+  FATAL(false);
+
+  private final boolean sendable;
+
+  Verdict(boolean sendable) {
+    this.sendable = sendable;
+  }
+
+  /** Returns whether the request may be sent now. */
+  public boolean sendable() {
+    return sendable;
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
@@ -17,6 +17,7 @@
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.directory.SoftwareVersion;
 import org.baykeel.gateway.fairness.AdmissionShares;
+import org.baykeel.gateway.quarantine.Quarantine;
 import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.testing.TestingContext;
@@ -39,6 +40,11 @@
 
   /** Creates a node whose route gives a request three seconds and allows three runs. */
   SingleRouteNode(RouteKind kind, boolean resumable) {
+    this(kind, resumable, Quarantine.NONE);
+  }
+
+  /** Creates such a node with a quarantine. */
+  SingleRouteNode(RouteKind kind, boolean resumable, Quarantine quarantine) {
     StoreHealth storeHealth = new StoreHealth();
     storeHealth.answered(eventLoop.nanoTime());
     GatewayState state = new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
@@ -47,6 +53,7 @@
         new CallCoordinator(
             new TestingContext(eventLoop, state, engines, store, storeHealth, transport)
                 .admission(admission)
+                .quarantine(quarantine)
                 .build());
     state.adoptIfNewer(
         new GatewayConfiguration(
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestWaitQueue.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestWaitQueue.java
@@ -42,6 +42,9 @@
           public void onWaitTooLong() {
             notified.add(name + " gave up");
           }
+
+          @Override
+          public void onQuarantineChanged() {}
         };
     long deadlineNanos = after(deadlineMillis);
     boolean canMeetTarget = finishTargetNanos > eventLoop.nanoTime();
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRequestQuarantine.java
@@ -0,0 +1,397 @@
+package org.baykeel.gateway.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.PeerMessageCodec;
+import org.baykeel.gateway.peer.PeerMessageDispatcher;
+import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.program.RequestFingerprint;
+import org.baykeel.gateway.storage.RowAddress;
+import org.baykeel.gateway.storage.StoreClock;
+import org.baykeel.gateway.storage.Transaction;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingPeerNetwork;
+import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.topology.Topology;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against evidence that does not reach the node of the next try: nodes in virtual time that
+ * may restart, lose messages and be cut off from their peers or the store.
+ */
+class TestRequestQuarantine {
+  private static final int NODES = 5;
+  private static final int ENGINES = 10;
+  private static final long LIFETIME_MILLIS = 600_000;
+  private static final RequestFingerprint FATAL = new RequestFingerprint(0x1111_2222_3333_4444L);
+  private static final RequestFingerprint OTHER = new RequestFingerprint(0x5555_6666_7777_8888L);
+
+  private final TestingEventLoop eventLoop = new TestingEventLoop();
+  private final TestingStore store = new TestingStore(eventLoop);
+  private final TestingPeerNetwork network = new TestingPeerNetwork(eventLoop);
+  private final List<Node> nodes = new ArrayList<>();
+  private final Set<String> ended = new HashSet<>();
+  private EngineLiveness livenessOfRunning = EngineLiveness.RUNNING;
+
+  /** One incarnation of a node. */
+  private final class Node {
+    private final PeerAddress address;
+    private final EngineDirectory engines = new EngineDirectory(1);
+    private final RequestQuarantine quarantine;
+
+    Node(int number) {
+      address = new PeerAddress("10.0.0." + number, 7_000);
+      PeerMessageCodec codec = new PeerMessageCodec();
+      PeerTransport transport = network.transportOf(address);
+      StoreClock clock = new StoreClock();
+      clock.observe(eventLoop.nanoTime(), eventLoop.nanoTime(), eventLoop.nanoTime() / 1_000_000);
+      PeerDirectory peers =
+          new PeerDirectory(
+              "n" + number,
+              address,
+              store,
+              eventLoop,
+              transport,
+              codec,
+              Topology.ofOneRegion("z"),
+              (event, fields) -> {});
+      quarantine =
+          new RequestQuarantine(
+              "n" + number,
+              engines,
+              this::check,
+              peers,
+              transport,
+              codec,
+              store,
+              clock,
+              eventLoop,
+              (event, fields) -> {});
+      network.attach(address, new PeerMessageDispatcher(codec, peers, List.of(quarantine)));
+      peers.join();
+      quarantine.start();
+      for (int i = 0; i < ENGINES; i++) {
+        engines.put(new EngineRecord("e" + i, "s", "10.0.1." + i, 80, "z", 8, false));
+      }
+    }
+
+    private void check(Engine engine, Consumer<EngineLiveness> answer) {
+      boolean hasEnded = ended.contains(engine.record().id());
+      EngineLiveness liveness = hasEnded ? EngineLiveness.ENDED : livenessOfRunning;
+      eventLoop.schedule(2, () -> answer.accept(liveness));
+    }
+
+    Engine engine(int number) {
+      return engines.find(new EngineId("e" + number));
+    }
+
+    void loseConnection(int engine, RequestFingerprint... requests) {
+      for (RequestFingerprint request : requests) {
+        quarantine.connectionLost(engine(engine), request, () -> {});
+      }
+    }
+
+    Verdict verdict() {
+      return quarantine.verdict(FATAL);
+    }
+  }
+
+  @BeforeEach
+  void startNodes() {
+    for (int i = 0; i < NODES; i++) {
+      nodes.add(new Node(i));
+    }
+    eventLoop.advance(2_000);
+  }
+
+  private Node node(int number) {
+    return nodes.get(number);
+  }
+
+  private Node restart(int number) {
+    nodes.set(number, new Node(number));
+    eventLoop.advance(20);
+    return node(number);
+  }
+
+  /** An engine ends under requests of one node. */
+  private void end(Node node, int engine, RequestFingerprint... requests) {
+    ended.add("e" + engine);
+    node.loseConnection(engine, requests);
+    eventLoop.advance(500);
+  }
+
+  private void endThree(Node node) {
+    for (int engine = 0; engine < 3; engine++) {
+      end(node, engine, FATAL);
+    }
+  }
+
+  private Set<Verdict> verdicts() {
+    Set<Verdict> verdicts = new TreeSet<>();
+    nodes.forEach(node -> verdicts.add(node.verdict()));
+    return verdicts;
+  }
+
+  @Test
+  void requestIsFatalAtAllNodesAfterEndsAtThreeOfThem() {
+    end(node(0), 0, FATAL);
+    end(node(1), 1, FATAL);
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+    end(node(2), 2, FATAL);
+    assertEquals(Set.of(Verdict.FATAL), verdicts());
+  }
+
+  @Test
+  void engineThatEndsUnderRequestsOfTwoNodesCountsOnce() {
+    for (int engine = 0; engine < 2; engine++) {
+      ended.add("e" + engine);
+      node(0).loseConnection(engine, FATAL);
+      node(1).loseConnection(engine, FATAL);
+      eventLoop.advance(500);
+    }
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+  }
+
+  @Test
+  void decisionIsPassedOnOnceAndAfterResultOfCheck() {
+    AtomicInteger decided = new AtomicInteger();
+    ended.add("e0");
+    node(0).quarantine.connectionLost(node(0).engine(0), FATAL, decided::incrementAndGet);
+    assertEquals(0, decided.get());
+    eventLoop.advance(2);
+    assertEquals(1, decided.get());
+    assertEquals(Verdict.SUSPECT, node(0).verdict());
+    eventLoop.advance(5_000);
+    assertEquals(1, decided.get());
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"RUNNING", "CONNECTED", "UNKNOWN"})
+  void connectionsThatAreLostWithoutAnEndBlameNothing(EngineLiveness liveness) {
+    livenessOfRunning = liveness;
+    for (int engine = 0; engine < ENGINES; engine++) {
+      node(0).loseConnection(engine, FATAL);
+      eventLoop.advance(500);
+    }
+    eventLoop.advance(20_000);
+    assertEquals(Set.of(Verdict.CLEAR), verdicts());
+  }
+
+  @Test
+  void engineThatClosesItsConnectionsOneAfterTheOtherIsCheckedAgain() {
+    livenessOfRunning = EngineLiveness.CONNECTED;
+    node(0).loseConnection(0, FATAL);
+    eventLoop.advance(10);
+    ended.add("e0");
+    eventLoop.advance(100);
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+  }
+
+  @Test
+  void silentEngineHasEndedOnceItsEntryIsGone() {
+    livenessOfRunning = EngineLiveness.UNKNOWN;
+    node(0).loseConnection(0, FATAL);
+    eventLoop.advance(3_000);
+    assertEquals(Set.of(Verdict.CLEAR), verdicts());
+    node(0).engines.remove("e0", 0, eventLoop.nanoTime());
+    eventLoop.advance(1_100);
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+  }
+
+  @Test
+  void engineThatLeavesByPlanBlamesNothing() {
+    node(0).engines.put(new EngineRecord("e0", "s", "10.0.1.0", 80, "z", 8, true));
+    end(node(0), 0, FATAL);
+    assertEquals(Set.of(Verdict.CLEAR), verdicts());
+  }
+
+  @Test
+  void completionClearsRequestAtAllNodesInSpiteOfRepeatedNotices() {
+    end(node(0), 0, FATAL);
+    ended.add("e1");
+    node(0).loseConnection(1, FATAL);
+    eventLoop.advance(20);
+    node(1).quarantine.completed(FATAL);
+    eventLoop.advance(3_000);
+    assertEquals(Set.of(Verdict.CLEAR), verdicts());
+    end(node(2), 2, FATAL);
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+  }
+
+  @Test
+  void engineThatRespondsToLaterRequestHasNotEnded() {
+    endThree(node(0));
+    node(1).quarantine.responded(node(1).engine(0), eventLoop.nanoTime() - 5_000_000_000L);
+    assertEquals(Verdict.FATAL, node(1).verdict());
+    node(1).quarantine.responded(node(1).engine(0), eventLoop.nanoTime());
+    eventLoop.advance(2_000);
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+  }
+
+  @Test
+  void requestOfSeveralCallersIsUndecidedUntilTryElsewhereCouldComplete() {
+    for (int engine = 0; engine < 3; engine++) {
+      ended.add("e" + engine);
+      node(engine).loseConnection(engine, FATAL);
+    }
+    eventLoop.advance(10);
+    assertEquals(Set.of(Verdict.UNDECIDED), verdicts());
+    eventLoop.advance(300);
+    assertEquals(Set.of(Verdict.FATAL), verdicts());
+  }
+
+  /** Guards against the refusal of a request beside a fatal one that a peer reports later. */
+  @Test
+  void requestIsUndecidedUntilPeersReportedWhatElseRan() {
+    end(node(0), 0, OTHER);
+    end(node(0), 1, OTHER);
+    ended.add("e2");
+    node(0).loseConnection(2, OTHER);
+    eventLoop.advance(10);
+    assertEquals(Verdict.UNDECIDED, node(0).quarantine.verdict(OTHER));
+    for (int engine = 0; engine < 3; engine++) {
+      node(1).loseConnection(engine, FATAL);
+    }
+    eventLoop.advance(500);
+    assertEquals(Verdict.SUSPECT, node(0).quarantine.verdict(OTHER));
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+  }
+
+  @Test
+  void popularRequestOfFailedRackIsClearedByTryElsewhere() {
+    for (int engine = 0; engine < 3; engine++) {
+      ended.add("e" + engine);
+      node(engine).loseConnection(engine, FATAL);
+    }
+    eventLoop.advance(100);
+    node(4).quarantine.completed(FATAL);
+    eventLoop.advance(500);
+    assertEquals(Set.of(Verdict.CLEAR), verdicts());
+  }
+
+  @Test
+  void lostDatagramsAreRepeated() {
+    network.lose(0.3, new Random(7));
+    endThree(node(0));
+    eventLoop.advance(2_000);
+    assertEquals(Set.of(Verdict.FATAL), verdicts());
+  }
+
+  @Test
+  void restartedNodesFindEvidenceInStore() {
+    end(node(0), 0, FATAL);
+    end(node(1), 1, FATAL);
+    end(node(2), 2, FATAL);
+    nodes.forEach(node -> network.detach(node.address));
+    for (int i = 0; i < NODES; i++) {
+      restart(i);
+    }
+    assertEquals(Set.of(Verdict.FATAL), verdicts());
+  }
+
+  @Test
+  void restartedNodeKeepsEvidenceOfItsEarlierIncarnation() {
+    end(node(0), 0, FATAL);
+    end(restart(0), 1, FATAL);
+    end(restart(0), 2, FATAL);
+    restart(0);
+    assertEquals(Verdict.FATAL, restart(0).verdict());
+  }
+
+  @Test
+  void evidenceIsWrittenOnceStoreReturns() {
+    store.fault(TestingStore.Fault.REFUSE);
+    endThree(node(0));
+    assertEquals(Set.of(Verdict.FATAL), verdicts());
+    store.fault(TestingStore.Fault.NONE);
+    eventLoop.advance(2_000);
+    nodes.forEach(node -> network.detach(node.address));
+    assertEquals(Verdict.FATAL, restart(3).verdict());
+  }
+
+  @Test
+  void nodeCutOffFromPeersReadsStoreWhenItObservesAnEnd() {
+    for (int i = 0; i < NODES; i++) {
+      network.cut(node(i).address, node(4).address, true);
+    }
+    end(node(0), 0, FATAL);
+    end(node(0), 1, FATAL);
+    assertEquals(Verdict.CLEAR, node(4).verdict());
+    end(node(4), 2, FATAL);
+    assertEquals(Verdict.FATAL, node(4).verdict());
+  }
+
+  @Test
+  void evidenceExpires() {
+    endThree(node(0));
+    eventLoop.advance(LIFETIME_MILLIS + 1_000);
+    assertEquals(Set.of(Verdict.CLEAR), verdicts());
+    assertEquals(Verdict.CLEAR, restart(1).verdict());
+    assertEquals(0, store.count("engine-end"));
+  }
+
+  @Test
+  void nothingIsSentOrStoredWhileNoEngineEnds() {
+    long bytes = network.sentBytes();
+    int transactions = store.transactions();
+    int reads = store.reads();
+    node(0).quarantine.completed(FATAL);
+    node(0).quarantine.responded(node(0).engine(0), eventLoop.nanoTime());
+    eventLoop.advance(LIFETIME_MILLIS);
+    assertEquals(bytes, network.sentBytes());
+    assertEquals(List.of(transactions, reads), List.of(store.transactions(), store.reads()));
+  }
+
+  @Test
+  void unreadableRowIsIgnored() {
+    RowAddress row = new RowAddress("engine-end", "", "n9");
+    for (byte[] value : List.of(new byte[0], new byte[] {1, 2}, new byte[] {9, 0, 0})) {
+      store.transact(
+          new Transaction(List.of(), List.of(new Transaction.Put(row, value)), List.of()),
+          outcome -> {});
+      eventLoop.advance(10);
+      assertEquals(Verdict.CLEAR, restart(0).verdict());
+    }
+  }
+
+  @Test
+  void listenersAreNotifiedOfFatalRequest() {
+    AtomicInteger notified = new AtomicInteger();
+    node(3).quarantine.onFatalRequest(notified::incrementAndGet);
+    endThree(node(0));
+    assertTrue(notified.get() > 0);
+  }
+
+  @Test
+  void suspectsAreKeptApartAndNotSentToEnginesThatEnded() {
+    end(node(0), 0, FATAL, OTHER);
+    Set<String> first = new TreeSet<>();
+    for (Node node : nodes) {
+      first.add(node.quarantine.preferredEngines(FATAL, "s").get(0));
+    }
+    assertEquals(1, first.size());
+    List<String> ofFatal = node(0).quarantine.preferredEngines(FATAL, "s");
+    List<String> ofOther = node(0).quarantine.preferredEngines(OTHER, "s");
+    assertTrue(!ofFatal.get(0).equals(ofOther.get(0)), ofFatal + " " + ofOther);
+    assertTrue(!ofFatal.contains("e0") && !ofOther.contains("e0"), ofFatal + " " + ofOther);
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
@@ -68,6 +68,11 @@
     oldRows = freeze ? new TreeMap<>(rows) : null;
   }
 
+  /** Returns the number of rows of a table. */
+  public long count(String table) {
+    return rows.values().stream().filter(row -> row.address().table().equals(table)).count();
+  }
+
   public int transactions() {
     return transactions;
   }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
@@ -94,6 +94,10 @@
       listener.onFailure(Failure.BROKEN, "reset");
     }
 
+    public void loseConnection() {
+      listener.onFailure(Failure.CONNECTION_LOST, "reset");
+    }
+
     public void failUnsent() {
       listener.onFailure(Failure.NOT_SENT, "refused");
     }
