The limits of waiting calls, and withdrawn evidence, stand in classes of their own

Cause: AttemptSequence had grown to some 500 lines, among them the time limits of waiting calls; EngineEndHistory kept withdrawals of engines and requests in one untyped map.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -30,9 +30,6 @@
   /** The shortest wait after a round of engines that did not take the request. */
   private static final long MIN_WAIT_MILLIS = 10;
 
-  /** Lower bound of the time reserved for the work of a request that waits for capacity. */
-  private static final long MIN_WORK_MILLIS = 20;
-
   /** Receives the outcome of the attempts; exactly one of the last three methods ends them. */
   interface Owner {
     /** A complete event of a stream. */
@@ -253,11 +250,13 @@
    */
   private boolean waitForCapacity() {
     long nextCapacityNanos = nextCapacityNanos();
-    long giveUpNanos = giveUpNanos();
+    WaitLimits limits = new WaitLimits(call, context.selector().usualResponseMillis(criteria));
+    long giveUpNanos = limits.giveUpNanos();
     if (nextCapacityNanos == Long.MAX_VALUE || nextCapacityNanos - giveUpNanos >= 0) {
       return false;
     }
-    waitTicket = waitQueue.add(requirement(), canMeetTarget(), dueNanos(), giveUpNanos, this);
+    waitTicket =
+        waitQueue.add(requirement(), limits.canMeetTarget(), limits.dueNanos(), giveUpNanos, this);
     return true;
   }
 
@@ -277,38 +276,6 @@
     return new WaitQueue.Requirement(call.service(), call.residency(), call.route().repeatable());
   }
 
-  /** Whether the request arrived early enough to meet its program's finish target. */
-  private boolean canMeetTarget() {
-    return call.attributes().finishMillis() > workMillis();
-  }
-
-  /** The usual time of the request's work. */
-  private double workMillis() {
-    return Math.max(MIN_WORK_MILLIS, context.selector().usualResponseMillis(criteria));
-  }
-
-  /**
-   * The program's finish target or the caller's deadline, whichever is first; only the deadline if
-   * the finish target cannot be met.
-   */
-  private long dueNanos() {
-    long finishTargetNanos =
-        call.request().receivedNanos() + call.attributes().finishMillis() * 1_000_000;
-    return canMeetTarget()
-        ? Math.min(finishTargetNanos, call.deadlineNanos())
-        : call.deadlineNanos();
-  }
-
-  /**
-   * When a wait for capacity must end so that the work can still finish in time. A request that may
-   * run only once may wait until the caller's deadline, since its program is lost if the request
-   * fails; any other request must also meet its program's finish target if it still can.
-   */
-  private long giveUpNanos() {
-    long limitNanos = call.route().repeatable() ? dueNanos() : call.deadlineNanos();
-    return limitNanos - Math.round(workMillis() * 1e6);
-  }
-
   private void onNoCapacity() {
     if (relay.headSent() || runs > 0) {
       owner.onAttemptsFailed(ErrorKind.BACKEND_FAILED, 0, "no engine left to try");
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallQuarantine.java
@@ -38,7 +38,7 @@
   }
 
   private boolean mayBeSuspect() {
-    return context.quarantine().isSuspectHead(builder.head());
+    return context.quarantine().isSuspectHead(builder::head);
   }
 
   /** Returns whether the call may be sent. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndHistory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndHistory.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.baykeel.gateway.directory.EngineIncarnation;
@@ -21,19 +20,11 @@
   static final long LIFETIME_NANOS = 600_000_000_000L;
 
   private static final int MAX_ENDS = 512;
-  private static final int MAX_WITHDRAWALS = 4_096;
 
   private final Map<EngineIncarnation, EngineEnd> ends = new HashMap<>();
 
-  /** When an engine was found to run, or a request completed. */
-  private final Map<Object, Long> withdrawnNanos =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Object, Long> eldest) {
-          return size() > MAX_WITHDRAWALS;
-        }
-      };
-
+  private final Withdrawals<EngineIncarnation> runningEngines = new Withdrawals<>();
+  private final Withdrawals<RequestFingerprint> completedRequests = new Withdrawals<>();
   private BlameAssessment assessment = new BlameAssessment(List.of());
   private boolean assessed = true;
 
@@ -50,7 +41,7 @@
   boolean add(
       EngineIncarnation engine, long endedNanos, List<RequestFingerprint> requests, long nowNanos) {
     evict(nowNanos);
-    if (nowNanos - endedNanos > LIFETIME_NANOS || isWithdrawn(engine, endedNanos)) {
+    if (nowNanos - endedNanos > LIFETIME_NANOS || runningEngines.cover(engine, endedNanos)) {
       return false;
     }
     EngineEnd end = ends.get(engine);
@@ -61,7 +52,7 @@
       removeOldestBeyondLimit();
     }
     List<RequestFingerprint> suspected =
-        requests.stream().filter(request -> !isWithdrawn(request, endedNanos)).toList();
+        requests.stream().filter(request -> !completedRequests.cover(request, endedNanos)).toList();
     boolean changed = end.add(suspected) || added;
     assessed &= !changed;
     return changed;
@@ -73,23 +64,13 @@
     }
   }
 
-  private boolean isWithdrawn(Object engineOrRequest, long endedNanos) {
-    Long withdrawn = withdrawnNanos.get(engineOrRequest);
-    return withdrawn != null && endedNanos - withdrawn <= 0;
-  }
-
-  private void recordWithdrawal(Object engineOrRequest, long nowNanos) {
-    withdrawnNanos.remove(engineOrRequest);
-    withdrawnNanos.put(engineOrRequest, nowNanos);
-  }
-
   /**
    * Removes the end of an engine that has not ended.
    *
    * @return whether it was recorded
    */
   boolean withdraw(EngineIncarnation engine, long nowNanos) {
-    recordWithdrawal(engine, nowNanos);
+    runningEngines.record(engine, nowNanos);
     boolean withdrawn = ends.remove(engine) != null;
     assessed &= !withdrawn;
     return withdrawn;
@@ -101,7 +82,7 @@
    * @return whether it was suspected
    */
   boolean clear(RequestFingerprint request, long nowNanos) {
-    recordWithdrawal(request, nowNanos);
+    completedRequests.record(request, nowNanos);
     boolean cleared = false;
     for (EngineEnd end : ends.values()) {
       cleared |= end.clear(request);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/NoQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/NoQuarantine.java
@@ -1,13 +1,14 @@
 package org.baykeel.gateway.quarantine;
 
 import java.util.List;
+import java.util.function.IntSupplier;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.program.RequestFingerprint;
 
 /** A quarantine that records nothing. */
 final class NoQuarantine implements Quarantine {
   @Override
-  public boolean isSuspectHead(int head) {
+  public boolean isSuspectHead(IntSupplier head) {
     return false;
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Quarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Quarantine.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.quarantine;
 
 import java.util.List;
+import java.util.function.IntSupplier;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.program.RequestFingerprint;
 
@@ -11,10 +12,12 @@
   Quarantine NONE = new NoQuarantine();
 
   /**
-   * Returns whether a suspect may have a fingerprint with this head. If not, the body of a request
-   * need not be hashed.
+   * Returns whether a suspect may have a fingerprint with a certain head. If not, the body of a
+   * request need not be hashed.
+   *
+   * @param head computes the head, if there are suspects at all
    */
-  boolean isSuspectHead(int head);
+  boolean isSuspectHead(IntSupplier head);
 
   /** Returns whether a request may be sent. */
   Verdict verdict(RequestFingerprint request);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineIncarnation;
@@ -121,8 +122,8 @@
   }
 
   @Override
-  public boolean isSuspectHead(int head) {
-    return suspectHeads.contains(head);
+  public boolean isSuspectHead(IntSupplier head) {
+    return !suspectHeads.isEmpty() && suspectHeads.contains(head.getAsInt());
   }
 
   @Override
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -17,6 +17,7 @@
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.quarantine.EngineLiveness;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.tenancy.Caller;
 import org.baykeel.gateway.testing.ScriptedEngine;
@@ -212,4 +213,33 @@
     }
     assertEquals("NOT_SENT", sendAndAwait(engineAt(port), "r1"));
   }
+
+  private EngineLiveness liveness(Engine engine) throws Exception {
+    CompletableFuture<EngineLiveness> liveness = new CompletableFuture<>();
+    ConnectingLivenessCheck check =
+        new ConnectingLivenessCheck(group, transport, new GatewayMetrics());
+    group.next().execute(() -> check.check(engine, liveness::complete));
+    return liveness.get(20, TimeUnit.SECONDS);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"KEEP, CONNECTED", "CLOSE, RUNNING", "RESET, RUNNING"})
+  void engineThatListensHasNotEnded(After after, EngineLiveness liveness) throws Exception {
+    try (ScriptedEngine scripted = new ScriptedEngine(new Response(OWN, after))) {
+      Engine engine = engineAt(scripted.port());
+      sendAndAwait(engine, "r1");
+      scripted.awaitOpen(after == After.KEEP ? 1 : 0);
+      group.next().submit(() -> {}).get();
+      assertEquals(liveness, liveness(engine));
+    }
+  }
+
+  @Test
+  void engineThatRefusesConnectionsHasEnded() throws Exception {
+    ScriptedEngine scripted = new ScriptedEngine(new Response(OWN, After.KEEP));
+    Engine engine = engineAt(scripted.port());
+    sendAndAwait(engine, "r1");
+    scripted.close();
+    assertEquals(EngineLiveness.ENDED, liveness(engine));
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingQuarantine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingQuarantine.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.IntSupplier;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.quarantine.Quarantine;
@@ -49,7 +50,7 @@
   }
 
   @Override
-  public boolean isSuspectHead(int head) {
+  public boolean isSuspectHead(IntSupplier head) {
     return verdict != Verdict.CLEAR;
   }
 
