A silent engine blames no request, and suspects stay in their region

Cause: by reading. An engine that did not respond counted as ended once its entry was gone, so three racks that lost their power could have refused an innocent request; a suspect could be sent to another region although its own has engines; lines about ends named all requests. Change: only a refused connection shows an end; engines of the region come first; 16 names a line.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -16,7 +16,8 @@
  * became silent. One check covers all requests that lose their connections to an engine at about
  * the same time.
  *
- * <p>An engine that was about to leave by plan gives no evidence against the requests that it ran.
+ * <p>An engine that was about to leave by plan, or one that does not respond at all, gives no
+ * evidence against the requests that it ran: its machine or the network to it may have failed.
  */
 final class EngineEndDetector {
   /** The longest time for which a lost request waits for the result of a check. */
@@ -27,8 +28,8 @@
 
   private static final long UNKNOWN_RETRY_MILLIS = 1_000;
 
-  /** So many checks take longer than the entry of an engine that has ended takes to be removed. */
-  private static final int MAX_CHECKS = 10;
+  private static final int MAX_CONNECTED_CHECKS = 2;
+  private static final int MAX_UNKNOWN_CHECKS = 3;
 
   private static final int MAX_REQUESTS = 256;
 
@@ -86,8 +87,8 @@
           (eventLoop.nanoTime() - lostNanos) / 1_000_000);
       switch (liveness) {
         case ENDED -> listener.engineEnded(engine, lostNanos, List.copyOf(requests));
-        case CONNECTED -> repeatAfter(CONFIRMATION_MILLIS, 2);
-        case UNKNOWN -> repeatAfter(UNKNOWN_RETRY_MILLIS, MAX_CHECKS);
+        case CONNECTED -> repeatAfter(CONFIRMATION_MILLIS, MAX_CONNECTED_CHECKS);
+        case UNKNOWN -> repeatAfter(UNKNOWN_RETRY_MILLIS, MAX_UNKNOWN_CHECKS);
         case RUNNING -> {}
       }
     }
@@ -100,11 +101,7 @@
 
     private void repeat() {
       checks++;
-      if (engine.removed()) {
-        onResult(EngineLiveness.ENDED);
-      } else {
-        livenessCheck.check(engine, this::onResult);
-      }
+      livenessCheck.check(engine, this::onResult);
     }
 
     private void release() {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -21,6 +21,7 @@
 import org.baykeel.gateway.storage.StoreClock;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
+import org.baykeel.gateway.topology.Topology;
 
 /**
  * The quarantine of one node. Records the ends of engines from its own lost connections, from
@@ -46,11 +47,14 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  /** The most requests or engines that a line of the log names. */
+  private static final int MAX_LOGGED = 16;
+
   private final EngineDirectory engines;
   private final EventLoop eventLoop;
   private final GatewayLog log;
   private final EngineEndHistory history = new EngineEndHistory();
-  private final SuspectPlacement placement = new SuspectPlacement(history);
+  private final SuspectPlacement placement;
   private final EngineEndDetector detector;
   private final EngineEndNotifier notifier;
   private final EngineEndTable table;
@@ -72,12 +76,14 @@
    * Creates a quarantine without evidence.
    *
    * @param nodeName the name of this node, the key of its row in the store
+   * @param topology the regions of the engines' zones
    * @param livenessCheck finds out whether an engine has ended
    * @param log receives one line for each check, each new end and each fatal request
    */
   public RequestQuarantine(
       String nodeName,
       EngineDirectory engines,
+      Topology topology,
       EngineLivenessCheck livenessCheck,
       PeerDirectory peers,
       PeerTransport transport,
@@ -87,6 +93,7 @@
       EventLoop eventLoop,
       GatewayLog log) {
     this.engines = engines;
+    this.placement = new SuspectPlacement(history, topology);
     this.eventLoop = eventLoop;
     this.log = log;
     this.detector = new EngineEndDetector(livenessCheck, eventLoop, log, this::onObserved);
@@ -171,11 +178,17 @@
         source.name().toLowerCase(Locale.ROOT),
         "age_ms",
         (now - endedNanos) / NANOS_PER_MILLI,
+        "requests",
+        requests.size(),
         "work",
-        requests);
+        logged(requests));
     onEvidenceChanged();
   }
 
+  private static <T> List<T> logged(List<T> values) {
+    return values.subList(0, Math.min(values.size(), MAX_LOGGED));
+  }
+
   private void onEvidenceChanged() {
     BlameAssessment assessment = assessment();
     suspectHeads.clear();
@@ -192,7 +205,7 @@
             "blame",
             assessment.blame(request),
             "engines",
-            history.enginesThatRan(request));
+            logged(history.enginesThatRan(request)));
       }
     }
     if (found) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/SuspectPlacement.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/SuspectPlacement.java
@@ -10,8 +10,10 @@
 import java.util.Set;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineIncarnation;
+import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.scheduling.StableHash;
+import org.baykeel.gateway.topology.Topology;
 
 /**
  * Assigns an engine to each suspect. Different suspects get different engines where there are
@@ -26,14 +28,17 @@
   private static final int MAX_PREFERRED = 4;
 
   private final EngineEndHistory history;
+  private final Topology topology;
 
-  SuspectPlacement(EngineEndHistory history) {
+  SuspectPlacement(EngineEndHistory history, Topology topology) {
     this.history = history;
+    this.topology = topology;
   }
 
   /**
    * Returns the identifiers of the engines that should run a suspect: the one that is assigned to
-   * it, then those that are assigned to no suspect.
+   * it, then those that are assigned to no suspect. Engines of other regions are used only if this
+   * node's region has none.
    *
    * @param engines the engines of its service
    */
@@ -52,14 +57,17 @@
   }
 
   private List<String> usable(Collection<Engine> engines) {
-    List<String> usable = new ArrayList<>();
+    List<String> inRegion = new ArrayList<>();
+    List<String> elsewhere = new ArrayList<>();
     for (Engine engine : engines) {
-      boolean ended = history.find(EngineIncarnation.of(engine.record())) != null;
-      if (!ended && !engine.record().draining()) {
-        usable.add(engine.record().id());
+      EngineRecord record = engine.record();
+      boolean ended = history.find(EngineIncarnation.of(record)) != null;
+      if (!ended && !record.draining()) {
+        boolean near = topology.localityOf(record.zone()).inRegion();
+        (near ? inRegion : elsewhere).add(record.id());
       }
     }
-    return usable;
+    return inRegion.isEmpty() ? elsewhere : inRegion;
   }
 
   private static List<RequestFingerprint> mostBlamed(BlameAssessment assessment) {
