An engine that ends slowly, or is started again at once, is found to have ended

Trace: the check of the first engine came 96 ms after its connections were lost, on a busy machine; another engine had been started at the same address by then and accepted the connection (ENGINE_CHECKED state=running).

Change: the check asks which engine responds (421 or another instance: it has ended); connects are 10, 20 and 30 ms apart; unknown engines are checked again after 250 ms; a node that found an engine running believes a peer that saw its end, and an entry or a report that shows a restart. EngineDirectory takes several listeners for restarts.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -28,7 +28,7 @@
   private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
   private final ServiceVersions versions = new ServiceVersions(this::ofService);
   private EngineSuspicionListener suspicionListener = EngineSuspicionListener.NONE;
-  private EngineRestartListener restartListener = EngineRestartListener.NONE;
+  private final List<EngineRestartListener> restartListeners = new ArrayList<>();
 
   /**
    * Creates a directory.
@@ -49,9 +49,9 @@
     suspicionListener = listener;
   }
 
-  /** Sets the listener for engines that have restarted under their identifier. */
+  /** Adds a listener for engines that have restarted under their identifier. */
   public void onRestart(EngineRestartListener listener) {
-    restartListener = listener;
+    restartListeners.add(listener);
   }
 
   /** Returns the software versions that the engines of each service have or had. */
@@ -185,8 +185,10 @@
       Engine former, EngineRecord record, long nowNanos, EngineRestartListener.Source source) {
     drop(former, nowNanos);
     add(record, nowNanos);
-    restartListener.engineRestarted(
-        new EngineId(record.id()), former.record().startMillis(), record.startMillis(), source);
+    EngineId id = new EngineId(record.id());
+    for (EngineRestartListener listener : restartListeners) {
+      listener.engineRestarted(id, former.record().startMillis(), record.startMillis(), source);
+    }
   }
 
   private void add(EngineRecord record, long nowNanos) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineRestartListener.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineRestartListener.java
@@ -3,9 +3,6 @@
 /** Is notified when an engine is found to have restarted under its identifier. */
 @FunctionalInterface
 public interface EngineRestartListener {
-  /** A listener that does nothing. */
-  EngineRestartListener NONE = (id, previousStartMillis, newStartMillis, source) -> {};
-
   /** The kind of message that was the first to give the later start time. */
   enum Source {
     /** The engine's entry in the store. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/CallTranslator.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/CallTranslator.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.http;
 
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import org.baykeel.core.error.BaykeelException;
@@ -26,6 +27,12 @@
   /** Reads the traits of an engine's response from its status and header fields. */
   ResponseTraits responseTraits(HttpResponse response);
 
+  /** Returns a request that no engine runs and that all but one refuse as not meant for them. */
+  FullHttpRequest identityRequest(Engine engine);
+
+  /** Whether an engine other than the given one responded to its identity request. */
+  boolean isFromOtherEngine(HttpResponse response, Engine engine);
+
   /** Adds the header fields that callers of this deployment expect in a refusal. */
   void addRefusalHeaders(HttpHeaders headers, Refusal refusal, CallAttributes attributes);
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
@@ -1,9 +1,15 @@
 package org.baykeel.gateway.http;
 
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import java.net.ConnectException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -14,7 +20,8 @@
 
 /**
  * Checks whether an engine runs by the connections that are open to it. Without one, opens a
- * connection: a process that has ended refuses it.
+ * connection: a process that has ended refuses it, and one that was started in its place at the
+ * same address says that it is another.
  */
 public final class ConnectingLivenessCheck implements EngineLivenessCheck {
   private static final int CONNECT_TIMEOUT_MILLIS = 150;
@@ -22,22 +29,35 @@
   /** Connections of a process that ends are closed one after the other within this time. */
   private static final long SETTLE_MILLIS = 5;
 
-  private static final int MAX_CONNECTS = 3;
+  /** An engine that accepts a connection and does not respond within this time is running. */
+  private static final long RESPONSE_MILLIS = 50;
+
+  /** A process that is just ending may accept connections for a moment and then close them. */
+  private static final int MAX_CONNECTS = 4;
+
+  /** The pause before the second connection; each further one is as much longer. */
+  private static final long RECONNECT_MILLIS = 10;
 
   private final EventLoopGroup group;
   private final NettyEngineTransport transport;
+  private final CallTranslator translator;
   private final GatewayMetrics metrics;
 
   /**
    * Creates a check.
    *
    * @param transport has the connections to engines
+   * @param translator encodes the question which engine responds
    * @param metrics counts the connections that are opened
    */
   public ConnectingLivenessCheck(
-      EventLoopGroup group, NettyEngineTransport transport, GatewayMetrics metrics) {
+      EventLoopGroup group,
+      NettyEngineTransport transport,
+      CallTranslator translator,
+      GatewayMetrics metrics) {
     this.group = group;
     this.transport = transport;
+    this.translator = translator;
     this.metrics = metrics;
   }
 
@@ -49,7 +69,7 @@
 
   private void checkConnections(Engine engine, Consumer<EngineLiveness> answer) {
     if (transport.isConnected(engine)) {
-      schedule(() -> checkConnectionsAgain(engine, answer));
+      schedule(SETTLE_MILLIS, () -> checkConnectionsAgain(engine, answer));
     } else {
       connect(engine, 1, answer);
     }
@@ -65,41 +85,90 @@
 
   private void connect(Engine engine, int connects, Consumer<EngineLiveness> answer) {
     metrics.engineConnectionOpened();
+    Connection connection = new Connection(engine, connects, answer);
     KeepAliveBootstrap.bootstrap(group, CONNECT_TIMEOUT_MILLIS)
-        .handler(new ChannelInboundHandlerAdapter())
-        .connect(engine.record().host(), engine.record().port())
-        .addListener(
-            (io.netty.channel.ChannelFuture connected) -> {
-              if (connected.isSuccess()) {
-                schedule(() -> checkAccepted(connected.channel(), engine, connects, answer));
-              } else {
-                answer.accept(livenessOf(connected.cause()));
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
               }
-            });
+            })
+        .connect(engine.record().host(), engine.record().port())
+        .addListener((ChannelFuture connected) -> connection.onConnected(connected));
   }
 
-  private static EngineLiveness livenessOf(Throwable connectFailure) {
-    boolean refused =
-        connectFailure instanceof ConnectException
-            && !(connectFailure instanceof ConnectTimeoutException);
-    return refused ? EngineLiveness.ENDED : EngineLiveness.UNKNOWN;
+  private void schedule(long millis, Runnable task) {
+    group.next().schedule(task, millis, TimeUnit.MILLISECONDS);
   }
 
-  /** A process that is just ending may still accept a connection and then close it. */
-  private void checkAccepted(
-      Channel channel, Engine engine, int connects, Consumer<EngineLiveness> answer) {
-    boolean open = channel.isActive();
-    channel.close();
-    if (open) {
-      answer.accept(EngineLiveness.RUNNING);
-    } else if (connects < MAX_CONNECTS) {
-      connect(engine, connects + 1, answer);
-    } else {
-      answer.accept(EngineLiveness.UNKNOWN);
+  /** One connection that asks which engine responds. */
+  private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+    private final Engine engine;
+    private final int connects;
+    private final Consumer<EngineLiveness> answer;
+    private boolean concluded;
+
+    Connection(Engine engine, int connects, Consumer<EngineLiveness> answer) {
+      this.engine = engine;
+      this.connects = connects;
+      this.answer = answer;
+    }
+
+    void onConnected(ChannelFuture connected) {
+      if (!connected.isSuccess()) {
+        conclude(livenessOf(connected.cause()));
+        return;
+      }
+      connected.channel().writeAndFlush(translator.identityRequest(engine));
+      schedule(
+          RESPONSE_MILLIS,
+          () -> {
+            conclude(EngineLiveness.RUNNING);
+            connected.channel().close();
+          });
     }
-  }
 
-  private void schedule(Runnable task) {
-    group.next().schedule(task, SETTLE_MILLIS, TimeUnit.MILLISECONDS);
+    private EngineLiveness livenessOf(Throwable connectFailure) {
+      boolean refused =
+          connectFailure instanceof ConnectException
+              && !(connectFailure instanceof ConnectTimeoutException);
+      return refused ? EngineLiveness.ENDED : EngineLiveness.UNKNOWN;
+    }
+
+    private void conclude(EngineLiveness liveness) {
+      if (!concluded) {
+        concluded = true;
+        answer.accept(liveness);
+      }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject object) {
+      if (object instanceof HttpResponse response) {
+        boolean usable = response.decoderResult().isSuccess();
+        boolean other = usable && translator.isFromOtherEngine(response, engine);
+        conclude(other ? EngineLiveness.ENDED : EngineLiveness.RUNNING);
+        context.close();
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      if (concluded) {
+        return;
+      }
+      if (connects < MAX_CONNECTS) {
+        concluded = true;
+        schedule(RECONNECT_MILLIS * connects, () -> connect(engine, connects + 1, answer));
+      } else {
+        conclude(EngineLiveness.UNKNOWN);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.telemetry.GatewayEvent;
@@ -26,13 +27,16 @@
   /** After this time an engine is checked again if connections to it seemed to be open. */
   private static final long CONFIRMATION_MILLIS = 50;
 
-  private static final long UNKNOWN_RETRY_MILLIS = 1_000;
+  private static final long UNKNOWN_RETRY_MILLIS = 250;
 
   private static final int MAX_CONNECTED_CHECKS = 2;
-  private static final int MAX_UNKNOWN_CHECKS = 3;
+  private static final int MAX_UNKNOWN_CHECKS = 6;
 
   private static final int MAX_REQUESTS = 256;
 
+  /** For so long it may turn out that an engine has ended that seemed to run. */
+  private static final long REPORT_MILLIS = 2_000;
+
   /** Receives the engines that have ended. */
   interface Listener {
     /**
@@ -49,6 +53,7 @@
   private final GatewayLog log;
   private final Listener listener;
   private final Map<Engine, Check> firstChecks = new HashMap<>();
+  private final Map<EngineIncarnation, Check> seemedToRun = new HashMap<>();
 
   /** The check of one engine, from a lost connection to a conclusion. */
   private final class Check {
@@ -87,12 +92,21 @@
           (eventLoop.nanoTime() - lostNanos) / 1_000_000);
       switch (liveness) {
         case ENDED -> listener.engineEnded(engine, lostNanos, List.copyOf(requests));
-        case CONNECTED -> repeatAfter(CONFIRMATION_MILLIS, MAX_CONNECTED_CHECKS);
+        case CONNECTED -> {
+          retainForReports();
+          repeatAfter(CONFIRMATION_MILLIS, MAX_CONNECTED_CHECKS);
+        }
         case UNKNOWN -> repeatAfter(UNKNOWN_RETRY_MILLIS, MAX_UNKNOWN_CHECKS);
-        case RUNNING -> {}
+        case RUNNING -> retainForReports();
       }
     }
 
+    private void retainForReports() {
+      EngineIncarnation incarnation = EngineIncarnation.of(engine.record());
+      seemedToRun.put(incarnation, this);
+      eventLoop.schedule(REPORT_MILLIS, () -> seemedToRun.remove(incarnation, this));
+    }
+
     private void repeatAfter(long millis, int maxChecks) {
       if (checks < maxChecks) {
         eventLoop.schedule(millis, this::repeat);
@@ -119,6 +133,17 @@
     this.listener = listener;
   }
 
+  /**
+   * Handles that a peer saw an engine end, or that it has restarted, in case it seemed to run when
+   * it was checked here.
+   */
+  void endReported(EngineIncarnation engine) {
+    Check check = seemedToRun.remove(engine);
+    if (check != null) {
+      listener.engineEnded(check.engine, check.lostNanos, List.copyOf(check.requests));
+    }
+  }
+
   /**
    * Checks whether an engine has ended, after a connection to it was lost.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineLiveness.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineLiveness.java
@@ -6,7 +6,7 @@
   RUNNING,
   /** Connections to it are open, which may be about to close. */
   CONNECTED,
-  /** It refuses connections. */
+  /** Its address refuses connections, or another engine responds there. */
   ENDED,
   /** It does not respond: its machine, or the network to it, may be down. */
   UNKNOWN
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -97,6 +97,9 @@
     this.eventLoop = eventLoop;
     this.log = log;
     this.detector = new EngineEndDetector(livenessCheck, eventLoop, log, this::onObserved);
+    engines.onRestart(
+        (engine, startBefore, startNow, source) ->
+            detector.endReported(new EngineIncarnation(engine, startBefore)));
     this.notifier = new EngineEndNotifier(peers, transport, codec, eventLoop);
     this.table =
         new EngineEndTable(
@@ -266,6 +269,7 @@
     if (message instanceof PeerMessage.EngineEndNotice notice) {
       long endedNanos = eventLoop.nanoTime() - notice.ageMillis() * NANOS_PER_MILLI;
       add(notice.engine(), endedNanos, notice.requests(), Source.PEER);
+      detector.endReported(notice.engine());
     } else if (message instanceof PeerMessage.EngineEndWithdrawal withdrawal) {
       withdraw(withdrawal.engine());
     } else if (message instanceof PeerMessage.RequestClearance clearance) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -217,7 +217,8 @@
   private EngineLiveness liveness(Engine engine) throws Exception {
     CompletableFuture<EngineLiveness> liveness = new CompletableFuture<>();
     ConnectingLivenessCheck check =
-        new ConnectingLivenessCheck(group, transport, new GatewayMetrics());
+        new ConnectingLivenessCheck(
+            group, transport, new TestingTranslator(), new GatewayMetrics());
     group.next().execute(() -> check.check(engine, liveness::complete));
     return liveness.get(20, TimeUnit.SECONDS);
   }
@@ -225,7 +226,8 @@
   @ParameterizedTest
   @CsvSource({"KEEP, CONNECTED", "CLOSE, RUNNING", "RESET, RUNNING"})
   void engineThatListensHasNotEnded(After after, EngineLiveness liveness) throws Exception {
-    try (ScriptedEngine scripted = new ScriptedEngine(new Response(OWN, after))) {
+    Response identity = new Response(OWN.replace("r1", "e"), After.KEEP);
+    try (ScriptedEngine scripted = new ScriptedEngine(new Response(OWN, after), identity)) {
       Engine engine = engineAt(scripted.port());
       sendAndAwait(engine, "r1");
       scripted.awaitOpen(after == After.KEEP ? 1 : 0);
@@ -234,6 +236,26 @@
     }
   }
 
+  /**
+   * An engine that is started again at once accepts connections at the address of the ended one.
+   */
+  @ParameterizedTest
+  @CsvSource({"e, RUNNING", "e2, ENDED"})
+  void engineAtAddressTellsWhichOneItIs(String id, EngineLiveness liveness) throws Exception {
+    Response identity = new Response(OWN.replace("r1", id), After.KEEP);
+    try (ScriptedEngine scripted = new ScriptedEngine(identity)) {
+      assertEquals(liveness, liveness(engineAt(scripted.port())));
+    }
+  }
+
+  @Test
+  void engineThatClosesEachConnectionIsUnknown() throws Exception {
+    try (ScriptedEngine scripted = new ScriptedEngine(new Response("", After.CLOSE))) {
+      assertEquals(EngineLiveness.UNKNOWN, liveness(engineAt(scripted.port())));
+      assertEquals(4, scripted.connections());
+    }
+  }
+
   @Test
   void engineThatRefusesConnectionsHasEnded() throws Exception {
     ScriptedEngine scripted = new ScriptedEngine(new Response(OWN, After.KEEP));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRequestQuarantine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRequestQuarantine.java
@@ -228,6 +228,33 @@
     assertEquals(Set.of(Verdict.SUSPECT), verdicts());
   }
 
+  /** As when another engine was started at its address before this node checked it. */
+  @ParameterizedTest
+  @EnumSource(names = {"RUNNING", "CONNECTED"})
+  void peerThatSawTheEndIsBelieved(EngineLiveness liveness) {
+    livenessOfRunning = liveness;
+    node(0).loseConnection(0, FATAL);
+    eventLoop.advance(100);
+    assertEquals(Set.of(Verdict.CLEAR), verdicts());
+    end(node(1), 0, OTHER);
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+  }
+
+  @Test
+  void engineThatRestartsUnderItsIdHasEnded() {
+    node(0).engines.put(engineStartedAt(1_000), eventLoop.nanoTime());
+    node(0).loseConnection(0, FATAL);
+    eventLoop.advance(100);
+    assertEquals(Verdict.CLEAR, node(0).verdict());
+    node(0).engines.put(engineStartedAt(2_000), eventLoop.nanoTime());
+    eventLoop.advance(100);
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+  }
+
+  private static EngineRecord engineStartedAt(long millis) {
+    return new EngineRecord("e0", "s", "10.0.1.0", 80, "z", 8, false, 0, millis);
+  }
+
   @Test
   void engineThatLeavesByPlanBlamesNothing() {
     node(0).engines.put(new EngineRecord("e0", "s", "10.0.1.0", 80, "z", 8, true));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTranslator.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTranslator.java
@@ -1,7 +1,11 @@
 package org.baykeel.gateway.testing;
 
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import org.baykeel.core.error.BaykeelException;
 import org.baykeel.core.error.ErrorKind;
@@ -45,6 +49,19 @@
         "text/event-stream".equals(headers.get("Content-Type")));
   }
 
+  @Override
+  public FullHttpRequest identityRequest(Engine engine) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/identity");
+    request.headers().set(ID, engine.record().id());
+    return request;
+  }
+
+  @Override
+  public boolean isFromOtherEngine(HttpResponse response, Engine engine) {
+    return !engine.record().id().equals(response.headers().get(ID));
+  }
+
   @Override
   public void addRefusalHeaders(HttpHeaders headers, Refusal refusal, CallAttributes attributes) {
     if (refusal.retryAfterMillis() > 0) {
