--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/BlameAssessment.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/BlameAssessment.java
@@ -40,7 +40,7 @@
   private final Map<RequestFingerprint, Suspect> suspects = new HashMap<>();
   private final Set<RequestFingerprint> fatal = new LinkedHashSet<>();
 
-  /** What speaks against one request. */
+  /** The evidence against one request. */
   private static final class Suspect {
     private int blame;
     private int moments;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -29,8 +29,8 @@
  * Used only from the event loop.
  *
  * <p>Invariants: a request is found fatal only if at least three engines ended while they ran it,
- * and no completed run of it is known; while no engine has ended recently, nothing is sent, stored
- * or hashed.
+ * and no completed run of it is known; while no connection to an engine is lost, nothing is sent,
+ * stored or hashed.
  */
 public final class RequestQuarantine implements Quarantine, PeerMessageListener {
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Verdict.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Verdict.java
@@ -2,7 +2,7 @@
 
 /** Whether a request may be sent to an engine, by the engines that ended while they ran it. */
 public enum Verdict {
-  /** Nothing speaks against the request. */
+  /** There is no evidence against the request. */
   CLEAR(true),
   /** Engines ended while they ran it, but other requests may have been the cause. */
   SUSPECT(true),
