The first lost connection of a request is logged with its work

Change: the fingerprint is computed before the line. Logging only. Measured: in a run of TestFatalRequests all 51 lines of lost connections name the work; TestQuarantinedCall and TestStreamContinuation passed.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -413,6 +413,7 @@
   public void onConnectionLost(String detail) {
     Engine engine = attempt.engine();
     engine.failed(eventLoop.nanoTime());
+    quarantine.identify();
     endAttempt("broken " + detail);
     quarantine.connectionLost(engine, () -> onEngineChecked(detail));
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallQuarantine.java
@@ -25,6 +25,11 @@
     builder = CallFingerprint.builder(call, engineBody);
   }
 
+  /** Computes the fingerprint of the call, so that the log can name it. */
+  void identify() {
+    fingerprint();
+  }
+
   /** Returns the fingerprint of the call, or null if it was not needed so far. */
   RequestFingerprint knownFingerprint() {
     return fingerprint;
