--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -21,8 +21,11 @@
  * evidence against the requests that it ran: its machine or the network to it may have failed.
  */
 final class EngineEndDetector {
-  /** The longest time for which a lost request waits for the result of a check. */
-  private static final long MAX_WAIT_MILLIS = 150;
+  /**
+   * The longest time for which a lost request waits for the result of a check. A result takes one
+   * round trip, and longer only on a node that is short of processor time.
+   */
+  private static final long MAX_WAIT_MILLIS = 500;
 
   /** After this time an engine is checked again if connections to it seemed to be open. */
   private static final long CONFIRMATION_MILLIS = 50;
