--- a/review/stand-ins/src/review/SilentCase.java
+++ b/review/stand-ins/src/review/SilentCase.java
@@ -12,6 +12,11 @@
  * it drains, serves on for a while, and ends.
  */
 final class SilentCase {
+  private static final int ENGINES = 5;
+
+  /** How often the connections go silent and an engine leaves. */
+  private static final int ROUNDS = 2;
+
   private static final long CONTACT_MILLIS = 3_000;
   private static final long DRAIN_MILLIS = 2_000;
 
@@ -52,7 +57,7 @@
     List<Proxy> proxies = new ArrayList<>();
     List<Node> nodes = new ArrayList<>();
     List<Engine> engines = new ArrayList<>();
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < ENGINES; i++) {
       Engine engine = env.add(new Engine("i-" + i, "api", env.address(101 + i), 6, 12, store));
       engine.workMillis = 300;
       engines.add(engine);
@@ -71,21 +76,36 @@
     for (int i = 0; i < 12; i++) {
       Threads.start("calls", () -> calls(nodes.get(0)));
     }
+    boolean broken = false;
+    for (int round = 0; round < ROUNDS; round++) {
+      broken |= round(env.trouble, round, store, nodes.get(1), proxies, engines.get(round));
+    }
+    loading = false;
+    if (outcomes.size() < 50 * ROUNDS) {
+      throw new IllegalStateException("too few requests were answered for a verdict");
+    }
+    return broken;
+  }
+
+  /** Turns for some seconds, a rest, then the silence and an engine that leaves. */
+  private boolean round(
+      boolean trouble, int round, Store store, Node second, List<Proxy> proxies, Engine leaving)
+      throws Exception {
+    turns = true;
     for (int i = 0; i < 6; i++) {
-      int program = i;
-      Threads.start("turns", () -> turns(nodes.get(1), program));
+      String program = "a" + round + i;
+      Threads.start("turns", () -> turns(second, program));
     }
     Threads.sleep(5_000 + (System.nanoTime() / 1_000) % 2_000);
     turns = false;
     Threads.sleep(1_000);
     long silenced = Threads.now();
-    if (env.trouble) {
+    if (trouble) {
       for (Proxy proxy : proxies) {
         Record.write("silent from now on: %d connections of a node to the store", proxy.silence());
       }
     }
     Threads.sleep(DRAIN_AFTER_MILLIS);
-    Engine leaving = engines.get(0);
     long acknowledged = leaving.register("draining");
     Record.write("the store has taken that engine %s is draining", leaving.id);
     Threads.sleepUntil(acknowledged + SERVES_ON_MILLIS);
@@ -93,8 +113,6 @@
     leaving.close();
     store.remove("servers", leaving.id);
     Threads.sleep(3_500);
-    loading = false;
-    Threads.sleep(1_000);
     return check(leaving, silenced, acknowledged);
   }
 
@@ -122,7 +140,7 @@
     }
   }
 
-  private void turns(Node node, int program) throws Exception {
+  private void turns(Node node, String program) throws Exception {
     String previous = null;
     for (int turn = 0; turns; turn++) {
       String id = "q" + program + "-" + turn;
@@ -134,8 +152,8 @@
                     "POST",
                     "/desk/t",
                     "Request-Id: " + id + "\r\nModel: m\r\nToken-Usage: 1000,33\r\n"
-                        + "Prompt-Prefix: 5c1e:800,a" + program + ":200\r\nProgram-Id: p" + program
-                        + "\r\nSession-Id: p" + program + "\r\nFinish-Ms: 60000\r\n"
+                        + "Prompt-Prefix: 5c1e:800," + program + ":200\r\nProgram-Id: " + program
+                        + "\r\nSession-Id: " + program + "\r\nFinish-Ms: 60000\r\n"
                         + "Token-Budget: 100000\r\nDeadline-Ms: 5000\r\n"
                         + (previous == null ? "" : "Previous-Turn: " + previous + "\r\n"),
                     body.length),
@@ -173,9 +191,6 @@
     Record.tell(
         "runs at the draining engine %d; later than drainMs %d; of these in touch (later than contactMs after the silence) %d, of which the engine's end cut %d",
         leaving.runs.size(), late, lateInTouch, lost);
-    if (outcomes.size() < 50) {
-      throw new IllegalStateException("too few requests were answered for a verdict");
-    }
     return lateInTouch > 0;
   }
 }
