Log the requests that a planned stop cuts off

Cause: the log of a node that stops has no line about a request that the end of the process interrupts, since a call is logged when it ends. Five explanations of the failing case could not be told apart: a connection kept open by a stream, a connection accepted after the listener was closed, a request queued behind another, a request that waited in the node, and an end of the process that comes too early.

Change: event 366 CALL_CUT, one line for each request in progress at the end of the process, 32 at most: when the request and its connection arrived relative to the signal, how many requests the connection carried, and what kept the connection open when idle connections were closed.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GracefulStop.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GracefulStop.java
@@ -26,6 +26,13 @@
 
     /** Accepts no more connections and closes those that are idle between two requests. */
     void closeIdle();
+
+    /**
+     * Logs the requests in progress, which the end of the process cuts off.
+     *
+     * @param stopNanos when the stop began, by the event loop's clock
+     */
+    void logCalls(long stopNanos);
   }
 
   private final EventLoop eventLoop;
@@ -80,6 +87,7 @@
       eventLoop.schedule(POLL_MILLIS, this::endWhenDone);
       return;
     }
+    callers.logCalls(startedNanos);
     log.write(GatewayEvent.GATEWAY_STOPPED, "active", active, "ms", elapsedMillis);
     end.run();
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -28,6 +28,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import org.baykeel.core.error.BaykeelException;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.buffering.CallerFlow;
@@ -67,7 +68,23 @@
   private boolean responding;
   private boolean keepAlive = true;
   private boolean discarding;
-  private long lastActivityNanos = System.nanoTime();
+  private final long acceptedNanos = System.nanoTime();
+  private long lastActivityNanos = acceptedNanos;
+  private long requestNanos = acceptedNanos;
+  private int requests;
+  private Activity activityAtClose = Activity.NONE;
+
+  /** What keeps a connection open when idle connections are closed. */
+  private enum Activity {
+    /** Nothing, or the connection did not exist then. */
+    NONE,
+    /** A request is being received. */
+    REQUEST,
+    /** A response is in progress. */
+    RESPONSE,
+    /** The caller has not read all of a response. */
+    UNREAD
+  }
 
   IngressConnection(
       IngressServer server,
@@ -90,11 +107,47 @@
 
   /** Returns whether a request is in progress or the caller has not read all of a response. */
   boolean active() {
-    return responding || head != null || flow.held() > 0;
+    return activity() != Activity.NONE;
   }
 
-  void close() {
-    context.close();
+  private Activity activity() {
+    if (responding) {
+      return Activity.RESPONSE;
+    }
+    if (head != null) {
+      return Activity.REQUEST;
+    }
+    return flow.held() > 0 ? Activity.UNREAD : Activity.NONE;
+  }
+
+  /** Closes the connection if it is idle between two requests. */
+  void closeIfIdle() {
+    activityAtClose = activity();
+    if (activityAtClose == Activity.NONE) {
+      context.close();
+    }
+  }
+
+  /**
+   * Logs the request in progress, which the end of the process cuts off.
+   *
+   * @param stopNanos when the stop began
+   */
+  void logCall(long stopNanos) {
+    log.write(
+        GatewayEvent.CALL_CUT,
+        "id",
+        attributes == null ? "" : attributes.requestId(),
+        "activity",
+        activity().name().toLowerCase(Locale.ROOT),
+        "received_ms",
+        (requestNanos - stopNanos) / 1_000_000,
+        "connected_ms",
+        (acceptedNanos - stopNanos) / 1_000_000,
+        "requests",
+        requests,
+        "at_close",
+        activityAtClose.name().toLowerCase(Locale.ROOT));
   }
 
   private void closeSlowCaller(long held, long nodeHeld, long unreadMillis) {
@@ -159,6 +212,8 @@
 
   private void beginRequest(HttpRequest request) {
     head = request;
+    requestNanos = System.nanoTime();
+    requests++;
     body = new ByteArrayOutputStream();
     keepAlive = HttpUtil.isKeepAlive(request);
     attributes = null;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -28,6 +28,7 @@
   private static final long SWEEP_MILLIS = 500;
   private static final int BACKLOG = 1_024;
   private static final int MAX_CHUNK_BYTES = 65_536;
+  private static final int MAX_CUT_LINES = 32;
 
   /**
    * The bytes added to the configured limit in the decoder, which limits the request line and the
@@ -142,9 +143,15 @@
   public void closeIdle() {
     listener.close();
     for (IngressConnection connection : new ArrayList<>(connections)) {
-      if (!connection.active()) {
-        connection.close();
-      }
+      connection.closeIfIdle();
     }
   }
+
+  @Override
+  public void logCalls(long stopNanos) {
+    connections.stream()
+        .filter(IngressConnection::active)
+        .limit(MAX_CUT_LINES)
+        .forEach(connection -> connection.logCall(stopNanos));
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -47,6 +47,7 @@
   REQUEST_FATAL(363),
   REQUEST_CLEARED(364),
   ENGINE_END_WITHDRAWN(365),
+  CALL_CUT(366),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestGracefulStop.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestGracefulStop.java
@@ -32,6 +32,9 @@
     public void closeIdle() {
       accepting = false;
     }
+
+    @Override
+    public void logCalls(long stopNanos) {}
   }
 
   private void begin(long graceMillis) {
