TestPlannedStop: the second request arrives before the stream's end

Cause: the test wrote the second request and the last chunk of the stream on two connections, one directly after the other. If the node read the chunk first, it closed the connection behind the stream as it should, and the test waited for a request to the engine without a limit: one run of the tests hung for ten minutes.

What is checked is as before.

--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPlannedStop.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPlannedStop.java
@@ -90,6 +90,7 @@
   @BeforeEach
   void start() throws IOException {
     engine = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+    engine.setSoTimeout(TIMEOUT_MILLIS);
     Route route =
         new Route(
             "r",
@@ -132,7 +133,7 @@
     peer.readHead();
     peer.write(
         "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s\r\nContent-Type: text/event-stream\r\n"
-            + "Transfer-Encoding: chunked\r\n\r\n");
+            + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n");
     peer.write(event(1));
     return peer;
   }
@@ -166,10 +167,9 @@
   @Test
   void aRequestThatArrivedDuringTheStreamIsAnsweredBeforeTheConnectionIsClosed() throws Exception {
     try (Peer caller = connect()) {
-      caller.write(REQUEST);
+      caller.write(REQUEST + NEXT_REQUEST);
       try (Peer server = beginStream()) {
         caller.readTo("data: ");
-        caller.write(NEXT_REQUEST);
         gateway.closeIdle();
         server.write(event(2) + LAST_CHUNK);
         try (Peer next = new Peer(engine.accept())) {
