A stopping node refuses a request that may outlast its process

What callers see: a request that arrives after idle connections were closed, on a connection that was busy then, is passed on to an engine and cut off at the end of the process if it lasts longer. That concerns a request whose upload ends late and one that arrived behind another response.

Cause: a node accepted each request that reached it, without regard to the time that its process has left.

Change: StopSchedule gives the moments of a stop. Once idle connections are closed, a request is accepted only if its deadline (the caller's or the route's, whichever is first) lies before the end of the process; another one gets 503 (stopping) at once, not run, with a Retry-After of 10 to 30 ms and Connection: close. Until then the load balancer still sends callers here and everything is accepted as before.

Measured: TestCallAtStop, six cases in virtual time: without the check the two that are to be refused are sent to an engine; now all pass.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -21,6 +21,12 @@
   private static final long BUSY_RETRY_MILLIS = 150;
   private static final long STORE_RETRY_MILLIS = 800;
 
+  /**
+   * A caller that a stopping node refuses may return to another node at once; the delay only
+   * spreads the callers that are refused at the same moment.
+   */
+  private static final long STOP_RETRY_MILLIS = 20;
+
   private final GatewayContext context;
   private final WaitQueue waitQueue;
   private final CallRequest request;
@@ -72,6 +78,10 @@
     caller = authorized.caller();
     record.setTenant(caller.name());
     call = AuthorizedCall.of(request, authorized, context.backendSelector());
+    if (!context.state().acceptsUntil(call.deadlineNanos())) {
+      refuse(ErrorKind.STOPPING, STOP_RETRY_MILLIS, "node stops before the deadline");
+      return;
+    }
     turnChain = new TurnChain(context, call);
     long remainingMillis = Math.max(0, (call.deadlineNanos() - eventLoop.nanoTime()) / 1_000_000);
     deadlineTimer = eventLoop.schedule(remainingMillis, this::onDeadline);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
@@ -36,7 +36,7 @@
   private final EngineEntryFaults entryFaults = new EngineEntryFaults();
   private GatewayConfiguration configuration;
   private boolean enginesKnown;
-  private boolean stopping;
+  private StopSchedule stopSchedule;
 
   public GatewayState(
       EventLoop eventLoop, StoreHealth storeHealth, EngineDirectory engines, GatewayLog log) {
@@ -193,17 +193,22 @@
   }
 
   /** Starts to stop: the node is not ready from now on. */
-  public void stop() {
-    stopping = true;
+  void stop(StopSchedule schedule) {
+    stopSchedule = schedule;
   }
 
   /** Whether the node is stopping. */
   public boolean stopping() {
-    return stopping;
+    return stopSchedule != null;
+  }
+
+  /** Whether the node accepts a request that may last until its deadline. */
+  boolean acceptsUntil(long deadlineNanos) {
+    return stopSchedule == null || stopSchedule.accepts(eventLoop.nanoTime(), deadlineNanos);
   }
 
   /** Whether the node should get new callers. */
   public boolean ready() {
-    return configuration != null && enginesKnown && !stopping && configurationRecent();
+    return configuration != null && enginesKnown && !stopping() && configurationRecent();
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GracefulStop.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GracefulStop.java
@@ -10,14 +10,7 @@
  * period is nearly over.
  */
 public final class GracefulStop {
-  /**
-   * The load balancer notices after two failed readiness probes, one second apart; the rest is a
-   * margin.
-   */
-  private static final long NOT_READY_NOTICE_MILLIS = 2_600;
-
   private static final long POLL_MILLIS = 50;
-  private static final long END_MARGIN_MILLIS = 500;
 
   /** The connections of a node's callers. */
   public interface CallerConnections {
@@ -44,7 +37,7 @@
   private final GatewayLog log;
   private final long graceMillis;
   private final Runnable end;
-  private long startedNanos;
+  private StopSchedule schedule;
 
   /**
    * Creates a stop that has not started.
@@ -72,10 +65,10 @@
     if (state.stopping()) {
       return;
     }
-    startedNanos = eventLoop.nanoTime();
-    state.stop();
+    schedule = StopSchedule.of(eventLoop.nanoTime(), graceMillis);
+    state.stop(schedule);
     log.write(GatewayEvent.GATEWAY_STOPPING, "active", callers.activeCalls());
-    eventLoop.schedule(Math.min(NOT_READY_NOTICE_MILLIS, graceMillis / 2), this::closeIdle);
+    eventLoop.schedule(schedule.closeDelayMillis(), this::closeIdle);
   }
 
   private void closeIdle() {
@@ -84,14 +77,14 @@
   }
 
   private void endWhenDone() {
-    long elapsedMillis = (eventLoop.nanoTime() - startedNanos) / 1_000_000;
+    long now = eventLoop.nanoTime();
     int active = callers.activeCalls();
-    if (active > 0 && elapsedMillis <= graceMillis - END_MARGIN_MILLIS) {
+    if (active > 0 && now - schedule.endNanos() <= 0) {
       eventLoop.schedule(POLL_MILLIS, this::endWhenDone);
       return;
     }
-    callers.logCalls(startedNanos);
-    log.write(GatewayEvent.GATEWAY_STOPPED, "active", active, "ms", elapsedMillis);
+    callers.logCalls(schedule.beginNanos());
+    log.write(GatewayEvent.GATEWAY_STOPPED, "active", active, "ms", schedule.elapsedMillis(now));
     end.run();
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
@@ -36,6 +36,7 @@
   private final EngineDirectory engines = new EngineDirectory(1);
   private final ProgramAdmission admission =
       new ProgramAdmission(engines, new Random(1), AdmissionShares.EVEN, (event, fields) -> {});
+  private final GatewayState state;
   private final CallCoordinator coordinator;
 
   /** Creates a node whose route gives a request three seconds and allows three runs. */
@@ -47,7 +48,7 @@
   SingleRouteNode(RouteKind kind, boolean resumable, Quarantine quarantine) {
     StoreHealth storeHealth = new StoreHealth();
     storeHealth.answered(eventLoop.nanoTime());
-    GatewayState state = new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
+    state = new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
     startEngine(1_000);
     coordinator =
         new CallCoordinator(
@@ -87,6 +88,11 @@
     return eventLoop;
   }
 
+  /** Starts a planned stop with a grace period in milliseconds. */
+  void stop(long graceMillis) {
+    state.stop(StopSchedule.of(eventLoop.nanoTime(), graceMillis));
+  }
+
   TestingStore store() {
     return store;
   }
@@ -161,20 +167,41 @@
   }
 
   /** Makes a request that belongs to no program. */
-  void call(CallResponder responder) {
-    call(responder, null, CallAttributes.ABSENT);
+  ClientCall call(CallResponder responder) {
+    return call(responder, null, CallAttributes.ABSENT);
   }
 
   /** Makes a request of a program. */
-  void call(CallResponder responder, String program, long tokenBudget) {
+  ClientCall call(CallResponder responder, String program, long tokenBudget) {
+    return call(responder, program, tokenBudget, 3_000);
+  }
+
+  /** Makes a request whose caller waits for some milliseconds. */
+  ClientCall callWaiting(CallResponder responder, long millis) {
+    return call(responder, null, CallAttributes.ABSENT, millis);
+  }
+
+  private ClientCall call(
+      CallResponder responder, String program, long tokenBudget, long waitMillis) {
     CallAttributes attributes =
         new CallAttributes(
-            "i", 3_000, -1, program, program, tokenBudget, 500, List.of(), null, -1, null, null);
-    call(responder, attributes);
+            "i",
+            waitMillis,
+            -1,
+            program,
+            program,
+            tokenBudget,
+            500,
+            List.of(),
+            null,
+            -1,
+            null,
+            null);
+    return call(responder, attributes);
   }
 
-  private void call(CallResponder responder, CallAttributes attributes) {
-    coordinator.accept(
+  private ClientCall call(CallResponder responder, CallAttributes attributes) {
+    return coordinator.accept(
         new CallRequest(
             "POST",
             "/x",
