Calls in progress are answered before a planned stop ends the process

What callers see: a request that still waits for capacity, is at an engine without a response, or is being uploaded when the grace period is nearly over ends with a closed connection. A request that waits has certainly not run, but its caller is not told and cannot repeat it.

Cause: the stop ended the process without regard to its calls.

Change: the stop ends each call first. The process ends 20 ms later.

Measured: TestCallAtStop, TestGracefulStop and TestPlannedStop: eight new cases pass.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -334,6 +334,23 @@
     }
   }
 
+  /** Ends the call since the process is about to end. */
+  public void endForStop() {
+    if (finished) {
+      return;
+    }
+    String detail = "node stops";
+    cancelAttempt("node_stops");
+    if (relay != null && relay.headSent()) {
+      abort(detail);
+    } else if (attempts == null || attempts.runs() == 0) {
+      refuse(ErrorKind.STOPPING, STOP_RETRY_MILLIS, detail);
+    } else {
+      boolean repeatable = route.repeatable();
+      refuse(repeatable ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN, 0, detail);
+    }
+  }
+
   /** Ends the call without a response, since the caller has disconnected. */
   public void callerDisconnected() {
     if (finished) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GracefulStop.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GracefulStop.java
@@ -7,11 +7,14 @@
 /**
  * A planned stop: the node stops being ready at once, but serves on until the load balancer has
  * noticed; then it accepts no new connections, and ends once no request is in progress or the grace
- * period is nearly over.
+ * period is nearly over. Requests that are in progress then are answered before the process ends.
  */
 public final class GracefulStop {
   private static final long POLL_MILLIS = 50;
 
+  /** The time for the last responses to be sent before the process ends. */
+  private static final long LAST_RESPONSES_MILLIS = 20;
+
   /** The connections of a node's callers. */
   public interface CallerConnections {
     /** The number of requests in progress. */
@@ -24,11 +27,11 @@
     void closeIdle();
 
     /**
-     * Logs the requests in progress, which the end of the process cuts off.
+     * Ends the requests in progress, each with a response unless it has begun, and logs them.
      *
      * @param stopNanos when the stop began, by the event loop's clock
      */
-    void logCalls(long stopNanos);
+    void endCalls(long stopNanos);
   }
 
   private final EventLoop eventLoop;
@@ -83,8 +86,12 @@
       eventLoop.schedule(POLL_MILLIS, this::endWhenDone);
       return;
     }
-    callers.logCalls(schedule.beginNanos());
     log.write(GatewayEvent.GATEWAY_STOPPED, "active", active, "ms", schedule.elapsedMillis(now));
-    end.run();
+    if (active == 0) {
+      end.run();
+      return;
+    }
+    callers.endCalls(schedule.beginNanos());
+    eventLoop.schedule(LAST_RESPONSES_MILLIS, end);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -128,8 +128,17 @@
     }
   }
 
+  /** Ends the request in progress since the process is about to end. */
+  void endForStop() {
+    if (call != null) {
+      call.endForStop();
+    } else if (head != null && !responding && !discarding) {
+      refuseAndClose(ErrorKind.STOPPING, "node stops before the request was received");
+    }
+  }
+
   /**
-   * Logs the request in progress, which the end of the process cuts off.
+   * Logs the request in progress, which the end of the process ends.
    *
    * @param stopNanos when the stop began
    */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -155,10 +155,15 @@
   }
 
   @Override
-  public void logCalls(long stopNanos) {
-    connections.stream()
-        .filter(IngressConnection::active)
-        .limit(MAX_CUT_LINES)
-        .forEach(connection -> connection.logCall(stopNanos));
+  public void endCalls(long stopNanos) {
+    int ended = 0;
+    for (IngressConnection connection : new ArrayList<>(connections)) {
+      if (connection.active()) {
+        if (ended++ < MAX_CUT_LINES) {
+          connection.logCall(stopNanos);
+        }
+        connection.endForStop();
+      }
+    }
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestCallAtStop.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestCallAtStop.java
@@ -3,9 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.configuration.RouteKind;
 import org.baykeel.gateway.testing.TestingResponder;
+import org.baykeel.gateway.testing.TestingTransport.Sent;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -37,4 +40,37 @@
       assertTrue(responder.refusal().retryAfterMillis() > 0);
     }
   }
+
+  /** Guards against a call that gets no response when the process ends. */
+  @ParameterizedTest(name = "{0}, {1}: {2}")
+  @CsvSource({
+    "UNSAFE, at an engine, refuse OUTCOME_UNKNOWN",
+    "SAFE, at an engine, refuse BACKEND_FAILED",
+    "UNSAFE, waits for capacity, refuse STOPPING",
+    "SAFE, waits for capacity, refuse STOPPING",
+    "STREAMING, at an engine, refuse OUTCOME_UNKNOWN",
+  })
+  void aCallInProgressIsAnsweredBeforeTheProcessEnds(
+      RouteKind kind, String progress, String expected) {
+    SingleRouteNode busyNode = new SingleRouteNode(kind, false);
+    ClientCall call = busyNode.call(responder);
+    Sent sent = busyNode.transport().last();
+    if (progress.startsWith("waits")) {
+      sent.notExecuted();
+    }
+    call.endForStop();
+    assertEquals(List.of(expected), responder.received());
+    assertEquals(progress.startsWith("at"), sent.cancelled());
+    busyNode.eventLoop().advance(10_000);
+    assertEquals(1, busyNode.transport().count());
+  }
+
+  @Test
+  void aStreamThatHasBegunIsCutWhenTheProcessEnds() {
+    SingleRouteNode streamingNode = new SingleRouteNode(RouteKind.STREAMING, false);
+    ClientCall call = streamingNode.call(responder);
+    streamingNode.transport().last().stream().event(1);
+    call.endForStop();
+    assertEquals(List.of("begin", "id: 1 data: d1", "abort"), responder.received());
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestGracefulStop.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestGracefulStop.java
@@ -22,6 +22,7 @@
   private static final class TestingConnections implements GracefulStop.CallerConnections {
     private int active;
     private boolean accepting = true;
+    private int ended;
 
     @Override
     public int activeCalls() {
@@ -34,7 +35,9 @@
     }
 
     @Override
-    public void logCalls(long stopNanos) {}
+    public void endCalls(long stopNanos) {
+      ended = active;
+    }
   }
 
   private void begin(long graceMillis) {
@@ -64,6 +67,18 @@
     assertEquals(1, ends);
   }
 
+  /** Guards against requests that the end of the process cuts off without a response. */
+  @Test
+  void endsTheCallsInProgressBeforeTheProcess() {
+    callers.active = 3;
+    begin(8_000);
+    eventLoop.advance(7_560);
+    assertEquals(3, callers.ended);
+    assertEquals(0, ends);
+    eventLoop.advance(40);
+    assertEquals(1, ends);
+  }
+
   @Test
   void isNotReadyAtOnceAndServesOnUntilTheLoadBalancerHasNoticed() {
     begin(8_000);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -101,12 +102,26 @@
     return onLoop(held::totalBytes);
   }
 
+  /** Ends the calls in progress, as the end of a planned stop does. */
+  void endCalls() throws Exception {
+    group.next().submit(() -> ingress.endCalls(System.nanoTime())).get(20, TimeUnit.SECONDS);
+  }
+
   /** Waits until bytes of a response are held for callers. */
   void awaitHeldBytes() throws Exception {
+    await("bytes are held for callers", () -> heldBytes() > 0);
+  }
+
+  /** Waits until a planned stop would wait for some requests. */
+  void awaitActiveCalls(int count) throws Exception {
+    await("there are " + count + " active calls", () -> activeCalls() == count);
+  }
+
+  private static void await(String what, Callable<Boolean> condition) throws Exception {
     long end = System.nanoTime() + 20_000_000_000L;
-    while (heldBytes() == 0) {
+    while (!condition.call()) {
       if (System.nanoTime() - end > 0) {
-        throw new AssertionError("no bytes are held for callers");
+        throw new AssertionError("not after 20 s: " + what);
       }
       Thread.sleep(10);
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPlannedStop.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPlannedStop.java
@@ -204,4 +204,17 @@
       }
     }
   }
+
+  /** Guards against an upload that the end of the process cuts off without a response. */
+  @Test
+  void anUploadInProgressIsRefusedWhenTheProcessEnds() throws Exception {
+    try (Peer caller = connect()) {
+      caller.write("POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nContent-Length: 9\r\n\r\nab");
+      gateway.awaitActiveCalls(1);
+      gateway.closeIdle();
+      gateway.endCalls();
+      String response = caller.readToEnd();
+      assertTrue(response.startsWith("HTTP/1.1 503"), response);
+    }
+  }
 }
