A request is not sent when the process ends before its response

What callers see: a request that waits for capacity at a stopping node is sent as soon as a slot is free, also a moment before the end of the process, which then cuts it off. If it may run only once, its caller cannot repeat it, although it could have been told before the send that nothing had run.

Cause: whether a request can be served in time was decided when its wait began; the stop began later, and the send did not look at it.

Change: before a first send, and at each check of the wait queue, the usual time of such a request is compared with the time until the process ends.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -174,6 +174,10 @@
   }
 
   private void sendToEngine() {
+    if (endsBeforeResponse()) {
+      onNoCapacity();
+      return;
+    }
     long now = eventLoop.nanoTime();
     EngineSelector.Choice choice =
         sendsInRound >= MAX_SENDS_PER_ROUND ? null : quarantine.choose(criteria, triedEngines, now);
@@ -284,7 +288,21 @@
     }
   }
 
+  /** Whether a planned stop ends the process before a response is expected. */
+  @Override
+  public boolean endsBeforeResponse() {
+    return runs == 0
+        && context.state().endsWithin(context.selector().usualResponseMillis(criteria));
+  }
+
   private void failWithoutEngine() {
+    if (endsBeforeResponse()) {
+      owner.onAttemptsFailed(
+          ErrorKind.STOPPING,
+          StopSchedule.RETRY_MILLIS,
+          "node stops before a response is expected");
+      return;
+    }
     if (criteria.requiredVersion().isPresent() && noEngineOfVersion()) {
       owner.onAttemptsFailed(
           ErrorKind.STREAM_NOT_RESUMABLE,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -21,12 +21,6 @@
   private static final long BUSY_RETRY_MILLIS = 150;
   private static final long STORE_RETRY_MILLIS = 800;
 
-  /**
-   * A caller that a stopping node refuses may return to another node at once; the delay only
-   * spreads the callers that are refused at the same moment.
-   */
-  private static final long STOP_RETRY_MILLIS = 20;
-
   private final GatewayContext context;
   private final WaitQueue waitQueue;
   private final CallRequest request;
@@ -79,7 +73,7 @@
     record.setTenant(caller.name());
     call = AuthorizedCall.of(request, authorized, context.backendSelector());
     if (!context.state().acceptsUntil(call.deadlineNanos())) {
-      refuse(ErrorKind.STOPPING, STOP_RETRY_MILLIS, "node stops before the deadline");
+      refuse(ErrorKind.STOPPING, StopSchedule.RETRY_MILLIS, "node stops before the deadline");
       return;
     }
     turnChain = new TurnChain(context, call);
@@ -344,7 +338,7 @@
     if (relay != null && relay.headSent()) {
       abort(detail);
     } else if (attempts == null || attempts.runs() == 0) {
-      refuse(ErrorKind.STOPPING, STOP_RETRY_MILLIS, detail);
+      refuse(ErrorKind.STOPPING, StopSchedule.RETRY_MILLIS, detail);
     } else {
       boolean repeatable = route.repeatable();
       refuse(repeatable ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN, 0, detail);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayState.java
@@ -202,6 +202,12 @@
     return stopSchedule != null;
   }
 
+  /** Whether a planned stop ends the process within some milliseconds. */
+  boolean endsWithin(double millis) {
+    return stopSchedule != null
+        && eventLoop.nanoTime() + millis * 1e6 - stopSchedule.endNanos() > 0;
+  }
+
   /** Whether the node accepts a request that may last until its deadline. */
   boolean acceptsUntil(long deadlineNanos) {
     return stopSchedule == null || stopSchedule.accepts(eventLoop.nanoTime(), deadlineNanos);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/StopSchedule.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/StopSchedule.java
@@ -9,6 +9,12 @@
  * @param endNanos when the process ends, whether or not requests are in progress
  */
 record StopSchedule(long beginNanos, long closeNanos, long endNanos) {
+  /**
+   * When a refused caller may return, in milliseconds. Another node can serve it at once; the delay
+   * only spreads the callers that are refused at the same moment.
+   */
+  static final long RETRY_MILLIS = 20;
+
   /**
    * The load balancer notices after two failed readiness probes, one second apart; the rest is a
    * margin.
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/WaitQueue.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/WaitQueue.java
@@ -61,7 +61,10 @@
     /** Ends the wait: a slot is expected now, or no engine takes work any more. */
     void onCapacityExpected();
 
-    /** Ends the wait: its time limit has passed. */
+    /** Whether the process ends before the request could be answered. */
+    boolean endsBeforeResponse();
+
+    /** Ends the wait: its time limit has passed, or the process ends too early. */
     void onWaitTooLong();
 
     /** A request was found to be fatal; the waiter leaves the queue if it is that request. */
@@ -174,7 +177,7 @@
     private void endExpiredWaits() {
       long now = eventLoop.nanoTime();
       for (Ticket ticket : new ArrayList<>(tickets)) {
-        if (ticket.giveUpNanos - now <= 0) {
+        if (ticket.giveUpNanos - now <= 0 || ticket.waiter.endsBeforeResponse()) {
           remove(ticket);
           ticket.waiter.onWaitTooLong();
         }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestCallAtStop.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestCallAtStop.java
@@ -15,6 +15,8 @@
 /** Calls at a node whose planned stop closes idle connections after 2 s and ends after 3.5 s. */
 class TestCallAtStop {
   private static final long GRACE_MILLIS = 4_000;
+  private static final long END_MILLIS = 3_500;
+  private static final double USUAL_MILLIS = 500;
 
   private final SingleRouteNode node = new SingleRouteNode(RouteKind.UNSAFE, false);
   private final TestingResponder responder = new TestingResponder();
@@ -73,4 +75,31 @@
     call.endForStop();
     assertEquals(List.of("begin", "id: 1 data: d1", "abort"), responder.received());
   }
+
+  /**
+   * Guards against a request that waits for capacity and is sent to an engine so late that the end
+   * of the process cuts it off.
+   */
+  @Test
+  void aRequestThatWaitsIsRefusedOnceNoResponseIsExpectedBeforeTheProcessEnds() {
+    for (int i = 0; i < 500; i++) {
+      node.engine().performance().observeNonStream(USUAL_MILLIS);
+    }
+    node.stop(GRACE_MILLIS);
+    node.eventLoop().advance(1_900);
+    node.call(responder);
+    int refused = 0;
+    long lastSentMillis = 0;
+    for (long millis = 1_900; responder.refusal() == null && millis < 5_000; millis += 10) {
+      if (node.transport().count() > refused) {
+        refused++;
+        lastSentMillis = millis;
+        node.transport().last().notExecuted();
+      }
+      node.eventLoop().advance(10);
+    }
+    assertEquals(ErrorKind.STOPPING, responder.refusal().kind());
+    assertTrue(refused > 1, "sent " + refused + " times");
+    assertTrue(lastSentMillis <= END_MILLIS - 0.99 * USUAL_MILLIS, "sent at " + lastSentMillis);
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestWaitQueue.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestWaitQueue.java
@@ -18,6 +18,7 @@
   private final WaitQueue queue = new WaitQueue(eventLoop);
   private final List<String> notified = new ArrayList<>();
   private long nextCapacityNanos = after(100);
+  private boolean stopping;
 
   private long after(long millis) {
     return eventLoop.nanoTime() + millis * 1_000_000;
@@ -38,6 +39,11 @@
                 nextCapacityNanos == Long.MAX_VALUE ? nextCapacityNanos : after(100);
           }
 
+          @Override
+          public boolean endsBeforeResponse() {
+            return stopping;
+          }
+
           @Override
           public void onWaitTooLong() {
             notified.add(name + " gave up");
@@ -99,4 +105,18 @@
     eventLoop.advance(2_000);
     assertEquals(List.of(), notified);
   }
+
+  /** Guards against requests that wait for a slot which a stopping node cannot use any more. */
+  @Test
+  void requestsThatCannotBeAnsweredBeforeTheProcessEndsStopWaiting() {
+    nextCapacityNanos = after(10_000);
+    add("a", NO_TARGET, 20_000);
+    add("b", NO_TARGET, 20_000);
+    eventLoop.advance(500);
+    assertEquals(List.of(), notified);
+    stopping = true;
+    eventLoop.advance(100);
+    assertEquals(List.of("a gave up", "b gave up"), notified);
+    assertFalse(queue.hasWaiting(REQUIREMENT));
+  }
 }
