A node that is stopped during its start leaves no row

What operators see: the row node/NAME of a node that got its signal to stop within its first 0.5 s, or while the store refused its row, stays for good, and the other nodes send datagrams to an address that may be another's.

Cause: leave() acted on whether the row was written at that moment; the write that was still scheduled, under way or to be repeated came later.

Change: after leave() nothing is written, and a write that was under way is followed by the removal. If its outcome is unknown the row may stay, as after a kill.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
@@ -58,6 +58,7 @@
   private final Set<PeerAddress> peersInRegion = new LinkedHashSet<>();
   private long ownRowVersion = Transaction.ABSENT;
   private boolean loaded;
+  private boolean left;
 
   /**
    * Creates an empty directory.
@@ -93,6 +94,9 @@
   }
 
   private void writeOwnRow() {
+    if (left) {
+      return;
+    }
     String text = ownAddress.toString() + ZONE_SEPARATOR + topology.ownZone();
     byte[] value = text.getBytes(StandardCharsets.UTF_8);
     Transaction put =
@@ -103,7 +107,11 @@
   private void onOwnRow(TransactionOutcome outcome) {
     if (outcome instanceof TransactionOutcome.Applied applied) {
       ownRowVersion = applied.version();
-      readPeers(null);
+      if (left) {
+        removeOwnRow();
+      } else {
+        readPeers(null);
+      }
     } else {
       eventLoop.schedule(RETRY_MILLIS, this::writeOwnRow);
     }
@@ -195,11 +203,18 @@
     return topology.localityOf(zone);
   }
 
-  /** Removes this node's row from the store; the next start writes it again. */
+  /**
+   * Removes this node's row from the store; the next start writes it again. A row that is being
+   * written is removed afterwards. Idempotent.
+   */
   public void leave() {
-    if (ownRowVersion == Transaction.ABSENT) {
-      return;
+    left = true;
+    if (ownRowVersion != Transaction.ABSENT) {
+      removeOwnRow();
     }
+  }
+
+  private void removeOwnRow() {
     // The expected version keeps a delayed copy of this removal from deleting the row that the
     // next start writes.
     Transaction removal =
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestNodeRow.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestNodeRow.java
@@ -17,6 +17,8 @@
 import org.baykeel.gateway.topology.Locality;
 import org.baykeel.gateway.topology.Topology;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Checks the stored rows in which nodes publish their addresses and zones. */
 class TestNodeRow {
@@ -27,17 +29,20 @@
   private final TestingStore store = new TestingStore(eventLoop);
   private final TestingPeerNetwork network = new TestingPeerNetwork(eventLoop);
 
+  private PeerDirectory directory(String name, PeerAddress address) {
+    return new PeerDirectory(
+        name,
+        address,
+        store,
+        eventLoop,
+        network.transportOf(address),
+        new PeerMessageCodec(),
+        Topology.ofOneRegion("hall"),
+        (event, fields) -> {});
+  }
+
   private PeerDirectory joined(String name, PeerAddress address) {
-    PeerDirectory peers =
-        new PeerDirectory(
-            name,
-            address,
-            store,
-            eventLoop,
-            network.transportOf(address),
-            new PeerMessageCodec(),
-            Topology.ofOneRegion("hall"),
-            (event, fields) -> {});
+    PeerDirectory peers = directory(name, address);
     peers.join();
     eventLoop.advance(1_000);
     return peers;
@@ -64,4 +69,27 @@
     eventLoop.advance(1_000);
     assertArrayEquals(RECORDED, rows.get(0).value());
   }
+
+  /** Guards against the row of a node that was stopped during its start staying for good. */
+  @ParameterizedTest(name = "stopped {0} ms after its start")
+  @ValueSource(ints = {0, 499, 501, 504, 600, 2_000})
+  void aNodeThatIsStoppedDuringItsStartLeavesNoRow(int millis) {
+    PeerDirectory peers = directory("front-1", NODE);
+    peers.join();
+    eventLoop.advance(millis);
+    peers.leave();
+    eventLoop.advance(10_000);
+    assertEquals(0, store.count("node"));
+  }
+
+  /** Guards against a stopped node that writes its row once the store responds again. */
+  @Test
+  void aNodeThatIsStoppedWhileTheStoreRefusesLeavesNoRow() {
+    store.fault(TestingStore.Fault.REFUSE);
+    PeerDirectory peers = joined("front-1", NODE);
+    peers.leave();
+    store.fault(TestingStore.Fault.NONE);
+    eventLoop.advance(10_000);
+    assertEquals(0, store.count("node"));
+  }
 }
