Log the connection of a send without a whole answer

Cause: event 332 names the engine of a send but not its connection, so the log cannot tell a refusal by the engine from a late second copy of an earlier one, nor a second copy on the same connection from one on another.

Change: event 332 has connection and exchange, the number of the connection among those of the process and of the request on it.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -117,6 +117,10 @@
     return engine;
   }
 
+  ConnectionUse connectionUse() {
+    return exchange.connectionUse();
+  }
+
   /** The version of the engine's software when the attempt was created, if it was known. */
   Optional<SoftwareVersion> softwareVersion() {
     return softwareVersion;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
@@ -22,6 +22,11 @@
 
     /** Resumes reading the response. */
     void resumeReading();
+
+    /** The connection that carries the request; {@link ConnectionUse#NONE} until it is sent. */
+    default ConnectionUse connectionUse() {
+      return ConnectionUse.NONE;
+    }
   }
 
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import org.baykeel.gateway.call.ConnectionUse;
 import org.baykeel.gateway.call.EngineTransport.Failure;
 import org.baykeel.gateway.call.ResponseHead;
 import org.baykeel.gateway.call.ResponseTraits;
@@ -32,6 +33,8 @@
 
   private final EngineConnectionPool pool;
   private final CallTranslator translator;
+  private final long number;
+  private int exchanges;
   private Channel channel;
   private PendingExchange current;
   private ChannelFuture written;
@@ -58,9 +61,15 @@
   private long sentNanos;
   private String failure = "connection closed before the end of the response";
 
-  EngineConnection(EngineConnectionPool pool, CallTranslator translator) {
+  /**
+   * Creates a connection that is not open yet.
+   *
+   * @param number its number among all connections of the transport, from 1
+   */
+  EngineConnection(EngineConnectionPool pool, CallTranslator translator, long number) {
     this.pool = pool;
     this.translator = translator;
+    this.number = number;
   }
 
   @Override
@@ -130,7 +139,7 @@
     current = exchange;
     responseStarted = false;
     readingPaused = false;
-    exchange.attach(this);
+    exchange.attach(this, new ConnectionUse(number, ++exchanges));
     sentNanos = System.nanoTime();
     written = channel.writeAndFlush(exchange.request());
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -38,6 +38,8 @@
   /** Keyed by incarnation: a connection to an earlier incarnation is not used for a later one. */
   private final Map<Engine, EngineConnectionPool> poolByEngine = new IdentityHashMap<>();
 
+  private long connectionsOpened;
+
   /**
    * Creates a transport without connections.
    *
@@ -118,7 +120,7 @@
   }
 
   private void connect(Engine engine, EngineConnectionPool pool, PendingExchange exchange) {
-    EngineConnection connection = new EngineConnection(pool, translator);
+    EngineConnection connection = new EngineConnection(pool, translator, ++connectionsOpened);
     pool.onOpened();
     metrics.engineConnectionOpened();
     long startNanos = System.nanoTime();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.http;
 
 import io.netty.handler.codec.http.FullHttpRequest;
+import org.baykeel.gateway.call.ConnectionUse;
 import org.baykeel.gateway.call.EngineTransport;
 import org.baykeel.gateway.call.ResponseHead;
 
@@ -11,6 +12,7 @@
   private final EngineTransport.Listener listener;
   private final SilenceListener onSilence;
   private EngineConnection connection;
+  private ConnectionUse connectionUse = ConnectionUse.NONE;
   private boolean paused;
   private boolean cancelled;
   private boolean ended;
@@ -45,8 +47,9 @@
     return request;
   }
 
-  void attach(EngineConnection engineConnection) {
+  void attach(EngineConnection engineConnection, ConnectionUse use) {
     connection = engineConnection;
+    connectionUse = use;
     if (paused) {
       connection.pauseReading();
     }
@@ -67,6 +70,11 @@
     }
   }
 
+  @Override
+  public ConnectionUse connectionUse() {
+    return connectionUse;
+  }
+
   @Override
   public void pauseReading() {
     paused = true;
