A request is sent on a connection to an engine at most once

What callers saw: nothing but one 200; at the engines 9 to 16 of 17,940 requests that may run only once ran twice.

Cause: a response is attributed to its request by the request's id. After a refusal the same request went out again, often on the same connection, and a late second copy of the refusal was taken for the answer to this send, which the engine ran. The request then went to another engine.

Change: a call keeps the connections on which it was sent, and the pool passes over them. If only such connections are idle and the limit of the engine is reached, the least recently used one is closed for a new one.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -137,6 +137,7 @@
 
   void send(PendingExchange exchange) {
     current = exchange;
+    exchange.usedConnections().add(this);
     responseStarted = false;
     readingPaused = false;
     exchange.attach(this, new ConnectionUse(number, ++exchanges));
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnectionPool.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnectionPool.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
+import org.baykeel.gateway.call.UsedConnections;
 import org.baykeel.gateway.directory.Engine;
 
 /** The connections of this node to one engine. */
@@ -41,11 +43,17 @@
   /**
    * Takes the most recently used connection that the engine is not about to close.
    *
+   * @param excluded connections that are left in the pool
    * @return null if there is none
    */
-  EngineConnection takeIdle(long nowNanos) {
-    EngineConnection candidate;
-    while ((candidate = idle.pollLast()) != null) {
+  EngineConnection takeIdle(long nowNanos, UsedConnections excluded) {
+    Iterator<EngineConnection> mostRecentFirst = idle.descendingIterator();
+    while (mostRecentFirst.hasNext()) {
+      EngineConnection candidate = mostRecentFirst.next();
+      if (excluded.contains(candidate)) {
+        continue;
+      }
+      mostRecentFirst.remove();
       if (candidate.usable(nowNanos)) {
         return candidate;
       }
@@ -54,6 +62,21 @@
     return null;
   }
 
+  /**
+   * Closes the least recently used idle connection, so that another one may be opened.
+   *
+   * @return false if none is idle
+   */
+  boolean closeOldestIdle() {
+    EngineConnection oldest = idle.pollFirst();
+    if (oldest == null) {
+      return false;
+    }
+    oldest.close();
+    onClosed(oldest);
+    return true;
+  }
+
   void release(EngineConnection connection) {
     idle.addLast(connection);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -69,12 +69,13 @@
         new PendingExchange(
             request.source().attributes().requestId(),
             encode(request, engine),
+            request.usedConnections(),
             listener,
             this::onSilence);
-    EngineConnection idle = pool.takeIdle(System.nanoTime());
+    EngineConnection idle = pool.takeIdle(System.nanoTime(), request.usedConnections());
     if (idle != null) {
       idle.send(exchange);
-    } else if (pool.open() >= MAX_CONNECTIONS_PER_ENGINE) {
+    } else if (pool.open() >= MAX_CONNECTIONS_PER_ENGINE && !pool.closeOldestIdle()) {
       // The listener must not be called before this method has returned the exchange.
       group
           .next()
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -14,6 +14,7 @@
 import org.baykeel.gateway.call.EngineRequest;
 import org.baykeel.gateway.call.EngineTransport;
 import org.baykeel.gateway.call.ResponseHead;
+import org.baykeel.gateway.call.UsedConnections;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
@@ -32,6 +33,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class TestEngineConnection {
+  private static final int MAX_CONNECTIONS = 24;
   private static final String OWN =
       "HTTP/1.1 200 OK\r\nX-Id: r1\r\nKeep-Alive: timeout=60\r\nContent-Length: 4\r\n\r\nbody";
   private static final String FOREIGN =
@@ -61,6 +63,10 @@
 
   /** Sends a request and returns its outcome: status and body, or the failure. */
   private String sendAndAwait(Engine engine, String id) throws Exception {
+    return sendAndAwait(engine, id, new UsedConnections());
+  }
+
+  private String sendAndAwait(Engine engine, String id, UsedConnections used) throws Exception {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("Host", "h");
     headers.set(TestingTranslator.ID, id);
@@ -98,7 +104,7 @@
             () ->
                 transport.send(
                     engine,
-                    new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1),
+                    new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1, used),
                     listener));
     String result = end.get(20, TimeUnit.SECONDS);
     // The connection returns to the pool after the read that completed the response.
@@ -128,6 +134,35 @@
     }
   }
 
+  /**
+   * Guards against a late second copy of a response that is taken for the response to the next send
+   * of the same request.
+   */
+  @Test
+  void sendsARequestAtMostOnceOnAConnection() throws Exception {
+    try (ScriptedEngine engine = new ScriptedEngine(new Response(OWN, After.REPEAT))) {
+      Engine target = engineAt(engine.port());
+      UsedConnections used = new UsedConnections();
+      assertEquals("200 body", sendAndAwait(target, "r1", used));
+      assertEquals("200 body", sendAndAwait(target, "r1", used));
+      assertEquals(2, engine.connections());
+    }
+  }
+
+  /** Guards against a request that is not sent since it was on all connections that may be open. */
+  @Test
+  void atTheLimitOfConnectionsAnIdleOneMakesWay() throws Exception {
+    try (ScriptedEngine engine = new ScriptedEngine(new Response(OWN, After.KEEP))) {
+      Engine target = engineAt(engine.port());
+      UsedConnections used = new UsedConnections();
+      for (int i = 0; i < MAX_CONNECTIONS + 2; i++) {
+        assertEquals("200 body", sendAndAwait(target, "r1", used));
+      }
+      assertEquals(MAX_CONNECTIONS + 2, engine.connections());
+      engine.awaitOpen(MAX_CONNECTIONS);
+    }
+  }
+
   @Test
   void reusesAConnectionAfterACompleteResponse() throws Exception {
     try (ScriptedEngine engine =
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestLateResponses.java
@@ -0,0 +1,79 @@
+package org.baykeel.gateway.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.baykeel.gateway.buffering.HeldBytesLimiter;
+import org.baykeel.gateway.configuration.Backend;
+import org.baykeel.gateway.configuration.RequestLimits;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.residency.Residency;
+import org.baykeel.gateway.testing.ScriptedEngine;
+import org.baykeel.gateway.testing.ScriptedEngine.After;
+import org.baykeel.gateway.testing.ScriptedEngine.Response;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Sends requests through a complete node to an engine that sends some responses twice. */
+class TestLateResponses {
+  private static final int TIMEOUT_MILLIS = 10_000;
+  private static final String REFUSAL =
+      "HTTP/1.1 503 Full\r\nX-Id: r1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  private static final String SUCCESS =
+      "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s\r\nContent-Length: 4\r\n\r\nbody";
+
+  private static Route route(RouteKind kind) {
+    return new Route(
+        "r",
+        "h",
+        "/p/",
+        kind,
+        TIMEOUT_MILLIS,
+        TIMEOUT_MILLIS,
+        300,
+        0,
+        List.of(new Backend("s", 1)),
+        1,
+        false,
+        0,
+        false,
+        false,
+        false,
+        Residency.ANY);
+  }
+
+  /**
+   * Guards against a late second copy of a refusal that is taken for the response to the next send
+   * of the same request: the request, which the engine runs, would be sent once more.
+   */
+  @ParameterizedTest
+  @EnumSource(
+      value = RouteKind.class,
+      names = {"UNSAFE", "SAFE"})
+  void aRequestIsSentAgainOnlyOnceAlthoughItsRefusalArrivesTwice(RouteKind kind)
+      throws IOException {
+    try (ScriptedEngine engine =
+            new ScriptedEngine(
+                new Response(REFUSAL, After.REPEAT), new Response(SUCCESS, After.KEEP));
+        LoopbackGateway gateway =
+            new LoopbackGateway(
+                engine.port(),
+                route(kind),
+                RequestLimits.DEFAULT,
+                HeldBytesLimiter.Bounds.DEFAULT);
+        Socket caller = new Socket("127.0.0.1", gateway.port())) {
+      caller.setSoTimeout(TIMEOUT_MILLIS);
+      String request = "GET /p/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nConnection: close\r\n\r\n";
+      caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      String response =
+          new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      assertTrue(response.startsWith("HTTP/1.1 200"), response);
+      assertEquals(2, engine.requests().size());
+    }
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
@@ -16,6 +16,8 @@
   /** The state of a connection after a response. */
   public enum After {
     KEEP,
+    /** As KEEP, and the response is sent once more before the next one on the connection. */
+    REPEAT,
     CLOSE,
     RESET
   }
@@ -89,6 +91,7 @@
 
   private void serve(Socket socket) {
     try (socket) {
+      String late = "";
       while (true) {
         String head = readHead(socket.getInputStream());
         if (head == null) {
@@ -96,8 +99,10 @@
         }
         requests.add(head);
         Response response = responses.get(Math.min(next.getAndIncrement(), responses.size() - 1));
-        socket.getOutputStream().write(response.bytes().getBytes(StandardCharsets.US_ASCII));
+        String bytes = late + response.bytes();
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
         socket.getOutputStream().flush();
+        late = response.after() == After.REPEAT ? response.bytes() : "";
         if (response.after() == After.RESET) {
           Thread.sleep(100);
           socket.setSoLinger(true, 0);
