Queries to peers have identifiers that no earlier incarnation used

Cause: the identifiers of queries for a program's holder and for the software version of a stream began at 1 in each process. A reply to a query of an earlier incarnation of a node, delayed by a peer that stood still, could be attributed to a query of the present one: the reply names neither program nor stream. A wrong holder costs a call to the store; a wrong version may continue a stream at another software version.

Change: QueryIds begin at the clock at which the node started. The other exchanges have identifiers of their own already: limits begin at a random number, links number their requests and drop them with the link.

Measured: TestHolderDirectory.aReplyToAQueryOfAnEarlierIncarnationIsIgnored: with identifiers from 1 the reply is taken (holder 10.0.0.3), now it is ignored. No run of real processes has shown the case.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/handover/HolderDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/handover/HolderDirectory.java
@@ -14,6 +14,7 @@
 import org.baykeel.gateway.peer.PeerMessageCodec;
 import org.baykeel.gateway.peer.PeerMessageListener;
 import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.peer.QueryIds;
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.StableHash;
@@ -65,7 +66,7 @@
   private final Map<PeerAddress, Long> unresponsiveUntilNanos = new HashMap<>();
   private final Map<Long, Query> queries = new HashMap<>();
   private final Map<ProgramId, Query> queriesByProgram = new HashMap<>();
-  private long lastQueryId;
+  private final QueryIds queryIds;
 
   /** A query to a registrar and all callbacks that wait for its reply. */
   private record Query(
@@ -90,6 +91,7 @@
     this.codec = codec;
     this.eventLoop = eventLoop;
     this.peerLatency = peerLatency;
+    this.queryIds = new QueryIds(eventLoop);
   }
 
   /** Notifies the program's registrar that this node serves the program now. */
@@ -129,7 +131,7 @@
       pending.callbacks().add(answer);
       return;
     }
-    Query query = new Query(++lastQueryId, program, new ArrayList<>(List.of(answer)));
+    Query query = new Query(queryIds.next(), program, new ArrayList<>(List.of(answer)));
     queries.put(query.id(), query);
     queriesByProgram.put(program, query);
     transport.send(registrar, codec.encode(new PeerMessage.HolderQuery(query.id(), program)));
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/RegistrarQueries.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/RegistrarQueries.java
@@ -13,6 +13,7 @@
 import org.baykeel.gateway.peer.PeerMessage;
 import org.baykeel.gateway.peer.PeerMessageCodec;
 import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.peer.QueryIds;
 import org.baykeel.gateway.peer.StreamVersionCodec;
 import org.baykeel.gateway.runtime.EventLoop;
 
@@ -30,7 +31,7 @@
   private final PeerLatency latency;
   private final EventLoop eventLoop;
   private final Map<Long, Query> queries = new HashMap<>();
-  private long lastQueryId;
+  private final QueryIds queryIds;
 
   /**
    * The replies of a stream's registrars.
@@ -75,6 +76,7 @@
     this.codec = codec;
     this.latency = latency;
     this.eventLoop = eventLoop;
+    this.queryIds = new QueryIds(eventLoop);
   }
 
   /**
@@ -107,7 +109,7 @@
       callback.accept(Answers.NONE);
       return;
     }
-    long queryId = ++lastQueryId;
+    long queryId = queryIds.next();
     queries.put(queryId, new Query(callback, new HashSet<>(receivers)));
     byte[] datagram = codec.encode(new PeerMessage.StreamVersionQuery(queryId, requestId, service));
     long roundTripMillis = 0;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
@@ -91,6 +91,53 @@
     }
   }
 
+  /** Creates a directory at the address of a node, which records what it sends. */
+  private HolderDirectory incarnation(int node, List<PeerMessage> sent) {
+    PeerAddress address = addresses.get(node);
+    PeerMessageCodec codec = new PeerMessageCodec();
+    PeerTransport transport =
+        (receiver, datagram) -> sent.add(codec.decode(datagram).orElseThrow());
+    PeerDirectory peers =
+        new PeerDirectory(
+            "n" + node,
+            address,
+            store,
+            eventLoop,
+            network.transportOf(address),
+            codec,
+            Topology.ofOneRegion("z"),
+            (event, fields) -> {});
+    addresses.forEach(peers::onSender);
+    return new HolderDirectory(address, peers, transport, codec, eventLoop, PeerLatency.ZERO);
+  }
+
+  private static long queryId(List<PeerMessage> sent) {
+    return ((PeerMessage.HolderQuery) sent.get(0)).queryId();
+  }
+
+  /** Guards against a reply that is attributed to a query which it does not belong to. */
+  @Test
+  void aReplyToAQueryOfAnEarlierIncarnationIsIgnored() {
+    startAll();
+    List<PeerMessage> sentEarlier = new ArrayList<>();
+    HolderDirectory earlier = incarnation(0, sentEarlier);
+    for (int i = 0; sentEarlier.isEmpty(); i++) {
+      earlier.locate(new ProgramId("p" + i), holder -> {});
+    }
+    eventLoop.advance(1);
+    List<PeerMessage> sentLater = new ArrayList<>();
+    HolderDirectory later = incarnation(0, sentLater);
+    List<Optional<PeerAddress>> results = new ArrayList<>();
+    for (int i = 0; sentLater.isEmpty(); i++) {
+      results.clear();
+      later.locate(new ProgramId("q" + i), results::add);
+    }
+    Optional<PeerAddress> holder = Optional.of(addresses.get(3));
+    later.onMessage(addresses.get(1), new PeerMessage.HolderReply(queryId(sentEarlier), holder));
+    eventLoop.advance(100);
+    assertEquals(List.of(Optional.empty()), results);
+  }
+
   /** Nodes 0, 2 and 4 are in the east region, 1 and 3 in the west region. */
   private void startInTwoRegions() {
     Map<String, RegionId> regions = Map.of("e", new RegionId("east"), "w", new RegionId("west"));
