A status that means "not run" is passed on only if the engine proves it

Cause: 402, 408, 421, 429 and 503 tell a caller that its request did not run and that it may be sent again. An engine's answer with such a status was passed on also if the engine did not state that it had not run the request; after such an answer a request that may run only once could run twice.

Change: for a request that may run only once such an answer counts as unusable unless it states that the request did not run or is signed; the caller gets 502 (outcome_unknown). A signed answer is passed on unchanged, as before. An engine of the platform states its refusals, so this concerns faulty ones.

No run of real processes has shown the case.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -479,6 +479,10 @@
       onBroken("status " + head.status() + " instead of the rest of the stream");
       return;
     }
+    if (!call.route().repeatable() && head.impliesNotRunWithoutProof()) {
+      onBroken("status " + head.status() + " without a statement that the request did not run");
+      return;
+    }
     quarantine.responded(attempt);
     boolean engineFailed = head.status() >= 500;
     if (engineFailed && mayRunAgain() && sends < 2) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestClientCall.java
@@ -666,4 +666,27 @@
         record.slots(),
         true);
   }
+
+  /**
+   * Guards against a status that tells the caller that its request did not run, when the engine
+   * does not state that.
+   */
+  @ParameterizedTest(name = "{0} of {1}, signed: {2}")
+  @CsvSource({
+    "503, /unsafe/, false, refuse OUTCOME_UNKNOWN",
+    "429, /unsafe/, false, refuse OUTCOME_UNKNOWN",
+    "408, /unsafe/, false, refuse OUTCOME_UNKNOWN",
+    "402, /once/, false, refuse OUTCOME_UNKNOWN",
+    "503, /once/, false, refuse OUTCOME_UNKNOWN",
+    "503, /unsafe/, true, answer 503 no",
+    "500, /unsafe/, false, answer 500 no",
+    "404, /unsafe/, false, answer 404 no",
+  })
+  void statusThatMeansNotRunIsPassedOnOnlyIfTheEngineAnswersForIt(
+      int status, String path, boolean signed, String expected) {
+    call(path);
+    transport.last().head(status, signed, false, false).bytes("no").complete();
+    assertEquals(List.of(expected), responder.received());
+    assertEquals(1, transport.count());
+  }
 }
