Tests on loopback share the route of their node

Change: LoopbackGateway.route(kind, timeout) builds it. The target latency of TestLateResponses is now that of the other three (100 ms), which none of its checks depends on.

--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
@@ -16,11 +16,14 @@
 import org.baykeel.gateway.call.CallCoordinator;
 import org.baykeel.gateway.call.GatewayContext;
 import org.baykeel.gateway.call.GatewayState;
+import org.baykeel.gateway.configuration.Backend;
 import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.configuration.RequestLimits;
 import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
@@ -33,6 +36,9 @@
 
 /** A node on loopback with one route to one engine. */
 final class LoopbackGateway implements AutoCloseable {
+  private static final long TARGET_LATENCY_MILLIS = 100;
+  private static final long EVENT_GAP_MILLIS = 300;
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final List<GatewayEvent> events = new CopyOnWriteArrayList<>();
@@ -77,6 +83,31 @@
     ingress.listen(group, new InetSocketAddress("127.0.0.1", port)).syncUninterruptibly();
   }
 
+  /**
+   * Returns a route whose requests run at most once at the engine.
+   *
+   * @param timeoutMillis how long a request is held, in milliseconds
+   */
+  static Route route(RouteKind kind, long timeoutMillis) {
+    return new Route(
+        "r",
+        "h",
+        "/p/",
+        kind,
+        timeoutMillis,
+        TARGET_LATENCY_MILLIS,
+        EVENT_GAP_MILLIS,
+        0,
+        List.of(new Backend("s", 1)),
+        1,
+        false,
+        0,
+        false,
+        false,
+        false,
+        Residency.ANY);
+  }
+
   /** Closes idle connections, as a planned stop does. */
   void closeIdle() throws Exception {
     group.next().submit(ingress::closeIdle).get(20, TimeUnit.SECONDS);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -9,11 +9,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.baykeel.gateway.buffering.HeldBytesLimiter;
-import org.baykeel.gateway.configuration.Backend;
 import org.baykeel.gateway.configuration.RequestLimits;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
-import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.testing.ScriptedEngine;
 import org.baykeel.gateway.testing.ScriptedEngine.After;
 import org.baykeel.gateway.testing.ScriptedEngine.Response;
@@ -38,24 +36,7 @@
   @BeforeEach
   void start() throws IOException {
     engine = new ScriptedEngine(new Response(RESPONSE, After.KEEP));
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/p/",
-            RouteKind.UNSAFE,
-            2_000,
-            100,
-            300,
-            0,
-            List.of(new Backend("s", 1)),
-            1,
-            false,
-            0,
-            false,
-            false,
-            false,
-            Residency.ANY);
+    Route route = LoopbackGateway.route(RouteKind.UNSAFE, 2_000);
     gateway = new LoopbackGateway(engine.port(), route, LIMITS, HeldBytesLimiter.Bounds.DEFAULT);
     port = gateway.port();
   }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestLateResponses.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestLateResponses.java
@@ -6,13 +6,9 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import org.baykeel.gateway.buffering.HeldBytesLimiter;
-import org.baykeel.gateway.configuration.Backend;
 import org.baykeel.gateway.configuration.RequestLimits;
-import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
-import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.testing.ScriptedEngine;
 import org.baykeel.gateway.testing.ScriptedEngine.After;
 import org.baykeel.gateway.testing.ScriptedEngine.Response;
@@ -27,26 +23,6 @@
   private static final String SUCCESS =
       "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s\r\nContent-Length: 4\r\n\r\nbody";
 
-  private static Route route(RouteKind kind) {
-    return new Route(
-        "r",
-        "h",
-        "/p/",
-        kind,
-        TIMEOUT_MILLIS,
-        TIMEOUT_MILLIS,
-        300,
-        0,
-        List.of(new Backend("s", 1)),
-        1,
-        false,
-        0,
-        false,
-        false,
-        false,
-        Residency.ANY);
-  }
-
   /**
    * Guards against a late second copy of a refusal that is taken for the response to the next send
    * of the same request: the request, which the engine runs, would be sent once more.
@@ -63,7 +39,7 @@
         LoopbackGateway gateway =
             new LoopbackGateway(
                 engine.port(),
-                route(kind),
+                LoopbackGateway.route(kind, TIMEOUT_MILLIS),
                 RequestLimits.DEFAULT,
                 HeldBytesLimiter.Bounds.DEFAULT);
         Socket caller = new Socket("127.0.0.1", gateway.port())) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPlannedStop.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPlannedStop.java
@@ -10,13 +10,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import org.baykeel.gateway.buffering.HeldBytesLimiter;
-import org.baykeel.gateway.configuration.Backend;
 import org.baykeel.gateway.configuration.RequestLimits;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
-import org.baykeel.gateway.residency.Residency;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -91,24 +88,7 @@
   void start() throws IOException {
     engine = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
     engine.setSoTimeout(TIMEOUT_MILLIS);
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/p/",
-            RouteKind.STREAMING,
-            LIMIT_MILLIS,
-            100,
-            300,
-            0,
-            List.of(new Backend("s", 1)),
-            1,
-            false,
-            0,
-            false,
-            false,
-            false,
-            Residency.ANY);
+    Route route = LoopbackGateway.route(RouteKind.STREAMING, LIMIT_MILLIS);
     gateway =
         new LoopbackGateway(
             engine.getLocalPort(),
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSlowCallers.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSlowCallers.java
@@ -19,11 +19,9 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicLong;
 import org.baykeel.gateway.buffering.HeldBytesLimiter;
-import org.baykeel.gateway.configuration.Backend;
 import org.baykeel.gateway.configuration.RequestLimits;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
-import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -71,24 +69,7 @@
   }
 
   private void start(RouteKind kind, HeldBytesLimiter.Bounds bounds) throws IOException {
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/p/",
-            kind,
-            TIMEOUT_MILLIS,
-            100,
-            300,
-            0,
-            List.of(new Backend("s", 1)),
-            1,
-            false,
-            0,
-            false,
-            false,
-            false,
-            Residency.ANY);
+    Route route = LoopbackGateway.route(kind, TIMEOUT_MILLIS);
     gateway = new LoopbackGateway(engine.getLocalPort(), route, LIMITS, bounds);
     inBackground(
         () -> {
