Log the work of each attempt whose run may go on

A line 332 named the work of its request only after a lost connection, so the attempts of one request that ended at a deadline, by silence or since the caller left could not be joined. The field is now given unless the engine stated that it did not run the request. In a run of eight tries with a deadline of 400 ms eight lines of one work stand at eight engines, and no line 361 or 362 follows: no node looked whether an engine ran on.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -140,6 +140,7 @@
   void cancel(String outcome) {
     if (attempt != null) {
       attempt.cancel();
+      quarantine.identify();
       endAttempt(outcome);
     }
   }
@@ -457,6 +458,7 @@
   @Override
   public void onBroken(String detail) {
     attempt.engine().failed(eventLoop.nanoTime());
+    quarantine.identify();
     endAttempt("broken " + detail);
     continueAfterFailure(detail);
   }
