--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -2,10 +2,12 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.buffering.ResponseSource;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.SoftwareVersion;
+import org.baykeel.gateway.quarantine.EngineRun;
 import org.baykeel.gateway.quarantine.Verdict;
 import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.runtime.EventLoop;
@@ -139,15 +141,17 @@
   /** Cancels the current attempt, if any; idempotent. */
   void cancel(String outcome) {
     if (attempt != null) {
+      boolean sent = !attempt.connectionUse().equals(ConnectionUse.NONE);
       attempt.cancel();
       quarantine.identify();
-      endAttempt(outcome);
+      endAttempt(outcome, sent ? EngineRun::abandoned : EngineRun::closed);
     }
   }
 
   /** Ends the attempts: nothing more is sent. */
   void end() {
     ended = true;
+    quarantine.withdrawClaim();
     if (waitTicket != null) {
       waitTicket.leave();
     }
@@ -155,8 +159,9 @@
   }
 
   private void dispatch() {
-    switch (quarantine.verdict()) {
+    switch (quarantine.claim()) {
       case FATAL -> failAsFatal();
+      case HELD -> failAsHeld();
       case UNDECIDED -> eventLoop.schedule(UNDECIDED_RETRY_MILLIS, this::dispatchUnlessEnded);
       case CLEAR, SUSPECT -> sendToEngine();
     }
@@ -175,8 +180,20 @@
         kind, 0, "engines ended while they ran it, work=" + quarantine.knownFingerprint());
   }
 
+  /** Ends the attempts, since too many engines may still end under the request. */
+  private void failAsHeld() {
+    String detail = "engines ended or may end under it, work=" + quarantine.knownFingerprint();
+    record.held(quarantine.knownFingerprint(), runs, quarantine.retryMillis());
+    if (runs > 0) {
+      failAfterRun(detail);
+    } else {
+      owner.onAttemptsFailed(ErrorKind.REQUEST_HELD, quarantine.retryMillis(), detail);
+    }
+  }
+
   private void sendToEngine() {
     if (endsBeforeResponse()) {
+      quarantine.withdrawClaim();
       onNoCapacity();
       return;
     }
@@ -184,10 +201,12 @@
     EngineSelector.Choice choice =
         sendsInRound >= MAX_SENDS_PER_ROUND ? null : quarantine.choose(criteria, triedEngines, now);
     if (choice == null) {
+      quarantine.withdrawClaim();
       onNoEngine();
       return;
     }
     Engine engine = choice.engine();
+    quarantine.sent(engine);
     sends++;
     sendsInRound++;
     runs++;
@@ -356,10 +375,16 @@
     return call.route().repeatable() && runs < call.route().attempts() && versionKnown;
   }
 
-  private void endAttempt(String outcome) {
+  /**
+   * Ends the current attempt.
+   *
+   * @param runEnd records what became of its run
+   */
+  private void endAttempt(String outcome, Consumer<EngineRun> runEnd) {
     EngineAttempt finished = attempt;
     attempt = null;
     finished.close();
+    runEnd.accept(quarantine.takeRun());
     waitQueue.onSlotFree(requirementOfAnyVersion());
     if (criteria.requiredVersion().isPresent()) {
       waitQueue.onSlotFree(requirement());
@@ -413,7 +438,7 @@
 
   @Override
   public void onStreamComplete() {
-    endAttempt("complete");
+    endAttempt("complete", EngineRun::closed);
     quarantine.completed();
     context.streamVersions().recordComplete(call.attributes().requestId());
     owner.onStreamComplete();
@@ -427,7 +452,7 @@
       anyEngineFull = true;
       triedEngines.remove(attempt.engine().record().id());
     }
-    endAttempt(outcome);
+    endAttempt(outcome, EngineRun::closed);
     dispatch();
   }
 
@@ -437,11 +462,9 @@
    */
   @Override
   public void onConnectionLost(String detail) {
-    Engine engine = attempt.engine();
-    engine.failed(eventLoop.nanoTime());
+    attempt.engine().failed(eventLoop.nanoTime());
     quarantine.identify();
-    endAttempt("broken " + detail);
-    quarantine.connectionLost(engine, () -> onEngineChecked(detail));
+    endAttempt("broken " + detail, run -> run.connectionLost(() -> onEngineChecked(detail)));
   }
 
   private void onEngineChecked(String detail) {
@@ -459,7 +482,7 @@
   public void onBroken(String detail) {
     attempt.engine().failed(eventLoop.nanoTime());
     quarantine.identify();
-    endAttempt("broken " + detail);
+    endAttempt("broken " + detail, EngineRun::abandoned);
     continueAfterFailure(detail);
   }
 
@@ -469,12 +492,16 @@
     } else if (mayRunAgain()) {
       dispatch();
     } else {
-      boolean repeatable = call.route().repeatable();
-      ErrorKind kind = repeatable ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN;
-      owner.onAttemptsFailed(kind, 0, detail);
+      failAfterRun(detail);
     }
   }
 
+  private void failAfterRun(String detail) {
+    boolean repeatable = call.route().repeatable();
+    ErrorKind kind = repeatable ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN;
+    owner.onAttemptsFailed(kind, 0, detail);
+  }
+
   @Override
   public void onWholeResponse(ResponseHead head, byte[] body) {
     if (relay.headSent()) {
@@ -489,7 +516,7 @@
     boolean engineFailed = head.status() >= 500;
     if (engineFailed && mayRunAgain() && sends < 2) {
       attempt.engine().serverErrorReceived(eventLoop.nanoTime());
-      endAttempt("status_" + head.status());
+      endAttempt("status_" + head.status(), EngineRun::closed);
       dispatch();
       return;
     }
@@ -497,7 +524,7 @@
       attempt.engine().succeeded();
       quarantine.completed();
     }
-    endAttempt("complete");
+    endAttempt("complete", EngineRun::closed);
     owner.onWholeResponse(head, body);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallQuarantine.java
@@ -5,15 +5,20 @@
 import java.util.Set;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.program.RequestFingerprint;
+import org.baykeel.gateway.quarantine.EngineRun;
 import org.baykeel.gateway.quarantine.Verdict;
 import org.baykeel.gateway.scheduling.EngineSelector;
 
 /** What the quarantine of the node means for one call. */
 final class CallQuarantine {
+  private static final long MIN_RETRY_MILLIS = 200;
+
   private final GatewayContext context;
   private final AuthorizedCall call;
   private RequestFingerprint.Builder builder;
   private RequestFingerprint fingerprint;
+  private EngineRun run;
+  private Verdict claimVerdict = Verdict.CLEAR;
 
   CallQuarantine(GatewayContext context, AuthorizedCall call) {
     this.context = context;
@@ -51,6 +56,39 @@
     return mayBeSuspect() ? context.quarantine().verdict(fingerprint()) : Verdict.CLEAR;
   }
 
+  /** Returns whether the call may be sent now, and claims the send if that is needed. */
+  Verdict claim() {
+    if (run == null) {
+      run = context.quarantine().newRun(builder);
+    }
+    claimVerdict = mayBeSuspect() ? run.claim() : Verdict.CLEAR;
+    return claimVerdict;
+  }
+
+  /** Withdraws the claim, if any: the call is not sent now. */
+  void withdrawClaim() {
+    if (run != null) {
+      run.withdraw();
+    }
+  }
+
+  /** Records that the call is sent to an engine, after a claim. */
+  void sent(Engine engine) {
+    run.sent(engine, call.deadlineNanos());
+  }
+
+  /** Returns the run of the last send, which ends now. */
+  EngineRun takeRun() {
+    EngineRun ending = run;
+    run = null;
+    return ending;
+  }
+
+  /** Returns when the call may be sent again, in milliseconds from now. */
+  long retryMillis() {
+    return Math.max(MIN_RETRY_MILLIS, context.quarantine().retryMillis(fingerprint()));
+  }
+
   /**
    * Selects an engine. A suspect goes to an engine that the quarantine prefers, if one of them
    * takes it.
@@ -60,7 +98,7 @@
    */
   EngineSelector.Choice choose(
       EngineSelector.Criteria criteria, Set<String> triedEngines, long nowNanos) {
-    if (verdict() == Verdict.SUSPECT) {
+    if (claimVerdict == Verdict.SUSPECT) {
       List<String> preferred = context.quarantine().preferredEngines(fingerprint(), call.service());
       for (String engineId : preferred) {
         EngineSelector.Choice choice =
@@ -84,16 +122,6 @@
     return others;
   }
 
-  /**
-   * Records that the connection to the engine of an attempt was lost.
-   *
-   * @param decided is called exactly once, when it is known whether the engine has ended or after a
-   *     short time limit
-   */
-  void connectionLost(Engine engine, Runnable decided) {
-    context.quarantine().connectionLost(engine, fingerprint(), decided);
-  }
-
   /** Records that the engine of an attempt responded. */
   void responded(EngineAttempt attempt) {
     context.quarantine().responded(attempt.engine(), attempt.startedNanos());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -155,6 +155,25 @@
         fingerprint);
   }
 
+  /**
+   * Records that the call is not sent, since too many engines may still end under it.
+   *
+   * @param runs how many sends of the call may have run
+   * @param retryMillis when it may be sent again, in milliseconds from now
+   */
+  void held(RequestFingerprint fingerprint, int runs, long retryMillis) {
+    log.write(
+        GatewayEvent.REQUEST_HELD,
+        "id",
+        request.attributes().requestId(),
+        "work",
+        fingerprint,
+        "runs",
+        runs,
+        "retry_ms",
+        retryMillis);
+  }
+
   void callEnded(End end) {
     CallAttributes attributes = request.attributes();
     long received = request.receivedNanos();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineDirectory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * The engines by service. An engine whose entry vanishes around an outage of the store stays usable
@@ -29,6 +30,7 @@
   private final ServiceVersions versions = new ServiceVersions(this::ofService);
   private EngineSuspicionListener suspicionListener = EngineSuspicionListener.NONE;
   private final List<EngineRestartListener> restartListeners = new ArrayList<>();
+  private Consumer<Engine> removalListener = engine -> {};
 
   /**
    * Creates a directory.
@@ -54,6 +56,11 @@
     restartListeners.add(listener);
   }
 
+  /** Sets the listener for engines whose entry is gone. */
+  public void onRemoval(Consumer<Engine> listener) {
+    removalListener = listener;
+  }
+
   /** Returns the software versions that the engines of each service have or had. */
   public ServiceVersions versions() {
     return versions;
@@ -257,6 +264,7 @@
     versions.departed(engine.record(), nowNanos);
     byId.remove(engine.record().id());
     byService.get(engine.record().service()).remove(engine);
+    removalListener.accept(engine);
   }
 
   /** Returns the performance of the engines of a service. It outlives the engines. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineIncarnation.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineIncarnation.java
@@ -7,6 +7,8 @@
  * @param startMillis when it started, in Unix milliseconds; 0 if not given
  */
 public record EngineIncarnation(EngineId id, long startMillis) {
+  /** Stands for an engine that is not selected yet. */
+  public static final EngineIncarnation NONE = new EngineIncarnation(new EngineId(""), 0);
 
   /** Returns the incarnation that a record describes. */
   public static EngineIncarnation of(EngineRecord record) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
@@ -29,7 +29,7 @@
   /** Connections of a process that ends are closed one after the other within this time. */
   private static final long SETTLE_MILLIS = 5;
 
-  /** An engine that accepts a connection and does not respond within this time is running. */
+  /** An engine is expected to respond within this time. */
   private static final long RESPONSE_MILLIS = 50;
 
   /** A process that is just ending may accept connections for a moment and then close them. */
@@ -124,7 +124,7 @@
       schedule(
           RESPONSE_MILLIS,
           () -> {
-            conclude(EngineLiveness.RUNNING);
+            conclude(EngineLiveness.ACCEPTING);
             connected.channel().close();
           });
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -124,6 +124,25 @@
     }
   }
 
+  /**
+   * Announces a run of a request at an engine on behalf of the sender. A later notice of the same
+   * run replaces an earlier one.
+   *
+   * @param runId identifies the run among those of the sender
+   * @param engine the engine; that of {@link EngineIncarnation#NONE} until one is selected
+   * @param phase what the sender knows of the run
+   * @param ageMillis the time since the run began when the notice was sent, in milliseconds
+   * @param remainingMillis the time for which the notice holds, in milliseconds
+   */
+  record EngineRunNotice(
+      long runId,
+      RequestFingerprint request,
+      EngineIncarnation engine,
+      RunPhase phase,
+      long ageMillis,
+      long remainingMillis)
+      implements PeerMessage {}
+
   /**
    * Announces that the sender now serves a program.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -11,6 +11,7 @@
 import org.baykeel.protocol.generated.EngineEndNoticeDecoder;
 import org.baykeel.protocol.generated.EngineEndWithdrawalDecoder;
 import org.baykeel.protocol.generated.EngineLoadNoticeDecoder;
+import org.baykeel.protocol.generated.EngineRunNoticeDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeEncoder;
 import org.baykeel.protocol.generated.HolderAnnouncementDecoder;
@@ -82,6 +83,9 @@
     if (message instanceof PeerMessage.RequestClearance clearance) {
       return EngineEndCodec.encode(clearance, buffer, header);
     }
+    if (message instanceof PeerMessage.EngineRunNotice notice) {
+      return EngineRunCodec.encode(notice, buffer, header);
+    }
     if (message instanceof PeerMessage.HolderAnnouncement announcement) {
       return new HolderAnnouncementEncoder()
           .wrapAndApplyHeader(buffer, 0, header)
@@ -103,29 +107,10 @@
           .encodedLength();
     }
     if (message instanceof PeerMessage.LimitTokenRequest request) {
-      return new LimitTokenRequestEncoder()
-          .wrapAndApplyHeader(buffer, 0, header)
-          .questionId(request.correlationId())
-          .wanted(request.wanted())
-          .opening((short) (request.firstTurn() ? 1 : 0))
-          .programHash(request.programHash())
-          .tenant(request.tenant().value())
-          .encodedLength();
+      return encode(request, buffer, header);
     }
     if (message instanceof PeerMessage.LimitTokenReply reply) {
-      return new LimitTokenReplyEncoder()
-          .wrapAndApplyHeader(buffer, 0, header)
-          .questionId(reply.correlationId())
-          .outcome((short) reply.outcome().code())
-          .tokens(reply.tokens())
-          .openingsAllowed((short) (reply.firstTurnsAllowed() ? 1 : 0))
-          .retryMillis(Math.min(MAX_RETRY_MILLIS, reply.retryMillis()))
-          .left(reply.remaining())
-          .proven((short) (reply.proof().isPresent() ? 1 : 0))
-          .configurationVersion(reply.proof().map(ConfigurationProof::version).orElse(0L))
-          .provenStoreMillis(reply.proof().map(ConfigurationProof::storeMillis).orElse(0L))
-          .limitUse((float) reply.use().multiple())
-          .encodedLength();
+      return encode(reply, buffer, header);
     }
     return new NodeAnnouncementEncoder()
         .wrapAndApplyHeader(buffer, 0, header)
@@ -133,6 +118,35 @@
         .encodedLength();
   }
 
+  private static int encode(
+      PeerMessage.LimitTokenRequest request, UnsafeBuffer buffer, MessageHeaderEncoder header) {
+    return new LimitTokenRequestEncoder()
+        .wrapAndApplyHeader(buffer, 0, header)
+        .questionId(request.correlationId())
+        .wanted(request.wanted())
+        .opening((short) (request.firstTurn() ? 1 : 0))
+        .programHash(request.programHash())
+        .tenant(request.tenant().value())
+        .encodedLength();
+  }
+
+  private static int encode(
+      PeerMessage.LimitTokenReply reply, UnsafeBuffer buffer, MessageHeaderEncoder header) {
+    return new LimitTokenReplyEncoder()
+        .wrapAndApplyHeader(buffer, 0, header)
+        .questionId(reply.correlationId())
+        .outcome((short) reply.outcome().code())
+        .tokens(reply.tokens())
+        .openingsAllowed((short) (reply.firstTurnsAllowed() ? 1 : 0))
+        .retryMillis(Math.min(MAX_RETRY_MILLIS, reply.retryMillis()))
+        .left(reply.remaining())
+        .proven((short) (reply.proof().isPresent() ? 1 : 0))
+        .configurationVersion(reply.proof().map(ConfigurationProof::version).orElse(0L))
+        .provenStoreMillis(reply.proof().map(ConfigurationProof::storeMillis).orElse(0L))
+        .limitUse((float) reply.use().multiple())
+        .encodedLength();
+  }
+
   /**
    * Decodes a message.
    *
@@ -191,6 +205,7 @@
           Optional.of(EngineEndCodec.decodeWithdrawal(received, header));
       case RequestClearanceDecoder.TEMPLATE_ID ->
           Optional.of(EngineEndCodec.decodeClearance(received, header));
+      case EngineRunNoticeDecoder.TEMPLATE_ID -> EngineRunCodec.decode(received, header);
       case HolderAnnouncementDecoder.TEMPLATE_ID -> {
         HolderAnnouncementDecoder decoder = new HolderAnnouncementDecoder();
         decoder.wrapAndApplyHeader(received, 0, header);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/BlameAssessment.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/BlameAssessment.java
@@ -110,11 +110,16 @@
     return false;
   }
 
+  /** Returns whether a fatal request explains an end, other than the given one. */
+  boolean explains(EngineEnd end, RequestFingerprint request) {
+    return !fatal.contains(request) && !Collections.disjoint(end.requests(), fatal);
+  }
+
   private int blameOf(RequestFingerprint request, List<EngineEnd> moment) {
     int ends = 0;
     boolean sharedCause = false;
     for (EngineEnd end : moment) {
-      boolean explained = !fatal.contains(request) && !Collections.disjoint(end.requests(), fatal);
+      boolean explained = explains(end, request);
       if (end.ran(request) && !explained) {
         ends++;
       }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -100,7 +100,7 @@
           repeatAfter(CONFIRMATION_MILLIS, MAX_CONNECTED_CHECKS);
         }
         case UNKNOWN -> repeatAfter(UNKNOWN_RETRY_MILLIS, MAX_UNKNOWN_CHECKS);
-        case RUNNING -> retainForReports();
+        case RUNNING, ACCEPTING -> retainForReports();
       }
     }
 
@@ -147,6 +147,11 @@
     }
   }
 
+  /** Returns whether an engine seemed to run when it was checked lately. */
+  boolean seemsToRun(EngineIncarnation engine) {
+    return seemedToRun.containsKey(engine);
+  }
+
   /**
    * Checks whether an engine has ended, after a connection to it was lost.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndHistory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndHistory.java
@@ -104,6 +104,16 @@
         .toList();
   }
 
+  /** Returns the recorded ends of engines that ran a request. */
+  List<EngineEnd> endsUnder(RequestFingerprint request) {
+    return ends.values().stream().filter(end -> end.ran(request)).toList();
+  }
+
+  /** Returns whether a request completed after a time. */
+  boolean completedAfter(RequestFingerprint request, long nanos) {
+    return completedRequests.cover(request, nanos);
+  }
+
   /** Returns the assessment of all ends that have not expired. */
   BlameAssessment assessment(long nowNanos) {
     evict(nowNanos);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
@@ -4,8 +4,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.peer.EngineEndCodec;
 import org.baykeel.gateway.peer.PeerMessage;
@@ -103,9 +105,9 @@
   }
 
   private static OwnEnd merged(OwnEnd one, OwnEnd other) {
-    List<RequestFingerprint> requests = new ArrayList<>(one.requests());
+    Set<RequestFingerprint> requests = new LinkedHashSet<>(one.requests());
     requests.addAll(other.requests());
-    return new OwnEnd(Math.min(one.endedNanos(), other.endedNanos()), requests);
+    return new OwnEnd(Math.min(one.endedNanos(), other.endedNanos()), List.copyOf(requests));
   }
 
   /** Removes an end that has proved wrong. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineLiveness.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineLiveness.java
@@ -2,8 +2,10 @@
 
 /** Whether the process of an engine still runs. */
 public enum EngineLiveness {
-  /** It accepts connections. */
+  /** It responds. */
   RUNNING,
+  /** It accepts connections, but does not respond within a short time. */
+  ACCEPTING,
   /** Connections to it are open, which may be about to close. */
   CONNECTED,
   /** Its address refuses connections, or another engine responds there. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/NoQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/NoQuarantine.java
@@ -7,6 +7,32 @@
 
 /** A quarantine that records nothing. */
 final class NoQuarantine implements Quarantine {
+  /** A run of which nothing is recorded. */
+  private static final EngineRun RUN =
+      new EngineRun() {
+        @Override
+        public Verdict claim() {
+          return Verdict.CLEAR;
+        }
+
+        @Override
+        public void withdraw() {}
+
+        @Override
+        public void sent(Engine engine, long deadlineNanos) {}
+
+        @Override
+        public void closed() {}
+
+        @Override
+        public void abandoned() {}
+
+        @Override
+        public void connectionLost(Runnable decided) {
+          decided.run();
+        }
+      };
+
   @Override
   public boolean isSuspectHead(IntSupplier head) {
     return false;
@@ -17,11 +43,21 @@
     return Verdict.CLEAR;
   }
 
+  @Override
+  public long retryMillis(RequestFingerprint request) {
+    return 0;
+  }
+
   @Override
   public List<String> preferredEngines(RequestFingerprint suspect, String service) {
     return List.of();
   }
 
+  @Override
+  public EngineRun newRun(RequestFingerprint.Builder work) {
+    return RUN;
+  }
+
   @Override
   public void connectionLost(Engine engine, RequestFingerprint request, Runnable decided) {
     decided.run();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Quarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Quarantine.java
@@ -22,6 +22,12 @@
   /** Returns whether a request may be sent. */
   Verdict verdict(RequestFingerprint request);
 
+  /**
+   * Returns when a request with the verdict {@link Verdict#HELD} may be sent again, in milliseconds
+   * from now.
+   */
+  long retryMillis(RequestFingerprint request);
+
   /**
    * Returns the identifiers of the engines that should run a suspect, the best first.
    *
@@ -29,6 +35,13 @@
    */
   List<String> preferredEngines(RequestFingerprint suspect, String service);
 
+  /**
+   * Creates a run of a request, which is not sent yet.
+   *
+   * @param work identifies the request
+   */
+  EngineRun newRun(RequestFingerprint.Builder work);
+
   /**
    * Records that the connection on which an engine ran a request was lost.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -57,7 +57,11 @@
   private final SuspectPlacement placement;
   private final EngineEndDetector detector;
   private final EngineEndNotifier notifier;
+  private final RunNotifier runNotifier;
   private final EngineEndTable table;
+  private final RunLedger ledger = new RunLedger();
+  private final RequestExposure exposure = new RequestExposure(history, ledger, this::assessment);
+  private final RunTracker runs;
   private final List<Runnable> listeners = new ArrayList<>();
   private final Set<RequestFingerprint> reported = new HashSet<>();
   private final Set<Integer> suspectHeads = new HashSet<>();
@@ -97,10 +101,25 @@
     this.eventLoop = eventLoop;
     this.log = log;
     this.detector = new EngineEndDetector(livenessCheck, eventLoop, log, this::onObserved);
+    this.notifier = new EngineEndNotifier(peers, transport, codec, eventLoop);
+    this.runNotifier = new RunNotifier(peers, transport, codec, eventLoop);
+    this.runs =
+        new RunTracker(
+            nodeName,
+            history,
+            ledger,
+            exposure,
+            this::evidence,
+            detector,
+            livenessCheck,
+            runNotifier,
+            eventLoop,
+            log,
+            new RunListener());
     engines.onRestart(
         (engine, startBefore, startNow, source) ->
-            detector.endReported(new EngineIncarnation(engine, startBefore)));
-    this.notifier = new EngineEndNotifier(peers, transport, codec, eventLoop);
+            onEndReported(new EngineIncarnation(engine, startBefore), eventLoop.nanoTime()));
+    engines.onRemoval(runs::engineRemoved);
     this.table =
         new EngineEndTable(
             nodeName,
@@ -112,6 +131,19 @@
             (engine, endedNanos, requests) -> add(engine, endedNanos, requests, Source.STORE));
   }
 
+  /** Adopts what the unresolved runs of this node show. */
+  private final class RunListener implements RunTracker.Listener {
+    @Override
+    public void engineEnded(Engine engine, long endedNanos, List<RequestFingerprint> requests) {
+      onObserved(engine, endedNanos, requests);
+    }
+
+    @Override
+    public void exposureGrew(RequestFingerprint request) {
+      runs.announceOpen(request);
+    }
+  }
+
   /** Reads the evidence that the store has. */
   public void start() {
     table.load();
@@ -124,7 +156,7 @@
 
   /** Returns how many notices to peers were not sent because of their limit. */
   public long noticesDropped() {
-    return notifier.noticesDropped();
+    return notifier.noticesDropped() + runNotifier.noticesDropped();
   }
 
   private BlameAssessment assessment() {
@@ -133,11 +165,22 @@
 
   @Override
   public boolean isSuspectHead(IntSupplier head) {
-    return !suspectHeads.isEmpty() && suspectHeads.contains(head.getAsInt());
+    if (suspectHeads.isEmpty() && !ledger.hasHeads()) {
+      return false;
+    }
+    int value = head.getAsInt();
+    return suspectHeads.contains(value) || ledger.hasHead(value);
   }
 
   @Override
   public Verdict verdict(RequestFingerprint request) {
+    Verdict found = evidence(request);
+    boolean held = found.sendable() && exposure.exhausted(request, eventLoop.nanoTime());
+    return held ? Verdict.HELD : found;
+  }
+
+  /** Returns what the ends of engines alone say of a request. */
+  private Verdict evidence(RequestFingerprint request) {
     BlameAssessment assessment = assessment();
     if (assessment.blame(request) == 0) {
       return Verdict.CLEAR;
@@ -150,6 +193,16 @@
     return sinceNanos < undecidedNanos ? Verdict.UNDECIDED : Verdict.FATAL;
   }
 
+  @Override
+  public long retryMillis(RequestFingerprint request) {
+    return exposure.retryMillis(request, eventLoop.nanoTime());
+  }
+
+  @Override
+  public EngineRun newRun(RequestFingerprint.Builder work) {
+    return runs.newRun(work);
+  }
+
   @Override
   public List<String> preferredEngines(RequestFingerprint suspect, String service) {
     return placement.preferredEngines(suspect, engines.ofService(service), assessment());
@@ -170,7 +223,9 @@
   private void add(
       EngineIncarnation engine, long endedNanos, List<RequestFingerprint> requests, Source source) {
     long now = eventLoop.nanoTime();
-    if (!history.add(engine, endedNanos, requests, now)) {
+    List<RequestFingerprint> all = new ArrayList<>(requests);
+    all.addAll(runs.requestsOfPeers(engine));
+    if (!history.add(engine, endedNanos, all, now)) {
       return;
     }
     log.write(
@@ -182,10 +237,18 @@
         "age_ms",
         (now - endedNanos) / NANOS_PER_MILLI,
         "requests",
-        requests.size(),
+        all.size(),
         "work",
-        logged(requests));
+        logged(all));
     onEvidenceChanged();
+    all.forEach(runs::announceOpen);
+    runs.engineEnded(engine, endedNanos);
+  }
+
+  /** Handles that an engine has ended, according to a peer or to its new entry. */
+  private void onEndReported(EngineIncarnation engine, long endedNanos) {
+    detector.endReported(engine);
+    runs.engineEnded(engine, endedNanos);
   }
 
   private static <T> List<T> logged(List<T> values) {
@@ -223,6 +286,7 @@
 
   @Override
   public void responded(Engine engine, long sentNanos) {
+    runs.responded(engine, sentNanos);
     if (history.isEmpty()) {
       return;
     }
@@ -251,7 +315,8 @@
 
   private boolean clear(RequestFingerprint request) {
     int blame = assessment().blame(request);
-    boolean cleared = history.clear(request, eventLoop.nanoTime());
+    boolean wasExposed = ledger.clear(request);
+    boolean cleared = history.clear(request, eventLoop.nanoTime()) || wasExposed;
     if (cleared) {
       log.write(GatewayEvent.REQUEST_CLEARED, "work", request, "blame", blame);
       onEvidenceChanged();
@@ -269,11 +334,15 @@
     if (message instanceof PeerMessage.EngineEndNotice notice) {
       long endedNanos = eventLoop.nanoTime() - notice.ageMillis() * NANOS_PER_MILLI;
       add(notice.engine(), endedNanos, notice.requests(), Source.PEER);
-      detector.endReported(notice.engine());
+      onEndReported(notice.engine(), endedNanos);
     } else if (message instanceof PeerMessage.EngineEndWithdrawal withdrawal) {
       withdraw(withdrawal.engine());
     } else if (message instanceof PeerMessage.RequestClearance clearance) {
       clearance.requests().forEach(this::clear);
+    } else if (message instanceof PeerMessage.EngineRunNotice notice) {
+      runs.onNotice(sender, notice);
+    } else if (message instanceof PeerMessage.NodeAnnouncement) {
+      runs.onPeerStarted(sender);
     }
   }
 }
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
@@ -0,0 +1,202 @@
+package org.baykeel.gateway.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineIncarnation;
+import org.baykeel.gateway.peer.RunPhase;
+import org.baykeel.gateway.program.RequestFingerprint;
+
+/**
+ * The runs of requests at engines that may be in progress: all those of this node, and those of
+ * peers that were announced. Beyond a number, the oldest unresolved runs are dropped.
+ */
+final class RunLedger {
+  private static final int MAX_PEER_RUNS = 4_096;
+  private static final int MAX_UNRESOLVED = 1_024;
+
+  private final Map<Engine, Set<TrackedRun>> ownByEngine = new IdentityHashMap<>();
+  private final Set<TrackedRun> claims = new LinkedHashSet<>();
+  private final Set<TrackedRun> unresolved = new LinkedHashSet<>();
+  private final Map<PeerRun.Key, PeerRun> peerRuns = new LinkedHashMap<>();
+
+  /** How many announced or unresolved runs have a certain head of their request's fingerprint. */
+  private final Map<Integer, Integer> heads = new HashMap<>();
+
+  /** Returns whether there may be an unresolved run of a request whose fingerprint has a head. */
+  boolean hasHead(int head) {
+    return heads.containsKey(head);
+  }
+
+  boolean hasHeads() {
+    return !heads.isEmpty();
+  }
+
+  private void count(int head, int difference) {
+    heads.merge(head, difference, (one, other) -> one + other == 0 ? null : one + other);
+  }
+
+  // Runs of this node.
+
+  void addClaim(TrackedRun run) {
+    if (claims.add(run)) {
+      count(run.head(), 1);
+    }
+  }
+
+  void removeClaim(TrackedRun run) {
+    if (claims.remove(run)) {
+      count(run.head(), -1);
+    }
+  }
+
+  void addSent(TrackedRun run) {
+    removeClaim(run);
+    ownByEngine.computeIfAbsent(run.engine(), any -> new LinkedHashSet<>()).add(run);
+  }
+
+  /** Records that a run that was sent is unresolved from now on. */
+  void addUnresolved(TrackedRun run) {
+    run.phase(RunPhase.UNRESOLVED);
+    if (unresolved.add(run)) {
+      count(run.head(), 1);
+    }
+    if (unresolved.size() > MAX_UNRESOLVED) {
+      remove(unresolved.iterator().next());
+    }
+  }
+
+  /** Removes a run; returns whether it was known. */
+  boolean remove(TrackedRun run) {
+    run.phase(RunPhase.CLOSED);
+    removeClaim(run);
+    if (unresolved.remove(run)) {
+      count(run.head(), -1);
+    }
+    Set<TrackedRun> atEngine = ownByEngine.get(run.engine());
+    boolean removed = atEngine != null && atEngine.remove(run);
+    if (removed && atEngine.isEmpty()) {
+      ownByEngine.remove(run.engine());
+    }
+    return removed;
+  }
+
+  /** Returns the unresolved runs at an engine. */
+  List<TrackedRun> unresolvedAt(Engine engine) {
+    return unresolved.isEmpty()
+        ? List.of()
+        : ownByEngine.getOrDefault(engine, Set.of()).stream().filter(unresolved::contains).toList();
+  }
+
+  /** Returns the unresolved runs at an incarnation of an engine. */
+  List<TrackedRun> unresolvedAt(EngineIncarnation engine) {
+    return unresolved.stream().filter(run -> run.incarnation().equals(engine)).toList();
+  }
+
+  /** Returns the runs of a request that were sent, and the claims to send it. */
+  List<TrackedRun> of(RequestFingerprint request) {
+    List<TrackedRun> runs = new ArrayList<>();
+    for (Set<TrackedRun> atEngine : ownByEngine.values()) {
+      addOf(request, atEngine, runs);
+    }
+    addOf(request, claims, runs);
+    return runs;
+  }
+
+  private static void addOf(
+      RequestFingerprint request, Set<TrackedRun> candidates, List<TrackedRun> runs) {
+    for (TrackedRun run : candidates) {
+      if (run.isOf(request)) {
+        runs.add(run);
+      }
+    }
+  }
+
+  /** Returns the runs of which peers were notified. */
+  List<TrackedRun> announced() {
+    List<TrackedRun> announced = new ArrayList<>();
+    ownByEngine.values().forEach(runs -> announced.addAll(runs));
+    announced.removeIf(run -> !run.announced());
+    return announced;
+  }
+
+  // Runs of peers.
+
+  /** Adds a run of a peer, or replaces what was known of it. */
+  void put(PeerRun run, long nowNanos) {
+    removeExpired(nowNanos);
+    PeerRun previous = peerRuns.remove(run.key());
+    if (previous != null) {
+      count(previous.request().head(), -1);
+    }
+    if (run.phase() != RunPhase.CLOSED) {
+      peerRuns.put(run.key(), run);
+      count(run.request().head(), 1);
+    }
+    if (peerRuns.size() > MAX_PEER_RUNS) {
+      removePeerRun(peerRuns.values().iterator().next().key());
+    }
+  }
+
+  private void removePeerRun(PeerRun.Key key) {
+    PeerRun removed = peerRuns.remove(key);
+    if (removed != null) {
+      count(removed.request().head(), -1);
+    }
+  }
+
+  private void removeExpired(long nowNanos) {
+    Iterator<PeerRun> runs = peerRuns.values().iterator();
+    while (runs.hasNext()) {
+      PeerRun run = runs.next();
+      if (nowNanos - run.expiresNanos() > 0) {
+        runs.remove();
+        count(run.request().head(), -1);
+      }
+    }
+  }
+
+  /** Returns the runs of a request of which peers sent notices that hold. */
+  List<PeerRun> peerRunsOf(RequestFingerprint request, long nowNanos) {
+    if (peerRuns.isEmpty()) {
+      return List.of();
+    }
+    removeExpired(nowNanos);
+    return peerRuns.values().stream().filter(run -> run.request().equals(request)).toList();
+  }
+
+  /** Returns the runs at an engine of which peers sent notices that hold. */
+  List<PeerRun> peerRunsAt(EngineIncarnation engine, long nowNanos) {
+    if (peerRuns.isEmpty()) {
+      return List.of();
+    }
+    removeExpired(nowNanos);
+    return peerRuns.values().stream().filter(run -> run.engine().equals(engine)).toList();
+  }
+
+  // Requests that completed.
+
+  /**
+   * Removes the unresolved runs of a request, and those of peers.
+   *
+   * @return whether there were any
+   */
+  boolean clear(RequestFingerprint request) {
+    List<TrackedRun> own = unresolved.stream().filter(run -> run.isOf(request)).toList();
+    own.forEach(this::remove);
+    List<PeerRun.Key> ofPeers =
+        peerRuns.values().stream()
+            .filter(run -> run.request().equals(request))
+            .map(PeerRun::key)
+            .toList();
+    ofPeers.forEach(this::removePeerRun);
+    return !own.isEmpty() || !ofPeers.isEmpty();
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunNotifier.java
@@ -0,0 +1,73 @@
+package org.baykeel.gateway.quarantine;
+
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.PeerMessage;
+import org.baykeel.gateway.peer.PeerMessageCodec;
+import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.peer.RunPhase;
+import org.baykeel.gateway.runtime.EventLoop;
+
+/** Notifies all peers of runs of this node that are unresolved or that are guarded. */
+final class RunNotifier {
+  private static final long BYTES_PER_SECOND = 65_536;
+  private static final long BURST_BYTES = 262_144;
+  private static final long[] REPEAT_MILLIS = {15, 150};
+
+  /** A claim is followed within this time by a notice of the run, or withdrawn. */
+  private static final long CLAIM_MILLIS = 1_000;
+
+  /** Notices of runs hold for longer than the runs count at this node. */
+  private static final long MARGIN_MILLIS = 3_000;
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final EventLoop eventLoop;
+  private final PeerBroadcast broadcast;
+
+  RunNotifier(
+      PeerDirectory peers, PeerTransport transport, PeerMessageCodec codec, EventLoop eventLoop) {
+    this.eventLoop = eventLoop;
+    this.broadcast =
+        new PeerBroadcast(
+            peers, transport, codec, eventLoop, BYTES_PER_SECOND, BURST_BYTES, REPEAT_MILLIS);
+  }
+
+  /** Sends what is known of a run, unless it changes before a repetition. */
+  void send(TrackedRun run) {
+    run.markAnnounced();
+    RunPhase phase = run.phase();
+    broadcast.sendRepeatedly(() -> run.phase() == phase ? notice(run) : null);
+  }
+
+  /** Sends what is known of a run to a peer that has started. */
+  void sendTo(PeerAddress peer, TrackedRun run) {
+    broadcast.sendTo(peer, notice(run));
+  }
+
+  private PeerMessage notice(TrackedRun run) {
+    long now = eventLoop.nanoTime();
+    return new PeerMessage.EngineRunNotice(
+        run.id(),
+        run.request(),
+        run.incarnation(),
+        run.phase(),
+        (now - run.startedNanos()) / NANOS_PER_MILLI,
+        remainingMillis(run, now));
+  }
+
+  private static long remainingMillis(TrackedRun run, long nowNanos) {
+    long millis = (run.untilNanos() - nowNanos) / NANOS_PER_MILLI;
+    return switch (run.phase()) {
+      case CLAIMED -> CLAIM_MILLIS;
+      case OPEN -> millis + RunTracker.MAX_PROOF_MILLIS + MARGIN_MILLIS;
+      case UNRESOLVED -> millis + MARGIN_MILLIS;
+      case CLOSED -> 0;
+    };
+  }
+
+  /** Returns how many datagrams were not sent because of the limit. */
+  long noticesDropped() {
+    return broadcast.dropped();
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -0,0 +1,377 @@
+package org.baykeel.gateway.quarantine;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineIncarnation;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerMessage;
+import org.baykeel.gateway.peer.QueryIds;
+import org.baykeel.gateway.peer.RunPhase;
+import org.baykeel.gateway.program.RequestFingerprint;
+import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.scheduling.StableHash;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.telemetry.GatewayLog;
+
+/**
+ * Follows the runs of this node's requests at engines beyond the end of their attempts, until it is
+ * proved that the engine no longer runs them, and tells all peers of those that are unresolved.
+ *
+ * <p>Invariants: a run that was sent counts until the engine responds to it, states that it did not
+ * run it, or responds to something else after the time for which it may run it; a run at an engine
+ * that ends or vanishes meanwhile is evidence against its request.
+ */
+final class RunTracker {
+  /** A run whose attempt ended early is unresolved for at most so long before the proof. */
+  private static final long MAX_UNRESOLVED_NANOS = 5_000_000_000L;
+
+  /** Engines cease work at the deadline, but may end a little after it. */
+  private static final long AFTER_DEADLINE_NANOS = 3_000_000_000L;
+
+  /** For so long a proof is awaited from other responses of the engine before it is checked. */
+  private static final long PROOF_MILLIS = 1_500;
+
+  /** The longest time from a deadline until a run is resolved, in milliseconds. */
+  static final long MAX_PROOF_MILLIS = AFTER_DEADLINE_NANOS / 1_000_000 + PROOF_MILLIS;
+
+  /** A claim is decided after this time, in which the claims of other nodes arrive. */
+  private static final long CLAIM_NANOS = 30_000_000L;
+
+  private static final int NODE_BITS = 16;
+  private static final int NODE_MASK = (1 << NODE_BITS) - 1;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** Receives what happens to engines with unresolved runs. */
+  interface Listener {
+    /**
+     * Called when an engine has ended.
+     *
+     * @param endedNanos when it ended, by the event loop's clock
+     * @param requests the requests of this node that it may have been running
+     */
+    void engineEnded(Engine engine, long endedNanos, List<RequestFingerprint> requests);
+
+    /** Called when there is a further reason to guard a request. */
+    void exposureGrew(RequestFingerprint request);
+  }
+
+  private final EngineEndHistory history;
+  private final RunLedger ledger;
+  private final RequestExposure exposure;
+  private final Function<RequestFingerprint, Verdict> evidence;
+  private final EngineEndDetector detector;
+  private final EngineLivenessCheck livenessCheck;
+  private final RunNotifier notifier;
+  private final EventLoop eventLoop;
+  private final GatewayLog log;
+  private final Listener listener;
+  private final QueryIds runIds;
+  private final int nodeBits;
+
+  /**
+   * Creates a tracker without runs.
+   *
+   * @param nodeName distinguishes the runs of nodes that started at the same time
+   * @param evidence returns what the ends of engines alone say of a request
+   */
+  RunTracker(
+      String nodeName,
+      EngineEndHistory history,
+      RunLedger ledger,
+      RequestExposure exposure,
+      Function<RequestFingerprint, Verdict> evidence,
+      EngineEndDetector detector,
+      EngineLivenessCheck livenessCheck,
+      RunNotifier notifier,
+      EventLoop eventLoop,
+      GatewayLog log,
+      Listener listener) {
+    this.history = history;
+    this.ledger = ledger;
+    this.exposure = exposure;
+    this.evidence = evidence;
+    this.detector = detector;
+    this.livenessCheck = livenessCheck;
+    this.notifier = notifier;
+    this.eventLoop = eventLoop;
+    this.log = log;
+    this.listener = listener;
+    this.runIds = new QueryIds(eventLoop);
+    this.nodeBits = StableHash.of(nodeName) & NODE_MASK;
+  }
+
+  private long newId() {
+    return runIds.next() << NODE_BITS | nodeBits;
+  }
+
+  /** Creates a run of a request, which is not sent yet. */
+  EngineRun newRun(RequestFingerprint.Builder work) {
+    return new Run(new TrackedRun(newId(), work, eventLoop.nanoTime()));
+  }
+
+  /** A run as its attempt sees it. */
+  private final class Run implements EngineRun {
+    private TrackedRun run;
+    private long claimedNanos;
+    private boolean claimed;
+
+    Run(TrackedRun run) {
+      this.run = run;
+    }
+
+    @Override
+    public Verdict claim() {
+      RequestFingerprint request = run.request();
+      Verdict found = evidence.apply(request);
+      long now = eventLoop.nanoTime();
+      if (!found.sendable()) {
+        withdraw();
+        return found;
+      }
+      if (claimed) {
+        return now - claimedNanos < CLAIM_NANOS ? Verdict.UNDECIDED : decideClaim(found, now);
+      }
+      if (exposure.exhausted(request, now)) {
+        return Verdict.HELD;
+      }
+      return exposure.guarded(request, now) ? beginClaim(now) : found;
+    }
+
+    private Verdict beginClaim(long now) {
+      claimed = true;
+      claimedNanos = now;
+      ledger.addClaim(run);
+      notifier.send(run);
+      return Verdict.UNDECIDED;
+    }
+
+    private Verdict decideClaim(Verdict found, long now) {
+      if (exposure.exhausted(run, now)) {
+        withdraw();
+        return Verdict.HELD;
+      }
+      return found;
+    }
+
+    @Override
+    public void withdraw() {
+      if (claimed) {
+        claimed = false;
+        ledger.remove(run);
+        notifier.send(run);
+        run = new TrackedRun(newId(), run.request(), eventLoop.nanoTime());
+      }
+    }
+
+    @Override
+    public void sent(Engine engine, long deadlineNanos) {
+      run.sent(engine, deadlineNanos, eventLoop.nanoTime());
+      ledger.addSent(run);
+      if (claimed) {
+        notifier.send(run);
+      }
+    }
+
+    @Override
+    public void closed() {
+      if (ledger.remove(run) && run.announced()) {
+        notifier.send(run);
+      }
+    }
+
+    @Override
+    public void abandoned() {
+      onAbandoned(run);
+    }
+
+    @Override
+    public void connectionLost(Runnable decided) {
+      detector.connectionLost(run.engine(), run.request(), () -> onChecked(decided));
+    }
+
+    private void onChecked(Runnable decided) {
+      EngineEnd end = history.find(run.incarnation());
+      boolean runs = detector.seemsToRun(run.incarnation());
+      if (end != null || runs) {
+        closed();
+      } else {
+        onAbandoned(run);
+      }
+      decided.run();
+    }
+  }
+
+  // Runs whose attempts have ended.
+
+  private void onAbandoned(TrackedRun run) {
+    long now = eventLoop.nanoTime();
+    EngineEnd end = history.find(run.incarnation());
+    if (end != null) {
+      ledger.remove(run);
+      listener.engineEnded(run.engine(), end.endedNanos(), List.of(run.request()));
+      return;
+    }
+    if (history.completedAfter(run.request(), run.startedNanos())) {
+      ledger.remove(run);
+      return;
+    }
+    long ceasesNanos = Math.min(run.untilNanos(), now + MAX_UNRESOLVED_NANOS);
+    run.until(Math.max(ceasesNanos, now) + AFTER_DEADLINE_NANOS);
+    ledger.addUnresolved(run);
+    notifier.send(run);
+    listener.exposureGrew(run.request());
+    scheduleProof(run, now);
+    if (run.engine().removed()) {
+      checkRemoved(run);
+    }
+  }
+
+  private void scheduleProof(TrackedRun run, long nowNanos) {
+    long millis = (run.untilNanos() - nowNanos) / NANOS_PER_MILLI;
+    eventLoop.schedule(millis + PROOF_MILLIS, () -> prove(run));
+  }
+
+  private boolean unresolved(TrackedRun run) {
+    return run.phase() == RunPhase.UNRESOLVED;
+  }
+
+  /** Checks the engine of a run that it should have ceased, and that nothing has proved since. */
+  private void prove(TrackedRun run) {
+    if (unresolved(run)) {
+      livenessCheck.check(run.engine(), liveness -> onProof(run, liveness));
+    }
+  }
+
+  private void onProof(TrackedRun run, EngineLiveness liveness) {
+    if (!unresolved(run)) {
+      return;
+    }
+    boolean planned = run.leftByPlan() || run.engine().record().draining();
+    if (liveness == EngineLiveness.ENDED && !planned) {
+      end(run, eventLoop.nanoTime());
+    } else if (!vanished(run)) {
+      ledger.remove(run);
+    }
+  }
+
+  /** Whether the run counts since its engine vanished, and does so for longer. */
+  private boolean vanished(TrackedRun run) {
+    return run.untilNanos() - eventLoop.nanoTime() > 0;
+  }
+
+  private void end(TrackedRun run, long endedNanos) {
+    ledger.remove(run);
+    listener.engineEnded(run.engine(), endedNanos, List.of(run.request()));
+  }
+
+  /** Records that an engine responded to a request that was sent at a time. */
+  void responded(Engine engine, long sentNanos) {
+    for (TrackedRun run : ledger.unresolvedAt(engine)) {
+      if (sentNanos - run.untilNanos() >= 0) {
+        ledger.remove(run);
+      }
+    }
+  }
+
+  // Engines that ended or vanished.
+
+  /** Handles that an engine is known to have ended. */
+  void engineEnded(EngineIncarnation engine, long endedNanos) {
+    for (TrackedRun run : ledger.unresolvedAt(engine)) {
+      end(run, endedNanos);
+    }
+  }
+
+  /** Returns the requests that an engine may have been running for peers. */
+  List<RequestFingerprint> requestsOfPeers(EngineIncarnation engine) {
+    return ledger.peerRunsAt(engine, eventLoop.nanoTime()).stream().map(PeerRun::request).toList();
+  }
+
+  /** Handles that the entry of an engine is gone. */
+  void engineRemoved(Engine engine) {
+    ledger.unresolvedAt(engine).forEach(this::checkRemoved);
+    long now = eventLoop.nanoTime();
+    if (!engine.record().draining()) {
+      for (PeerRun run : ledger.peerRunsAt(EngineIncarnation.of(engine.record()), now)) {
+        ledger.put(run.expiringAt(now + RequestExposure.END_NANOS), now);
+      }
+    }
+  }
+
+  /**
+   * Checks an engine whose entry is gone: if it responds, it leaves by plan; if not, it vanished
+   * and may have ended under the run.
+   */
+  private void checkRemoved(TrackedRun run) {
+    livenessCheck.check(run.engine(), liveness -> onRemovedChecked(run, liveness));
+  }
+
+  private void onRemovedChecked(TrackedRun run, EngineLiveness liveness) {
+    if (!unresolved(run)) {
+      return;
+    }
+    if (liveness == EngineLiveness.RUNNING) {
+      run.markLeftByPlan();
+    } else if (liveness == EngineLiveness.ENDED && !run.engine().record().draining()) {
+      end(run, eventLoop.nanoTime());
+    } else {
+      vanish(run, liveness);
+    }
+  }
+
+  private void vanish(TrackedRun run, EngineLiveness liveness) {
+    log.write(
+        GatewayEvent.ENGINE_VANISHED,
+        "engine",
+        run.engine().record().id(),
+        "state",
+        liveness.name().toLowerCase(Locale.ROOT),
+        "work",
+        run.request());
+    run.until(eventLoop.nanoTime() + RequestExposure.END_NANOS);
+    notifier.send(run);
+    scheduleProof(run, eventLoop.nanoTime());
+    listener.exposureGrew(run.request());
+  }
+
+  // Runs of peers, and guarded requests.
+
+  /** Notifies peers of the runs in progress of a request that is guarded from now on. */
+  void announceOpen(RequestFingerprint request) {
+    if (exposure.guarded(request, eventLoop.nanoTime())) {
+      for (TrackedRun run : ledger.of(request)) {
+        if (run.phase() == RunPhase.OPEN && !run.announced()) {
+          notifier.send(run);
+        }
+      }
+    }
+  }
+
+  /** Handles a notice of a peer. */
+  void onNotice(PeerAddress sender, PeerMessage.EngineRunNotice notice) {
+    long now = eventLoop.nanoTime();
+    long startedNanos = now - notice.ageMillis() * NANOS_PER_MILLI;
+    PeerRun run =
+        new PeerRun(
+            new PeerRun.Key(sender, notice.runId()),
+            notice.request(),
+            notice.engine(),
+            notice.phase(),
+            startedNanos,
+            now + notice.remainingMillis() * NANOS_PER_MILLI);
+    if (history.completedAfter(notice.request(), startedNanos)) {
+      return;
+    }
+    ledger.put(run, now);
+    if (notice.phase() == RunPhase.UNRESOLVED) {
+      listener.exposureGrew(notice.request());
+    }
+  }
+
+  /** Notifies a peer that has started of the runs that were announced before. */
+  void onPeerStarted(PeerAddress peer) {
+    ledger.announced().forEach(run -> notifier.sendTo(peer, run));
+  }
+}
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/TrackedRun.java
@@ -0,0 +1,120 @@
+package org.baykeel.gateway.quarantine;
+
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineIncarnation;
+import org.baykeel.gateway.peer.RunPhase;
+import org.baykeel.gateway.program.RequestFingerprint;
+
+/** The state of a run that this node began. */
+final class TrackedRun {
+  private final long id;
+  private RequestFingerprint.Builder work;
+  private RequestFingerprint request;
+  private int head;
+  private boolean headKnown;
+  private long startedNanos;
+  private Engine engine;
+  private RunPhase phase = RunPhase.CLAIMED;
+  private long untilNanos;
+  private boolean announced;
+  private boolean leftByPlan;
+
+  TrackedRun(long id, RequestFingerprint.Builder work, long nowNanos) {
+    this.id = id;
+    this.work = work;
+    this.startedNanos = nowNanos;
+  }
+
+  /** Creates a run of a request whose fingerprint is known. */
+  TrackedRun(long id, RequestFingerprint request, long nowNanos) {
+    this.id = id;
+    this.request = request;
+    this.startedNanos = nowNanos;
+  }
+
+  /** Identifies the run among those of this node. */
+  long id() {
+    return id;
+  }
+
+  /** Returns the head of the request's fingerprint. */
+  int head() {
+    if (!headKnown) {
+      headKnown = true;
+      head = request == null ? work.head() : request.head();
+    }
+    return head;
+  }
+
+  RequestFingerprint request() {
+    if (request == null) {
+      request = work.build();
+      work = null;
+    }
+    return request;
+  }
+
+  /** Returns whether the run is one of a request. */
+  boolean isOf(RequestFingerprint other) {
+    return head() == other.head() && request().equals(other);
+  }
+
+  /** Returns when the request was sent, or when the run was created if it was not sent yet. */
+  long startedNanos() {
+    return startedNanos;
+  }
+
+  /** Returns the engine, or null if the request was not sent yet. */
+  Engine engine() {
+    return engine;
+  }
+
+  EngineIncarnation incarnation() {
+    return engine == null ? EngineIncarnation.NONE : EngineIncarnation.of(engine.record());
+  }
+
+  RunPhase phase() {
+    return phase;
+  }
+
+  void sent(Engine newEngine, long deadlineNanos, long nowNanos) {
+    engine = newEngine;
+    startedNanos = nowNanos;
+    phase = RunPhase.OPEN;
+    untilNanos = deadlineNanos;
+  }
+
+  void phase(RunPhase newPhase) {
+    phase = newPhase;
+  }
+
+  /**
+   * Returns until when the engine may run the request, or may be found to have ended under it, by
+   * the event loop's clock.
+   */
+  long untilNanos() {
+    return untilNanos;
+  }
+
+  void until(long nanos) {
+    untilNanos = nanos;
+  }
+
+  /** Whether peers were notified of the run. */
+  boolean announced() {
+    return announced;
+  }
+
+  void markAnnounced() {
+    announced = true;
+  }
+
+  /** Whether the engine responded after its entry had gone, so that it leaves by plan. */
+  boolean leftByPlan() {
+    return leftByPlan;
+  }
+
+  void markLeftByPlan() {
+    leftByPlan = true;
+  }
+}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Verdict.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Verdict.java
@@ -11,6 +11,11 @@
    * report what else these engines ran, and a try that runs elsewhere may complete.
    */
   UNDECIDED(false),
+  /**
+   * Three engines ended while they ran it or may still end under it, and it is not known whether it
+   * is the cause. It must not be sent until fewer of them count, and nothing more is known before.
+   */
+  HELD(false),
   /** It made several engines end and must not be sent to another one. */
   FATAL(false);
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -48,6 +48,8 @@
   REQUEST_CLEARED(364),
   ENGINE_END_WITHDRAWN(365),
   CALL_CUT(366),
+  ENGINE_VANISHED(367),
+  REQUEST_HELD(368),
   FAULT(399);
 
   private final int number;
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/QuarantineNodes.java
@@ -0,0 +1,152 @@
+package org.baykeel.gateway.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDirectory;
+import org.baykeel.gateway.peer.PeerMessageCodec;
+import org.baykeel.gateway.peer.PeerMessageDispatcher;
+import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.program.RequestFingerprint;
+import org.baykeel.gateway.storage.StoreClock;
+import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingPeerNetwork;
+import org.baykeel.gateway.testing.TestingStore;
+import org.baykeel.gateway.topology.Topology;
+
+/** Quarantines of several nodes in virtual time, with one store and one network of datagrams. */
+final class QuarantineNodes {
+  /** The liveness of engines that have not ended. */
+  EngineLiveness livenessOfRunning = EngineLiveness.RUNNING;
+
+  /** The time that a check of an engine takes, in milliseconds. */
+  long checkMillis = 2;
+
+  private final TestingEventLoop eventLoop = new TestingEventLoop();
+  private final TestingStore store = new TestingStore(eventLoop);
+  private final TestingPeerNetwork network = new TestingPeerNetwork(eventLoop);
+  private final Set<String> ended = new HashSet<>();
+  private final List<Node> nodes = new ArrayList<>();
+  private final int engineCount;
+
+  /** Starts nodes that know some engines, named from e0 on. */
+  QuarantineNodes(int nodeCount, int engineCount) {
+    this.engineCount = engineCount;
+    for (int i = 0; i < nodeCount; i++) {
+      nodes.add(new Node(i));
+    }
+    eventLoop.advance(2_000);
+  }
+
+  TestingEventLoop eventLoop() {
+    return eventLoop;
+  }
+
+  TestingStore store() {
+    return store;
+  }
+
+  TestingPeerNetwork network() {
+    return network;
+  }
+
+  /** The identifiers of the engines that have ended. */
+  Set<String> ended() {
+    return ended;
+  }
+
+  List<Node> nodes() {
+    return nodes;
+  }
+
+  /** Replaces a node by a new incarnation, which knows nothing. */
+  Node restart(int number) {
+    nodes.set(number, new Node(number));
+    eventLoop.advance(20);
+    return nodes.get(number);
+  }
+
+  /** One incarnation of a node. */
+  final class Node {
+    private final PeerAddress address;
+    private final EngineDirectory engines = new EngineDirectory(1);
+    private final RequestQuarantine quarantine;
+
+    private Node(int number) {
+      address = new PeerAddress("10.0.0." + number, 7_000);
+      PeerMessageCodec codec = new PeerMessageCodec();
+      PeerTransport transport = network.transportOf(address);
+      StoreClock clock = new StoreClock();
+      clock.observe(eventLoop.nanoTime(), eventLoop.nanoTime(), eventLoop.nanoTime() / 1_000_000);
+      PeerDirectory peers =
+          new PeerDirectory(
+              "n" + number,
+              address,
+              store,
+              eventLoop,
+              transport,
+              codec,
+              Topology.ofOneRegion("z"),
+              (event, fields) -> {});
+      quarantine =
+          new RequestQuarantine(
+              "n" + number,
+              engines,
+              Topology.ofOneRegion("z"),
+              this::check,
+              peers,
+              transport,
+              codec,
+              store,
+              clock,
+              eventLoop,
+              (event, fields) -> {});
+      network.attach(address, new PeerMessageDispatcher(codec, peers, List.of(quarantine)));
+      peers.join();
+      quarantine.start();
+      for (int i = 0; i < engineCount; i++) {
+        engines.put(new EngineRecord("e" + i, "s", "10.0.1." + i, 80, "z", 8, false));
+      }
+    }
+
+    private void check(Engine engine, Consumer<EngineLiveness> answer) {
+      boolean hasEnded = ended.contains(engine.record().id());
+      EngineLiveness liveness = hasEnded ? EngineLiveness.ENDED : livenessOfRunning;
+      eventLoop.schedule(checkMillis, () -> answer.accept(liveness));
+    }
+
+    PeerAddress address() {
+      return address;
+    }
+
+    RequestQuarantine quarantine() {
+      return quarantine;
+    }
+
+    EngineDirectory engines() {
+      return engines;
+    }
+
+    Engine engine(int number) {
+      return engines.find(new EngineId("e" + number));
+    }
+
+    void loseConnection(int engine, RequestFingerprint... requests) {
+      for (RequestFingerprint request : requests) {
+        quarantine.connectionLost(engine(engine), request, () -> {});
+      }
+    }
+
+    /** Returns the verdict on {@link TestRequestQuarantine#FATAL}. */
+    Verdict verdict() {
+      return quarantine.verdict(TestRequestQuarantine.FATAL);
+    }
+  }
+}
