An engine that closes each connection is not an unresolved run

A process that accepts and closes connections runs or is just ending: it has a state of its own, is checked again as before, and holds no request meanwhile.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
@@ -162,7 +162,7 @@
         concluded = true;
         schedule(RECONNECT_MILLIS * connects, () -> connect(engine, connects + 1, answer));
       } else {
-        conclude(EngineLiveness.UNKNOWN);
+        conclude(EngineLiveness.CLOSING);
       }
     }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -99,6 +99,10 @@
           retainForReports();
           repeatAfter(CONFIRMATION_MILLIS, MAX_CONNECTED_CHECKS);
         }
+        case CLOSING -> {
+          retainForReports();
+          repeatAfter(UNKNOWN_RETRY_MILLIS, MAX_UNKNOWN_CHECKS);
+        }
         case UNKNOWN -> repeatAfter(UNKNOWN_RETRY_MILLIS, MAX_UNKNOWN_CHECKS);
         case RUNNING, ACCEPTING -> retainForReports();
       }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineLiveness.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineLiveness.java
@@ -6,6 +6,8 @@
   RUNNING,
   /** It accepts connections, but does not respond within a short time. */
   ACCEPTING,
+  /** It accepts connections and closes them, as a process does that is just ending. */
+  CLOSING,
   /** Connections to it are open, which may be about to close. */
   CONNECTED,
   /** Its address refuses connections, or another engine responds there. */
