Responses of engines are held within limits of bytes

What callers saw: an engine that sent a body without end filled the heap of a node (46 MB of 96 MB when the allocation failed); chunks, interim responses, responses to other requests and an event without end were read until the caller's deadline, with 504.

Cause: nothing that an engine sends after a head had a limit, neither one response nor all together.

An event has 1 MiB, a report of load too; at most 16 responses and 8 MiB that belong to no request come before a response.

The fixture of the gateway's tests allows 64 MiB, since two of them fill sockets with responses of 16 and 32 MiB.

--- a/baykeel-core/src/main/java/org/baykeel/core/error/ErrorKind.java
+++ b/baykeel-core/src/main/java/org/baykeel/core/error/ErrorKind.java
@@ -40,7 +40,8 @@
   STREAM_NOT_RESUMABLE(29, 503, NOT_RUN, RetryAdvice.NEVER, "The stream must start anew."),
   REQUEST_QUARANTINED(30, 400, NOT_RUN, RetryAdvice.NEVER, "Engines ended when they ran it."),
   ENGINES_ENDED(31, 400, RAN, RetryAdvice.NEVER, "Engines ended while they ran it."),
-  REQUEST_HELD(32, 503, NOT_RUN, RetryAdvice.AFTER_DELAY, "Engines may still end under it.");
+  REQUEST_HELD(32, 503, NOT_RUN, RetryAdvice.AFTER_DELAY, "Engines may still end under it."),
+  RESPONSE_TOO_LARGE(33, 502, RAN, RetryAdvice.NEVER, "The response passes a size limit.");
 
   /** What a caller should do with the same request. */
   public enum RetryAdvice {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -72,6 +72,7 @@
   private long retryNotBeforeNanos;
   private boolean anyEngineFull;
   private boolean hasEvents;
+  private boolean responseTooLarge;
   private boolean ended;
 
   AttemptSequence(
@@ -221,6 +222,7 @@
             call.tokensPerEvent(),
             eventLoop,
             context.admission(),
+            context.responseBytes(),
             this);
     long remainingMillis = Math.max(1, (call.deadlineNanos() - now) / 1_000_000);
     attempt.send(
@@ -426,6 +428,10 @@
       attempt.softwareVersion().ifPresent(this::recordBegin);
     }
     owner.onStreamEvent(event);
+    if (attempt != null && relay.outputBytes() > context.responseBytes().responseBytes()) {
+      attempt.cancel();
+      onResponseTooLarge("stream to be stored exceeds the limit of a response");
+    }
   }
 
   private void recordBegin(SoftwareVersion version) {
@@ -480,10 +486,21 @@
 
   @Override
   public void onBroken(String detail) {
+    endUnusable(detail);
+    continueAfterFailure(detail);
+  }
+
+  @Override
+  public void onResponseTooLarge(String detail) {
+    endUnusable(detail);
+    responseTooLarge = true;
+    continueAfterFailure(detail);
+  }
+
+  private void endUnusable(String detail) {
     attempt.engine().failed(eventLoop.nanoTime());
     quarantine.identify();
     endAttempt("broken " + detail, EngineRun::abandoned);
-    continueAfterFailure(detail);
   }
 
   private void continueAfterFailure(String detail) {
@@ -497,8 +514,12 @@
   }
 
   private void failAfterRun(String detail) {
-    boolean repeatable = call.route().repeatable();
-    ErrorKind kind = repeatable ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN;
+    ErrorKind kind = ErrorKind.OUTCOME_UNKNOWN;
+    if (responseTooLarge) {
+      kind = ErrorKind.RESPONSE_TOO_LARGE;
+    } else if (call.route().repeatable()) {
+      kind = ErrorKind.BACKEND_FAILED;
+    }
     owner.onAttemptsFailed(kind, 0, detail);
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -1,9 +1,9 @@
 package org.baykeel.gateway.call;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
 import org.baykeel.gateway.admission.ProgramAdmission;
+import org.baykeel.gateway.buffering.ResponseBytesLimiter;
 import org.baykeel.gateway.buffering.ResponseSource;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.PromptPart;
@@ -18,6 +18,7 @@
  */
 final class EngineAttempt implements EngineTransport.Listener, ResponseSource {
   private static final int MISDIRECTED = 421;
+  private static final int MAX_EVENT_BYTES = 1 << 20;
 
   /** Why an engine did not run a request. */
   enum NotRun {
@@ -30,7 +31,7 @@
   }
 
   /**
-   * Receives the progress and the outcome of the attempt; exactly one of the last five methods ends
+   * Receives the progress and the outcome of the attempt; exactly one of the last six methods ends
    * it.
    */
   interface Owner {
@@ -55,6 +56,9 @@
     /** The engine may have run the request, but its response is unusable. */
     void onBroken(String detail);
 
+    /** The engine may have run the request, but its response exceeds a limit of bytes. */
+    void onResponseTooLarge(String detail);
+
     /** The engine may have run the request, but the connection was lost before a whole response. */
     void onConnectionLost(String detail);
 
@@ -76,7 +80,8 @@
   private final Optional<SoftwareVersion> softwareVersion;
   private EngineTransport.Exchange exchange;
   private ResponseHead head;
-  private ByteArrayOutputStream body;
+  private final ResponseBytesLimiter.Response heldBytes;
+  private ResponseBody body;
   private long lastEventNanos;
   private int events;
   private boolean wasPaused;
@@ -89,6 +94,7 @@
       int tokensPerEvent,
       EventLoop eventLoop,
       ProgramAdmission admission,
+      ResponseBytesLimiter responseBytes,
       Owner owner) {
     this.engine = engine;
     this.prompt = prompt;
@@ -101,6 +107,7 @@
     this.continuation = engine.cachedPrefixes().containsOwnPart(prompt);
     this.startedNanos = eventLoop.nanoTime();
     this.softwareVersion = engine.record().softwareVersion();
+    this.heldBytes = responseBytes.open(engine.record().id(), this::onLimitExceeded);
   }
 
   void send(EngineTransport transport, EngineRequest request) {
@@ -151,6 +158,7 @@
 
   void close() {
     closed = true;
+    heldBytes.close();
     engine.requestEnded(startedNanos);
     endWait();
   }
@@ -178,7 +186,7 @@
     } else if (head.success() && traits.eventStream()) {
       owner.onStreamHead(head);
     } else {
-      body = new ByteArrayOutputStream();
+      body = new ResponseBody();
     }
   }
 
@@ -212,12 +220,26 @@
     }
     owner.onAttemptProgress();
     if (body != null) {
-      body.writeBytes(bytes);
+      body.add(bytes);
+      heldBytes.hold(body.countedBytes());
+      return;
+    }
+    parser.add(bytes, this::onEvent);
+    if (closed) {
+      return;
+    }
+    if (parser.pendingBytes() > MAX_EVENT_BYTES) {
+      onLimitExceeded("event exceeds " + MAX_EVENT_BYTES + " bytes");
     } else {
-      parser.add(bytes, this::onEvent);
+      heldBytes.hold(parser.pendingBytes());
     }
   }
 
+  private void onLimitExceeded(String detail) {
+    exchange.cancel();
+    owner.onResponseTooLarge(detail);
+  }
+
   private void onEvent(StreamEvent event) {
     if (closed) {
       return;
@@ -259,7 +281,7 @@
       if (!wasPaused) {
         engine.performance().observeNonStream((eventLoop.nanoTime() - startedNanos) / 1e6);
       }
-      owner.onWholeResponse(head, body.toByteArray());
+      owner.onWholeResponse(head, body.take());
     } else if (parser.midEvent()) {
       owner.onConnectionLost("stream ended within an event");
     } else {
@@ -282,6 +304,7 @@
       }
       case CONNECTION_LOST -> owner.onConnectionLost(detail);
       case BROKEN -> owner.onBroken(detail);
+      case TOO_LARGE -> owner.onResponseTooLarge(detail);
     }
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
@@ -54,6 +54,8 @@
     /** The connection was lost; the engine may have run the request. */
     CONNECTION_LOST,
     /** The response is unusable; the engine may have run the request. */
-    BROKEN
+    BROKEN,
+    /** The engine sent more bytes than a response may have; it may have run the request. */
+    TOO_LARGE
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EventStreamParser.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EventStreamParser.java
@@ -24,6 +24,11 @@
     pending = start == 0 ? all : Arrays.copyOfRange(all, start, all.length);
   }
 
+  /** The length of the incomplete event that is buffered, in bytes. */
+  public int pendingBytes() {
+    return pending.length;
+  }
+
   /** Whether an incomplete event is buffered. */
   public boolean midEvent() {
     return pending.length > 0;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import org.baykeel.gateway.admission.ProgramAdmission;
 import org.baykeel.gateway.budget.ProgramBudgets;
+import org.baykeel.gateway.buffering.ResponseBytesLimiter;
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.quarantine.Quarantine;
 import org.baykeel.gateway.ratelimit.RequestLimiter;
@@ -31,6 +32,7 @@
  * @param quarantine knows the requests under which engines end
  * @param urgency ranks requests for engines
  * @param transport sends requests to engines
+ * @param responseBytes limits the bytes that are held of incomplete responses
  * @param storeHealth whether this node reaches the store
  * @param log receives one line for each decision
  * @param metrics counts calls
@@ -49,6 +51,7 @@
     Quarantine quarantine,
     Urgency urgency,
     EngineTransport transport,
+    ResponseBytesLimiter responseBytes,
     StoreHealth storeHealth,
     GatewayLog log,
     GatewayMetrics metrics) {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ResponseRelay.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ResponseRelay.java
@@ -146,6 +146,11 @@
     return eventsSent;
   }
 
+  /** The length of the data that is collected for storage, in bytes. */
+  long outputBytes() {
+    return output == null ? 0 : output.size();
+  }
+
   /** The data of the events, a line feed after each. */
   byte[] output() {
     return output.toByteArray();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -39,6 +39,14 @@
   private PendingExchange current;
   private ChannelFuture written;
 
+  /**
+   * The most interim responses, and responses to other requests, before the response to a request.
+   */
+  private static final int MAX_OTHER_RESPONSES = 16;
+
+  /** The most bytes of them; a response to another request may be as large as an own one. */
+  private static final long MAX_OTHER_BYTES = 8 << 20;
+
   /** Whether the responses so far allow another request on this connection. */
   private boolean reusable = true;
 
@@ -59,6 +67,8 @@
   private long idleMillis = DEFAULT_IDLE_MILLIS;
   private long idleUntilNanos;
   private long sentNanos;
+  private int otherResponses;
+  private long otherBytes;
   private String failure = "connection closed before the end of the response";
 
   /**
@@ -140,6 +150,8 @@
     exchange.usedConnections().add(this);
     responseStarted = false;
     readingPaused = false;
+    otherResponses = 0;
+    otherBytes = 0;
     exchange.attach(this, new ConnectionUse(number, ++exchanges));
     sentNanos = System.nanoTime();
     written = channel.writeAndFlush(exchange.request());
@@ -179,6 +191,7 @@
   private void readHead(HttpResponse response) {
     if (response.status().code() < 200) {
       informational = true;
+      countOtherResponse();
       return;
     }
     ResponseTraits traits = translator.responseTraits(response);
@@ -186,6 +199,7 @@
     if (!own && (traits.requestId() != null || reused)) {
       skipping = true;
       reusable = false;
+      countOtherResponse();
       return;
     }
     responseStarted = true;
@@ -198,6 +212,24 @@
             response.status().code(), HopByHopHeaders.copyWithout(response.headers()), traits));
   }
 
+  private void countOtherResponse() {
+    otherResponses++;
+    endBeyondLimits();
+  }
+
+  private void countOtherBytes(int bytes) {
+    otherBytes += bytes;
+    endBeyondLimits();
+  }
+
+  private void endBeyondLimits() {
+    if (otherResponses > MAX_OTHER_RESPONSES || otherBytes > MAX_OTHER_BYTES) {
+      failure = "too many bytes that belong to no request";
+      failCurrent(Failure.TOO_LARGE);
+      close();
+    }
+  }
+
   private void readKeepAlive(String keepAlive) {
     if (keepAlive == null) {
       return;
@@ -216,12 +248,10 @@
 
   private void readContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
-    if (informational) {
-      informational = !last;
-      return;
-    }
-    if (skipping) {
-      skipping = !last;
+    if (informational || skipping) {
+      countOtherBytes(content.content().readableBytes());
+      informational &= !last;
+      skipping &= !last;
       return;
     }
     if (!responseStarted) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpLoadReportClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpLoadReportClient.java
@@ -29,6 +29,7 @@
   private static final long RESPONSE_MILLIS = 100;
 
   private static final int OK = 200;
+  private static final int MAX_REPORT_BYTES = 1 << 20;
 
   /**
    * The lowest status of a temporary failure. An engine that fails or starts responds with such a
@@ -124,7 +125,8 @@
     }
     InetSocketAddress address = new InetSocketAddress(record.host(), record.port());
     PooledHttpClient client =
-        new PooledHttpClient(group, address, "engine", metrics::engineConnectionOpened, log);
+        new PooledHttpClient(
+            group, address, "engine", MAX_REPORT_BYTES, metrics::engineConnectionOpened, log);
     QueriedEngine queried = new QueriedEngine(record, client);
     queriedById.put(record.id(), queried);
     return queried;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
@@ -32,13 +32,14 @@
 /** An HTTP client for one address with pooled connections, one request at a time on each. */
 public final class PooledHttpClient implements StoreClient {
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
-  private static final int MAX_RESPONSE_BYTES = 16 << 20;
+  private static final int MAX_STORE_RESPONSE_BYTES = 16 << 20;
   private static final int MAX_IDLE = 8;
   private static final long MAX_IDLE_NANOS = 5_000_000_000L;
 
   private final EventLoopGroup group;
   private final InetSocketAddress address;
   private final String kind;
+  private final int maxResponseBytes;
   private final Runnable onConnect;
   private final GatewayLog log;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
@@ -50,24 +51,27 @@
    * @param address the only address that it connects to
    */
   public PooledHttpClient(EventLoopGroup group, InetSocketAddress address, GatewayLog log) {
-    this(group, address, "store", () -> {}, log);
+    this(group, address, "store", MAX_STORE_RESPONSE_BYTES, () -> {}, log);
   }
 
   /**
    * Creates a client without connections.
    *
    * @param kind the kind of server, for log lines
+   * @param maxResponseBytes the length beyond which a response is given up
    * @param onConnect runs for each connection that is opened
    */
   PooledHttpClient(
       EventLoopGroup group,
       InetSocketAddress address,
       String kind,
+      int maxResponseBytes,
       Runnable onConnect,
       GatewayLog log) {
     this.group = group;
     this.address = address;
     this.kind = kind;
+    this.maxResponseBytes = maxResponseBytes;
     this.onConnect = onConnect;
     this.log = log;
   }
@@ -130,7 +134,7 @@
                 channel
                     .pipeline()
                     .addLast(new HttpClientCodec())
-                    .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+                    .addLast(new HttpObjectAggregator(maxResponseBytes))
                     .addLast(connection);
               }
             })
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
@@ -6,6 +6,7 @@
 import org.baykeel.gateway.budget.GrantIds;
 import org.baykeel.gateway.budget.GrantSource;
 import org.baykeel.gateway.budget.ProgramBudgets;
+import org.baykeel.gateway.buffering.ResponseBytesLimiter;
 import org.baykeel.gateway.call.EngineTransport;
 import org.baykeel.gateway.call.GatewayContext;
 import org.baykeel.gateway.call.GatewayState;
@@ -29,6 +30,10 @@
  * that it is about.
  */
 public final class TestingContext {
+  /** As for a node whose heap holds the large responses by which tests fill sockets. */
+  private static final ResponseBytesLimiter.Bounds RESPONSES =
+      new ResponseBytesLimiter.Bounds(64 << 20, 64 << 20, 64 << 20);
+
   private static final long HISTORY_CACHE_BYTES = 1 << 20;
 
   private final EventLoop eventLoop;
@@ -139,6 +144,7 @@
         quarantine,
         urgency,
         transport,
+        new ResponseBytesLimiter(RESPONSES),
         storeHealth,
         (event, fields) -> {},
         new GatewayMetrics());
