Versions of streams outlive all nodes

The records of streams lived in the memory of nodes only.

A resumption for which no node has a record reads the rows of all nodes once. A stream that began after the last write stays unknown and is refused, so no version is guessed. The codec of rows with several messages is shared with EngineEndTable (StampedParts).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
@@ -1,7 +1,5 @@
 package org.baykeel.gateway.quarantine;
 
-import java.nio.BufferUnderflowException;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -18,6 +16,7 @@
 import org.baykeel.gateway.storage.RangeRead;
 import org.baykeel.gateway.storage.ReadOutcome;
 import org.baykeel.gateway.storage.RowAddress;
+import org.baykeel.gateway.storage.StampedParts;
 import org.baykeel.gateway.storage.StoreClock;
 import org.baykeel.gateway.storage.StoredRow;
 import org.baykeel.gateway.storage.Transaction;
@@ -32,8 +31,6 @@
  */
 final class EngineEndTable {
   private static final String TABLE = "engine-end";
-  private static final byte FORMAT = 1;
-  private static final int HEADER_BYTES = 1 + Long.BYTES;
   private static final int PAGE_ROWS = 500;
   private static final int MAX_ENDS = 32;
 
@@ -164,21 +161,16 @@
 
   private byte[] encode(long nowNanos) {
     List<byte[]> notices = new ArrayList<>();
-    int bytes = HEADER_BYTES;
     for (Map.Entry<EngineIncarnation, OwnEnd> end : ownEnds.entrySet()) {
       List<RequestFingerprint> requests = end.getValue().requests();
       int count = Math.min(requests.size(), EngineEndCodec.MAX_REQUESTS);
       long ageMillis = (nowNanos - end.getValue().endedNanos()) / NANOS_PER_MILLI;
-      byte[] notice =
+      notices.add(
           codec.encode(
-              new PeerMessage.EngineEndNotice(end.getKey(), ageMillis, requests.subList(0, count)));
-      notices.add(notice);
-      bytes += Short.BYTES + notice.length;
+              new PeerMessage.EngineEndNotice(
+                  end.getKey(), ageMillis, requests.subList(0, count))));
     }
-    ByteBuffer row = ByteBuffer.allocate(bytes);
-    row.put(FORMAT).putLong(clock.earliestStoreMillis(nowNanos));
-    notices.forEach(notice -> row.putShort((short) notice.length).put(notice));
-    return row.array();
+    return new StampedParts(clock.earliestStoreMillis(nowNanos), notices).encode();
   }
 
   private void read(String fromKey) {
@@ -200,40 +192,29 @@
 
   private void adopt(StoredRow row) {
     boolean ofEarlierIncarnation = !loaded && row.address().key().equals(ownRow.key());
-    for (PeerMessage.EngineEndNotice notice : decode(row)) {
-      long endedNanos = endedNanos(row, notice);
-      if (ofEarlierIncarnation) {
-        ownEnds.putIfAbsent(notice.engine(), new OwnEnd(endedNanos, notice.requests()));
-      }
-      listener.endRead(notice.engine(), endedNanos, notice.requests());
-    }
-  }
-
-  private long endedNanos(StoredRow row, PeerMessage.EngineEndNotice notice) {
-    long writtenStoreMillis = ByteBuffer.wrap(row.value()).getLong(1);
-    return clock.earliestNanos(writtenStoreMillis - notice.ageMillis());
-  }
-
-  private List<PeerMessage.EngineEndNotice> decode(StoredRow row) {
-    List<PeerMessage.EngineEndNotice> notices = new ArrayList<>();
-    ByteBuffer bytes = ByteBuffer.wrap(row.value());
+    StampedParts notices;
     try {
-      if (bytes.get() != FORMAT) {
-        return notices;
-      }
-      bytes.getLong();
-      while (bytes.hasRemaining()) {
-        byte[] notice = new byte[bytes.getShort()];
-        bytes.get(notice);
-        codec
-            .decode(notice)
-            .filter(PeerMessage.EngineEndNotice.class::isInstance)
-            .ifPresent(message -> notices.add((PeerMessage.EngineEndNotice) message));
-      }
-    } catch (BufferUnderflowException | NegativeArraySizeException e) {
+      notices = StampedParts.decode(row.value());
+    } catch (IllegalArgumentException e) {
       log.write(
           GatewayEvent.FAULT, "where", "engine end row", "key", row.address().key(), "error", e);
+      return;
+    }
+    for (byte[] datagram : notices.parts()) {
+      codec
+          .decode(datagram)
+          .filter(PeerMessage.EngineEndNotice.class::isInstance)
+          .map(PeerMessage.EngineEndNotice.class::cast)
+          .ifPresent(notice -> adopt(notice, notices.storeMillis(), ofEarlierIncarnation));
+    }
+  }
+
+  private void adopt(
+      PeerMessage.EngineEndNotice notice, long writtenStoreMillis, boolean ofEarlierIncarnation) {
+    long endedNanos = clock.earliestNanos(writtenStoreMillis - notice.ageMillis());
+    if (ofEarlierIncarnation) {
+      ownEnds.putIfAbsent(notice.engine(), new OwnEnd(endedNanos, notice.requests()));
     }
-    return notices;
+    listener.endRead(notice.engine(), endedNanos, notice.requests());
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionDirectory.java
@@ -22,6 +22,7 @@
 import org.baykeel.gateway.peer.PeerTransport;
 import org.baykeel.gateway.peer.StreamVersionEvidence;
 import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.storage.DurableStore;
 import org.baykeel.gateway.storage.TableFreshness;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
@@ -32,7 +33,8 @@
  *
  * <p>While a service has had a single version for longer than a stream can last, that version is
  * the answer, and no message is sent to peers. Otherwise the node at which a stream begins sends
- * its version to the stream's registrars, and the node at which it is resumed queries them.
+ * its version to the stream's registrars, and the node at which it is resumed queries them. It also
+ * writes the versions of its streams to the store, for the loss of all nodes.
  *
  * <p>Invariant: a version is found only if a record of the stream gives it, or if the engines that
  * this node or its peers have seen since before the stream can have begun had no other. Lost
@@ -62,10 +64,12 @@
   private final LongSupplier longestRequestMillis;
   private final GatewayLog log;
   private final StreamVersionRecords records = new StreamVersionRecords();
+  private final StreamVersionTable table;
 
   /**
    * Creates a directory without records.
    *
+   * @param nodeName the name of this node, the key of its row in the store
    * @param serviceVersions the versions that this node has seen engines have
    * @param engineEntries proves that this node knows all engines
    * @param storeFailedRecently returns whether the store may still answer from an old state
@@ -74,9 +78,11 @@
    *     request whose stream may be resumed
    */
   public StreamVersionDirectory(
+      String nodeName,
       ServiceVersions serviceVersions,
       TableFreshness engineEntries,
       BooleanSupplier storeFailedRecently,
+      DurableStore store,
       PeerDirectory peers,
       PeerTransport transport,
       PeerMessageCodec codec,
@@ -95,6 +101,17 @@
     this.eventLoop = eventLoop;
     this.longestRequestMillis = longestRequestMillis;
     this.log = log;
+    this.table =
+        new StreamVersionTable(
+            nodeName,
+            store,
+            codec,
+            eventLoop,
+            () -> peers.peers().size(),
+            records::ownInProgress,
+            stream ->
+                records.addFromPeer(stream.requestId(), stream.version(), eventLoop.nanoTime()),
+            log);
     serviceVersions.onChange(this::sendAmbiguous);
   }
 
@@ -128,12 +145,13 @@
     if (onlyVersion(service).isEmpty()) {
       records.markSent(requestId);
       notifier.send(List.of(new PeerMessage.StreamVersion(requestId, version)));
+      table.changed();
     }
   }
 
   @Override
   public void recordComplete(String requestId) {
-    records.markSent(requestId);
+    records.markComplete(requestId);
   }
 
   /** Sends the streams that began while their service had a single version, once it has others. */
@@ -148,6 +166,9 @@
       }
     }
     notifier.send(ambiguous);
+    if (!ambiguous.isEmpty()) {
+      table.changed();
+    }
   }
 
   // Streams that are resumed at this node.
@@ -213,11 +234,31 @@
     if (agreed && candidates.size() == 1) {
       Optional<SoftwareVersion> only = Optional.of(candidates.iterator().next());
       conclude(stream, VersionSource.ONLY_VERSION_OF_PEERS, only, started, answer);
-    } else {
+    } else if (stream.firstRequestId() == null) {
       conclude(stream, VersionSource.NONE, Optional.empty(), started, answer);
+    } else {
+      readRows(stream, started, answer);
     }
   }
 
+  /** Reads the rows of all nodes, which have what nodes knew that were lost together. */
+  private void readRows(
+      BrokenStream stream, long started, Consumer<Optional<SoftwareVersion>> answer) {
+    boolean[] concluded = new boolean[1];
+    Runnable onRead =
+        () -> {
+          if (!concluded[0]) {
+            concluded[0] = true;
+            Optional<SoftwareVersion> stored = record(stream.firstRequestId());
+            VersionSource source =
+                stored.isPresent() ? VersionSource.STORED_RECORD : VersionSource.NONE;
+            conclude(stream, source, stored, started, answer);
+          }
+        };
+    table.read(onRead);
+    eventLoop.schedule(FRESHNESS_TIMEOUT_MILLIS, onRead);
+  }
+
   private void conclude(
       BrokenStream stream,
       VersionSource source,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionRecords.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionRecords.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.baykeel.gateway.directory.SoftwareVersion;
+import org.baykeel.gateway.peer.PeerMessage;
 
 /**
  * The software versions of recent streams, both of those that began at this node and of those that
@@ -23,14 +24,19 @@
     private final SoftwareVersion version;
     private final long recordedNanos;
 
+    private final boolean own;
+
     /** Whether other nodes are still to be notified if the version becomes ambiguous. */
     private boolean unsent;
 
-    Entry(String service, SoftwareVersion version, long recordedNanos, boolean unsent) {
+    private boolean complete;
+
+    Entry(String service, SoftwareVersion version, long recordedNanos, boolean own) {
       this.service = service;
       this.version = version;
       this.recordedNanos = recordedNanos;
-      this.unsent = unsent;
+      this.own = own;
+      this.unsent = own;
     }
   }
 
@@ -59,6 +65,27 @@
     }
   }
 
+  /** Records that a stream is complete. */
+  void markComplete(String requestId) {
+    Entry entry = entries.get(requestId);
+    if (entry != null) {
+      entry.complete = true;
+      entry.unsent = false;
+    }
+  }
+
+  /** Returns the streams that began at this node, of which peers know, and that may go on. */
+  List<PeerMessage.StreamVersion> ownInProgress() {
+    List<PeerMessage.StreamVersion> streams = new ArrayList<>();
+    entries.forEach(
+        (requestId, entry) -> {
+          if (entry.own && !entry.unsent && !entry.complete) {
+            streams.add(new PeerMessage.StreamVersion(requestId, entry.version));
+          }
+        });
+    return streams;
+  }
+
   /** Returns the version of a stream recorded within a time until now. */
   Optional<SoftwareVersion> find(String requestId, long windowNanos, long nowNanos) {
     return Optional.ofNullable(entries.get(requestId))
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/VersionSource.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/VersionSource.java
@@ -6,6 +6,8 @@
   OWN_RECORD,
   /** The record of a peer. */
   PEER_RECORD,
+  /** The row of a node that has restarted since. */
+  STORED_RECORD,
   /** The engines that this node has seen, and the store's newest state. */
   ONLY_VERSION,
   /** The engines that peers have seen. */
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/resumption/TestStreamVersionDirectory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/resumption/TestStreamVersionDirectory.java
@@ -74,9 +74,11 @@
               (event, fields) -> {});
       versions =
           new StreamVersionDirectory(
+              "n" + number,
               engines.versions(),
               freshness,
               () -> storeFailedRecently,
+              store,
               peers,
               transport,
               codec,
@@ -262,6 +264,41 @@
     assertEquals(found, node(1).find("r"));
   }
 
+  /** Guards against the refusal of all resumptions after a loss of all nodes. */
+  @Test
+  void streamsThatBeganWhileSeveralVersionsServedAreFoundAfterRestartOfAllNodes() {
+    startNewEngine();
+    beginStreams(node(0));
+    beginStreams(node(1));
+    eventLoop.advance(500);
+    restartAll(engine("e-old", OLD), engine("e-new", NEW));
+    assertEquals(STREAMS, continued(node(2)));
+  }
+
+  @Test
+  void streamsInProgressWhenAnotherVersionStartedAreFoundAfterRestartOfAllNodes() {
+    beginStreams(node(0));
+    startNewEngine();
+    eventLoop.advance(500);
+    restartAll(engine("e-new", NEW));
+    eventLoop.advance(2_000);
+    assertEquals(STREAMS, continued(node(2)));
+  }
+
+  /** The node's first write after its restart must not replace what it wrote before. */
+  @Test
+  void rowOfEarlierIncarnationIsKept() {
+    startNewEngine();
+    beginStreams(node(0));
+    eventLoop.advance(500);
+    restartAll(engine("e-old", OLD), engine("e-new", NEW));
+    node(0).begin("after", NEW);
+    eventLoop.advance(500);
+    restartAll(engine("e-old", OLD), engine("e-new", NEW));
+    assertEquals(STREAMS, continued(node(2)));
+    assertEquals(NEW, node(3).find("after"));
+  }
+
   @Test
   void streamThatBeginsAfterRestartOfAllNodesIsFound() {
     restartAll(engine("e-old", OLD), engine("e-new", NEW));
