Nodes that start learn of ends and unresolved runs at once

Runs are identified without the address of their node, so that rows and notices of one run are one.

Two new tests of TestEngineRuns.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndNotifier.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndNotifier.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.peer.EngineEndCodec;
+import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerDirectory;
 import org.baykeel.gateway.peer.PeerMessage;
 import org.baykeel.gateway.peer.PeerMessageCodec;
@@ -21,7 +22,9 @@
 final class EngineEndNotifier {
   private static final long BYTES_PER_SECOND = 8_192;
   private static final long BURST_BYTES = 131_072;
-  private static final long[] REPEAT_MILLIS = {100, 1_000};
+
+  /** The later ones reach nodes that were restarting before. */
+  private static final long[] REPEAT_MILLIS = {50, 150, 400, 1_000, 2_500, 5_000};
 
   /** Requests that complete within this time are reported together. */
   private static final long CLEARANCE_DELAY_MILLIS = 20;
@@ -53,6 +56,13 @@
     }
   }
 
+  /** Sends the end of an engine to a peer that has started. */
+  void sendEndTo(
+      PeerAddress peer, EngineIncarnation engine, long endedNanos, List<RequestFingerprint> part) {
+    long ageMillis = (eventLoop.nanoTime() - endedNanos) / NANOS_PER_MILLI;
+    broadcast.sendTo(peer, new PeerMessage.EngineEndNotice(engine, ageMillis, part));
+  }
+
   /** Sends that an engine has not ended. */
   void sendWithdrawal(EngineIncarnation engine) {
     broadcast.sendRepeatedly(() -> new PeerMessage.EngineEndWithdrawal(engine));
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
@@ -1,11 +1,13 @@
 package org.baykeel.gateway.quarantine;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.peer.EngineEndCodec;
 import org.baykeel.gateway.peer.PeerMessage;
@@ -25,9 +27,10 @@
 import org.baykeel.gateway.telemetry.GatewayLog;
 
 /**
- * Keeps the ends that this node observed in a row of its own in the store, and reads the rows of
- * all nodes on start and after each write. So evidence outlives the nodes, and a node that does not
- * receive the notices of its peers learns it when it observes an end itself.
+ * Keeps the ends that this node observed, and its unresolved runs of guarded requests, in a row of
+ * its own in the store, and reads the rows of all nodes on start and after each write. So evidence
+ * outlives the nodes, and a node that does not receive the notices of its peers learns it when it
+ * observes an end itself.
  */
 final class EngineEndTable {
   private static final String TABLE = "engine-end";
@@ -35,7 +38,7 @@
   private static final int MAX_ENDS = 32;
 
   /** Ends within this time are written together. */
-  private static final long WRITE_DELAY_MILLIS = 200;
+  private static final long WRITE_DELAY_MILLIS = 20;
 
   private static final long RETRY_MILLIS = 1_000;
   private static final long NANOS_PER_MILLI = 1_000_000;
@@ -48,10 +51,17 @@
      * @param endedNanos when the engine ended, by the event loop's clock
      */
     void endRead(EngineIncarnation engine, long endedNanos, List<RequestFingerprint> requests);
+
+    /**
+     * Called for each run that was read.
+     *
+     * @param writtenNanos when the row was written, by the event loop's clock
+     */
+    void runRead(PeerMessage.EngineRunNotice run, long writtenNanos);
   }
 
   /** An end that this node observed. */
-  private record OwnEnd(long endedNanos, List<RequestFingerprint> requests) {}
+  record OwnEnd(long endedNanos, List<RequestFingerprint> requests) {}
 
   private final RowAddress ownRow;
   private final DurableStore store;
@@ -59,6 +69,7 @@
   private final PeerMessageCodec codec;
   private final EventLoop eventLoop;
   private final GatewayLog log;
+  private final Supplier<List<PeerMessage.EngineRunNotice>> unresolvedRuns;
   private final Listener listener;
   private final Map<EngineIncarnation, OwnEnd> ownEnds = new LinkedHashMap<>();
   private boolean loaded;
@@ -69,6 +80,7 @@
    *
    * @param nodeName the name of this node, which is the key of its row
    * @param clock converts times of the store
+   * @param unresolvedRuns returns the runs of this node that its row should have
    */
   EngineEndTable(
       String nodeName,
@@ -77,6 +89,7 @@
       PeerMessageCodec codec,
       EventLoop eventLoop,
       GatewayLog log,
+      Supplier<List<PeerMessage.EngineRunNotice>> unresolvedRuns,
       Listener listener) {
     this.ownRow = new RowAddress(TABLE, "", nodeName);
     this.store = store;
@@ -84,6 +97,7 @@
     this.codec = codec;
     this.eventLoop = eventLoop;
     this.log = log;
+    this.unresolvedRuns = unresolvedRuns;
     this.listener = listener;
   }
 
@@ -107,6 +121,11 @@
     return new OwnEnd(Math.min(one.endedNanos(), other.endedNanos()), List.copyOf(requests));
   }
 
+  /** Writes the row soon, since there are further unresolved runs. */
+  void changed() {
+    scheduleWrite(WRITE_DELAY_MILLIS);
+  }
+
   /** Removes an end that has proved wrong. */
   void withdraw(EngineIncarnation engine) {
     if (ownEnds.remove(engine) != null) {
@@ -114,6 +133,11 @@
     }
   }
 
+  /** Returns the engines that ended, with the requests of this node that they ran. */
+  Map<EngineIncarnation, OwnEnd> ownEnds() {
+    return Collections.unmodifiableMap(ownEnds);
+  }
+
   private void scheduleWrite(long millis) {
     if (!writeScheduled) {
       writeScheduled = true;
@@ -130,11 +154,12 @@
     writeScheduled = false;
     long now = eventLoop.nanoTime();
     ownEnds.values().removeIf(end -> expired(end, now));
+    List<PeerMessage.EngineRunNotice> runs = unresolvedRuns.get();
     Transaction transaction =
-        ownEnds.isEmpty()
+        ownEnds.isEmpty() && runs.isEmpty()
             ? new Transaction(List.of(), List.of(), List.of(ownRow))
             : new Transaction(
-                List.of(), List.of(new Transaction.Put(ownRow, encode(now))), List.of());
+                List.of(), List.of(new Transaction.Put(ownRow, encode(runs, now))), List.of());
     store.transact(transaction, this::onWritten);
   }
 
@@ -159,7 +184,7 @@
     }
   }
 
-  private byte[] encode(long nowNanos) {
+  private byte[] encode(List<PeerMessage.EngineRunNotice> runs, long nowNanos) {
     List<byte[]> notices = new ArrayList<>();
     for (Map.Entry<EngineIncarnation, OwnEnd> end : ownEnds.entrySet()) {
       List<RequestFingerprint> requests = end.getValue().requests();
@@ -170,6 +195,7 @@
               new PeerMessage.EngineEndNotice(
                   end.getKey(), ageMillis, requests.subList(0, count))));
     }
+    runs.forEach(run -> notices.add(codec.encode(run)));
     return new StampedParts(clock.earliestStoreMillis(nowNanos), notices).encode();
   }
 
@@ -203,9 +229,15 @@
     for (byte[] datagram : notices.parts()) {
       codec
           .decode(datagram)
-          .filter(PeerMessage.EngineEndNotice.class::isInstance)
-          .map(PeerMessage.EngineEndNotice.class::cast)
-          .ifPresent(notice -> adopt(notice, notices.storeMillis(), ofEarlierIncarnation));
+          .ifPresent(message -> adopt(message, notices.storeMillis(), ofEarlierIncarnation));
+    }
+  }
+
+  private void adopt(PeerMessage message, long writtenStoreMillis, boolean ofEarlierIncarnation) {
+    if (message instanceof PeerMessage.EngineEndNotice notice) {
+      adopt(notice, writtenStoreMillis, ofEarlierIncarnation);
+    } else if (message instanceof PeerMessage.EngineRunNotice run) {
+      listener.runRead(run, clock.earliestNanos(writtenStoreMillis));
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
@@ -1,30 +1,26 @@
 package org.baykeel.gateway.quarantine;
 
 import org.baykeel.gateway.directory.EngineIncarnation;
-import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.RunPhase;
 import org.baykeel.gateway.program.RequestFingerprint;
 
 /**
- * A run of which a peer sent a notice.
+ * A run of another node, or of an earlier incarnation of this one, of which there was a notice.
  *
- * @param key identifies the run
+ * @param id identifies the run among those of all nodes
  * @param engine the engine; that of {@link EngineIncarnation#NONE} while the run is a claim
  * @param startedNanos when it began, by the event loop's clock
  * @param expiresNanos until when the notice holds, by the event loop's clock
  */
 record PeerRun(
-    Key key,
+    long id,
     RequestFingerprint request,
     EngineIncarnation engine,
     RunPhase phase,
     long startedNanos,
     long expiresNanos) {
 
-  /** Identifies a run among those of all peers. */
-  record Key(PeerAddress owner, long runId) {}
-
   PeerRun expiringAt(long nanos) {
-    return new PeerRun(key, request, engine, phase, startedNanos, nanos);
+    return new PeerRun(id, request, engine, phase, startedNanos, nanos);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -139,7 +139,7 @@
     for (PeerRun run : ofPeers) {
       if (run.phase() == RunPhase.OPEN) {
         count.add(run.engine(), nowNanos + OPEN_NANOS);
-      } else if (run.phase() == RunPhase.CLAIMED && precedes(run.key().runId(), claim)) {
+      } else if (run.phase() == RunPhase.CLAIMED && precedes(run.id(), claim)) {
         count.addClaim(nowNanos + OPEN_NANOS);
       }
     }
@@ -147,6 +147,6 @@
 
   /** All nodes order claims in the same way, so that one of several claims precedes all others. */
   private static boolean precedes(long runId, TrackedRun claim) {
-    return claim == null || runId < claim.id();
+    return claim == null || runId - claim.id() < 0;
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -9,6 +9,7 @@
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineIncarnation;
+import org.baykeel.gateway.peer.EngineEndCodec;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerDirectory;
 import org.baykeel.gateway.peer.PeerMessage;
@@ -128,7 +129,22 @@
             codec,
             eventLoop,
             log,
-            (engine, endedNanos, requests) -> add(engine, endedNanos, requests, Source.STORE));
+            runs::noticesToKeep,
+            new TableListener());
+  }
+
+  /** Adopts what the rows of all nodes have. */
+  private final class TableListener implements EngineEndTable.Listener {
+    @Override
+    public void endRead(
+        EngineIncarnation engine, long endedNanos, List<RequestFingerprint> requests) {
+      add(engine, endedNanos, requests, Source.STORE);
+    }
+
+    @Override
+    public void runRead(PeerMessage.EngineRunNotice run, long writtenNanos) {
+      runs.onNotice(run, writtenNanos);
+    }
   }
 
   /** Adopts what the unresolved runs of this node show. */
@@ -141,6 +157,9 @@
     @Override
     public void exposureGrew(RequestFingerprint request) {
       runs.announceOpen(request);
+      if (exposure.guarded(request, eventLoop.nanoTime())) {
+        table.changed();
+      }
     }
   }
 
@@ -245,6 +264,17 @@
     runs.engineEnded(engine, endedNanos);
   }
 
+  private void sendEndsTo(PeerAddress peer) {
+    table
+        .ownEnds()
+        .forEach(
+            (engine, end) -> {
+              int count = Math.min(EngineEndCodec.MAX_REQUESTS, end.requests().size());
+              List<RequestFingerprint> part = end.requests().subList(0, count);
+              notifier.sendEndTo(peer, engine, end.endedNanos(), part);
+            });
+  }
+
   /** Handles that an engine has ended, according to a peer or to its new entry. */
   private void onEndReported(EngineIncarnation engine, long endedNanos) {
     detector.endReported(engine);
@@ -340,9 +370,10 @@
     } else if (message instanceof PeerMessage.RequestClearance clearance) {
       clearance.requests().forEach(this::clear);
     } else if (message instanceof PeerMessage.EngineRunNotice notice) {
-      runs.onNotice(sender, notice);
+      runs.onNotice(notice, eventLoop.nanoTime());
     } else if (message instanceof PeerMessage.NodeAnnouncement) {
       runs.onPeerStarted(sender);
+      sendEndsTo(sender);
     }
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
@@ -25,7 +25,7 @@
   private final Map<Engine, Set<TrackedRun>> ownByEngine = new IdentityHashMap<>();
   private final Set<TrackedRun> claims = new LinkedHashSet<>();
   private final Set<TrackedRun> unresolved = new LinkedHashSet<>();
-  private final Map<PeerRun.Key, PeerRun> peerRuns = new LinkedHashMap<>();
+  private final Map<Long, PeerRun> peerRuns = new LinkedHashMap<>();
 
   /** How many announced or unresolved runs have a certain head of their request's fingerprint. */
   private final Map<Integer, Integer> heads = new HashMap<>();
@@ -119,6 +119,11 @@
     }
   }
 
+  /** Returns the unresolved runs. */
+  List<TrackedRun> unresolved() {
+    return List.copyOf(unresolved);
+  }
+
   /** Returns the runs of which peers were notified. */
   List<TrackedRun> announced() {
     List<TrackedRun> announced = new ArrayList<>();
@@ -132,21 +137,21 @@
   /** Adds a run of a peer, or replaces what was known of it. */
   void put(PeerRun run, long nowNanos) {
     removeExpired(nowNanos);
-    PeerRun previous = peerRuns.remove(run.key());
+    PeerRun previous = peerRuns.remove(run.id());
     if (previous != null) {
       count(previous.request().head(), -1);
     }
     if (run.phase() != RunPhase.CLOSED) {
-      peerRuns.put(run.key(), run);
+      peerRuns.put(run.id(), run);
       count(run.request().head(), 1);
     }
     if (peerRuns.size() > MAX_PEER_RUNS) {
-      removePeerRun(peerRuns.values().iterator().next().key());
+      removePeerRun(peerRuns.values().iterator().next().id());
     }
   }
 
-  private void removePeerRun(PeerRun.Key key) {
-    PeerRun removed = peerRuns.remove(key);
+  private void removePeerRun(long id) {
+    PeerRun removed = peerRuns.remove(id);
     if (removed != null) {
       count(removed.request().head(), -1);
     }
@@ -172,6 +177,12 @@
     return peerRuns.values().stream().filter(run -> run.request().equals(request)).toList();
   }
 
+  /** Returns all runs of which notices hold. */
+  List<PeerRun> peerRuns(long nowNanos) {
+    removeExpired(nowNanos);
+    return List.copyOf(peerRuns.values());
+  }
+
   /** Returns the runs at an engine of which peers sent notices that hold. */
   List<PeerRun> peerRunsAt(EngineIncarnation engine, long nowNanos) {
     if (peerRuns.isEmpty()) {
@@ -191,10 +202,10 @@
   boolean clear(RequestFingerprint request) {
     List<TrackedRun> own = unresolved.stream().filter(run -> run.isOf(request)).toList();
     own.forEach(this::remove);
-    List<PeerRun.Key> ofPeers =
+    List<Long> ofPeers =
         peerRuns.values().stream()
             .filter(run -> run.request().equals(request))
-            .map(PeerRun::key)
+            .map(PeerRun::id)
             .toList();
     ofPeers.forEach(this::removePeerRun);
     return !own.isEmpty() || !ofPeers.isEmpty();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunNotifier.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunNotifier.java
@@ -12,7 +12,7 @@
 final class RunNotifier {
   private static final long BYTES_PER_SECOND = 65_536;
   private static final long BURST_BYTES = 262_144;
-  private static final long[] REPEAT_MILLIS = {15, 150};
+  private static final long[] REPEAT_MILLIS = {15, 150, 600, 2_000};
 
   /** A claim is followed within this time by a notice of the run, or withdrawn. */
   private static final long CLAIM_MILLIS = 1_000;
@@ -45,7 +45,22 @@
     broadcast.sendTo(peer, notice(run));
   }
 
-  private PeerMessage notice(TrackedRun run) {
+  /** Passes the notice of another node on to a peer that has started. */
+  void sendTo(PeerAddress peer, PeerRun run) {
+    long now = eventLoop.nanoTime();
+    broadcast.sendTo(
+        peer,
+        new PeerMessage.EngineRunNotice(
+            run.id(),
+            run.request(),
+            run.engine(),
+            run.phase(),
+            (now - run.startedNanos()) / NANOS_PER_MILLI,
+            (run.expiresNanos() - now) / NANOS_PER_MILLI));
+  }
+
+  /** Returns what is known of a run now. */
+  PeerMessage.EngineRunNotice notice(TrackedRun run) {
     long now = eventLoop.nanoTime();
     return new PeerMessage.EngineRunNotice(
         run.id(),
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -39,6 +39,12 @@
   /** A claim is decided after this time, in which the claims of other nodes arrive. */
   private static final long CLAIM_NANOS = 30_000_000L;
 
+  /** The most runs of other nodes that are passed on to a peer that has started. */
+  private static final int MAX_PASSED_ON = 32;
+
+  /** The most runs that are kept in the store. */
+  private static final int MAX_KEPT = 64;
+
   private static final int NODE_BITS = 16;
   private static final int NODE_MASK = (1 << NODE_BITS) - 1;
   private static final long NANOS_PER_MILLI = 1_000_000;
@@ -69,6 +75,7 @@
   private final Listener listener;
   private final QueryIds runIds;
   private final int nodeBits;
+  private final long firstId;
 
   /**
    * Creates a tracker without runs.
@@ -100,6 +107,7 @@
     this.listener = listener;
     this.runIds = new QueryIds(eventLoop);
     this.nodeBits = StableHash.of(nodeName) & NODE_MASK;
+    this.firstId = newId();
   }
 
   private long newId() {
@@ -349,19 +357,24 @@
     }
   }
 
-  /** Handles a notice of a peer. */
-  void onNotice(PeerAddress sender, PeerMessage.EngineRunNotice notice) {
+  /**
+   * Handles a notice of a run of another node, or of an earlier incarnation of this one.
+   *
+   * @param writtenNanos when the notice was written, by the event loop's clock
+   */
+  void onNotice(PeerMessage.EngineRunNotice notice, long writtenNanos) {
     long now = eventLoop.nanoTime();
-    long startedNanos = now - notice.ageMillis() * NANOS_PER_MILLI;
+    long startedNanos = writtenNanos - notice.ageMillis() * NANOS_PER_MILLI;
     PeerRun run =
         new PeerRun(
-            new PeerRun.Key(sender, notice.runId()),
+            notice.runId(),
             notice.request(),
             notice.engine(),
             notice.phase(),
             startedNanos,
-            now + notice.remainingMillis() * NANOS_PER_MILLI);
-    if (history.completedAfter(notice.request(), startedNanos)) {
+            writtenNanos + notice.remainingMillis() * NANOS_PER_MILLI);
+    boolean own = (notice.runId() & NODE_MASK) == nodeBits && notice.runId() - firstId >= 0;
+    if (own || history.completedAfter(notice.request(), startedNanos)) {
       return;
     }
     ledger.put(run, now);
@@ -373,5 +386,20 @@
   /** Notifies a peer that has started of the runs that were announced before. */
   void onPeerStarted(PeerAddress peer) {
     ledger.announced().forEach(run -> notifier.sendTo(peer, run));
+    long now = eventLoop.nanoTime();
+    ledger.peerRuns(now).stream()
+        .filter(run -> exposure.guarded(run.request(), now))
+        .limit(MAX_PASSED_ON)
+        .forEach(run -> notifier.sendTo(peer, run));
+  }
+
+  /** Returns notices of the unresolved runs of guarded requests, which are kept in the store. */
+  List<PeerMessage.EngineRunNotice> noticesToKeep() {
+    long now = eventLoop.nanoTime();
+    return ledger.unresolved().stream()
+        .filter(run -> exposure.guarded(run.request(), now))
+        .limit(MAX_KEPT)
+        .map(notifier::notice)
+        .toList();
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.testing.TestingEventLoop;
+import org.baykeel.gateway.testing.TestingStore;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -220,6 +221,31 @@
     assertEquals(Verdict.HELD, verdict(4));
   }
 
+  @Test
+  void nodesThatAllRestartFindUnresolvedRunsInStore() {
+    for (int i = 0; i < 3; i++) {
+      sendUntilDeadline(node(i), i);
+    }
+    eventLoop.advance(100);
+    cluster.nodes().forEach(node -> cluster.network().detach(node.address()));
+    for (int i = 0; i < NODES; i++) {
+      cluster.restart(i);
+    }
+    assertEquals(Verdict.HELD, verdict(0));
+  }
+
+  /** Guards against a restarted node that does not know the ends before its start. */
+  @Test
+  void nodeThatStartsLearnsOfEndsFromItsPeersWithoutTheStore() {
+    cluster.store().fault(TestingStore.Fault.REFUSE);
+    for (int i = 0; i < 3; i++) {
+      endUnder(node(0), i);
+    }
+    cluster.restart(4);
+    eventLoop.advance(5_000);
+    assertEquals(Verdict.FATAL, verdict(4));
+  }
+
   @Test
   void runsOfANodeThatIsKilledCountAtItsPeers() {
     sendUntilDeadline(node(0), 0);
