Each end under a request counts towards its bound, and each guarded run is kept

The soak found two ways to a fourth engine. Ends now count whatever explains them, which at worst holds an innocent neighbour for a minute; and a node writes its unresolved runs whenever their request becomes guarded.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/BlameAssessment.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/BlameAssessment.java
@@ -113,7 +113,7 @@
   }
 
   /** Returns whether a fatal request explains an end, other than the given one. */
-  boolean explains(EngineEnd end, RequestFingerprint request) {
+  private boolean explains(EngineEnd end, RequestFingerprint request) {
     return !fatal.contains(request) && !Collections.disjoint(end.requests(), fatal);
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.peer.RunPhase;
 import org.baykeel.gateway.program.RequestFingerprint;
@@ -37,13 +36,10 @@
 
   private final EngineEndHistory history;
   private final RunLedger ledger;
-  private final Supplier<BlameAssessment> assessment;
 
-  RequestExposure(
-      EngineEndHistory history, RunLedger ledger, Supplier<BlameAssessment> assessment) {
+  RequestExposure(EngineEndHistory history, RunLedger ledger) {
     this.history = history;
     this.ledger = ledger;
-    this.assessment = assessment;
   }
 
   /** What counts for one request at one moment. */
@@ -98,8 +94,7 @@
   private Count count(RequestFingerprint request, TrackedRun claim, long nowNanos) {
     Count count = new Count();
     for (EngineEnd end : history.endsUnder(request)) {
-      boolean recent = nowNanos - end.endedNanos() <= END_NANOS;
-      if (recent && !assessment.get().explains(end, request)) {
+      if (nowNanos - end.endedNanos() <= END_NANOS) {
         count.add(end.engine(), end.endedNanos() + END_NANOS);
       }
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -61,7 +61,7 @@
   private final RunNotifier runNotifier;
   private final EngineEndTable table;
   private final RunLedger ledger = new RunLedger();
-  private final RequestExposure exposure = new RequestExposure(history, ledger, this::assessment);
+  private final RequestExposure exposure = new RequestExposure(history, ledger);
   private final RunTracker runs;
   private final List<Runnable> listeners = new ArrayList<>();
   private final Set<RequestFingerprint> reported = new HashSet<>();
@@ -156,10 +156,7 @@
 
     @Override
     public void exposureGrew(RequestFingerprint request) {
-      runs.announceOpen(request);
-      if (exposure.guarded(request, eventLoop.nanoTime())) {
-        table.changed();
-      }
+      guard(request);
     }
   }
 
@@ -260,10 +257,20 @@
         "work",
         logged(all));
     onEvidenceChanged();
-    all.forEach(runs::announceOpen);
+    all.forEach(this::guard);
     runs.engineEnded(engine, endedNanos);
   }
 
+  /** Shares what this node knows of a request, if it is guarded from now on. */
+  private void guard(RequestFingerprint request) {
+    if (exposure.guarded(request, eventLoop.nanoTime())) {
+      runs.announceOpen(request);
+      if (runs.hasUnresolved(request)) {
+        table.changed();
+      }
+    }
+  }
+
   private void sendEndsTo(PeerAddress peer) {
     table
         .ownEnds()
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -348,15 +348,18 @@
 
   /** Notifies peers of the runs in progress of a request that is guarded from now on. */
   void announceOpen(RequestFingerprint request) {
-    if (exposure.guarded(request, eventLoop.nanoTime())) {
-      for (TrackedRun run : ledger.of(request)) {
-        if (run.phase() == RunPhase.OPEN && !run.announced()) {
-          notifier.send(run);
-        }
+    for (TrackedRun run : ledger.of(request)) {
+      if (run.phase() == RunPhase.OPEN && !run.announced()) {
+        notifier.send(run);
       }
     }
   }
 
+  /** Returns whether a run of a request is unresolved at this node. */
+  boolean hasUnresolved(RequestFingerprint request) {
+    return ledger.unresolved().stream().anyMatch(run -> run.isOf(request));
+  }
+
   /**
    * Handles a notice of a run of another node, or of an earlier incarnation of this one.
    *
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -234,6 +234,38 @@
     assertEquals(Verdict.HELD, verdict(0));
   }
 
+  /** Guards against an end that does not count since another fatal request was at the engine. */
+  @Test
+  void endsThatAnotherRequestExplainsCount() {
+    QuarantineNodes.Node node = node(0);
+    RequestFingerprint other = work("b").build();
+    for (int engine = 0; engine < 3; engine++) {
+      cluster.ended().add("e" + engine);
+      node.quarantine().connectionLost(node.engine(engine), work("a").build(), () -> {});
+      node.quarantine().connectionLost(node.engine(engine), other, () -> {});
+      eventLoop.advance(200);
+    }
+    cluster.ended().add("e3");
+    node.quarantine().connectionLost(node.engine(3), other, () -> {});
+    eventLoop.advance(200);
+    assertEquals(Verdict.FATAL, node.quarantine().verdict(other));
+    assertEquals(Verdict.HELD, verdict(0));
+  }
+
+  /** Guards against an unresolved run that is not kept, as its request was not guarded then. */
+  @Test
+  void unresolvedRunIsKeptOnceItsRequestIsGuarded() {
+    sendUntilDeadline(node(0), 0);
+    eventLoop.advance(100);
+    endUnder(node(1), 1);
+    endUnder(node(2), 2);
+    cluster.nodes().forEach(node -> cluster.network().detach(node.address()));
+    for (int i = 0; i < NODES; i++) {
+      cluster.restart(i);
+    }
+    assertEquals(Verdict.HELD, verdict(3));
+  }
+
   /** Guards against a restarted node that does not know the ends before its start. */
   @Test
   void nodeThatStartsLearnsOfEndsFromItsPeersWithoutTheStore() {
