The time after which a held request may return has no jitter

TestFatalRequests failed once: Retry-After was 86.6 s for a request that may be sent after 60 s. Jitter spreads callers of an overloaded service, but here the time is known, and claims order the callers that return together.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -270,6 +270,9 @@
   public void onAttemptsFailed(ErrorKind kind, long retryMillis, String detail) {
     if (relay.headSent()) {
       abort(detail);
+    } else if (kind == ErrorKind.REQUEST_HELD) {
+      // The time until the request may be sent is known, so that jitter would only make it wrong.
+      refuse(new Refusal(kind, retryMillis, detail));
     } else {
       refuse(kind, retryMillis, detail);
     }
