--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -9,7 +9,6 @@
 import org.baykeel.gateway.directory.SoftwareVersion;
 import org.baykeel.gateway.quarantine.EngineRun;
 import org.baykeel.gateway.quarantine.Verdict;
-import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.EngineSelector;
 
@@ -25,8 +24,6 @@
   /** Engines that are tried one after the other before the request waits for capacity. */
   private static final int MAX_SENDS_PER_ROUND = 6;
 
-  private static final long BUSY_RETRY_MILLIS = 150;
-
   private static final long UNDECIDED_RETRY_MILLIS = 20;
 
   /** The shortest wait after a round of engines that did not take the request. */
@@ -62,6 +59,7 @@
   private final WaitQueue waitQueue;
   private final SilenceWatch silenceWatch;
   private final CallQuarantine quarantine;
+  private final AttemptFailures failures;
   private EngineSelector.Criteria criteria;
   private byte[] engineBody;
   private WaitQueue.Ticket waitTicket;
@@ -93,6 +91,7 @@
     this.criteria = criteria(call);
     this.silenceWatch = new SilenceWatch(eventLoop, call.route(), this::onSilence);
     this.quarantine = new CallQuarantine(context, call);
+    this.failures = new AttemptFailures(context, call, record, quarantine);
   }
 
   /**
@@ -161,8 +160,8 @@
 
   private void dispatch() {
     switch (quarantine.claim()) {
-      case FATAL -> failAsFatal();
-      case HELD -> failAsHeld();
+      case FATAL -> fail(failures.fatal(runs));
+      case HELD -> fail(failures.held(runs));
       case UNDECIDED -> eventLoop.schedule(UNDECIDED_RETRY_MILLIS, this::dispatchUnlessEnded);
       case CLEAR, SUSPECT -> sendToEngine();
     }
@@ -174,22 +173,8 @@
     }
   }
 
-  /** Ends the attempts, since engines ended while they ran the request. */
-  private void failAsFatal() {
-    ErrorKind kind = runs > 0 ? ErrorKind.ENGINES_ENDED : ErrorKind.REQUEST_QUARANTINED;
-    owner.onAttemptsFailed(
-        kind, 0, "engines ended while they ran it, work=" + quarantine.knownFingerprint());
-  }
-
-  /** Ends the attempts, since too many engines may still end under the request. */
-  private void failAsHeld() {
-    String detail = "engines ended or may end under it, work=" + quarantine.knownFingerprint();
-    record.held(quarantine.knownFingerprint(), runs, quarantine.retryMillis());
-    if (runs > 0) {
-      failAfterRun(detail);
-    } else {
-      owner.onAttemptsFailed(ErrorKind.REQUEST_HELD, quarantine.retryMillis(), detail);
-    }
+  private void fail(AttemptFailures.Failure failure) {
+    owner.onAttemptsFailed(failure.kind(), failure.retryMillis(), failure.detail());
   }
 
   private void sendToEngine() {
@@ -332,22 +317,7 @@
           "node stops before a response is expected");
       return;
     }
-    if (criteria.requiredVersion().isPresent() && noEngineOfVersion()) {
-      owner.onAttemptsFailed(
-          ErrorKind.STREAM_NOT_RESUMABLE,
-          0,
-          "no engine of software version " + criteria.requiredVersion().get() + " takes work");
-      return;
-    }
-    Residency allowed = call.residency();
-    ErrorKind kind = allowed.bound() ? ErrorKind.RESIDENCY : ErrorKind.NO_BACKEND;
-    String where = allowed.bound() ? " in " + allowed : "";
-    owner.onAttemptsFailed(kind, BUSY_RETRY_MILLIS, "no engine takes work" + where);
-  }
-
-  private boolean noEngineOfVersion() {
-    return context.selector().nextCapacityNanos(criteria, Set.of(), eventLoop.nanoTime())
-        == Long.MAX_VALUE;
+    fail(failures.withoutEngine(criteria));
   }
 
   @Override
@@ -410,7 +380,7 @@
   public void onQuarantineChanged() {
     if (quarantine.verdict() == Verdict.FATAL) {
       waitTicket.leave();
-      failAsFatal();
+      fail(failures.fatal(runs));
     }
   }
 
@@ -505,22 +475,14 @@
 
   private void continueAfterFailure(String detail) {
     if (quarantine.verdict() == Verdict.FATAL) {
-      failAsFatal();
+      fail(failures.fatal(runs));
     } else if (mayRunAgain()) {
       dispatch();
+    } else if (responseTooLarge) {
+      owner.onAttemptsFailed(ErrorKind.RESPONSE_TOO_LARGE, 0, detail);
     } else {
-      failAfterRun(detail);
-    }
-  }
-
-  private void failAfterRun(String detail) {
-    ErrorKind kind = ErrorKind.OUTCOME_UNKNOWN;
-    if (responseTooLarge) {
-      kind = ErrorKind.RESPONSE_TOO_LARGE;
-    } else if (call.route().repeatable()) {
-      kind = ErrorKind.BACKEND_FAILED;
+      fail(failures.afterRun(detail));
     }
-    owner.onAttemptsFailed(kind, 0, detail);
   }
 
   @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -178,6 +178,7 @@
       run.sent(engine, deadlineNanos, eventLoop.nanoTime());
       ledger.addSent(run);
       if (claimed) {
+        claimed = false;
         notifier.send(run);
       }
     }
