A first unresolved run outlives all nodes

Now all unresolved runs are, at most 50 rows a second from all nodes together for requests that are not guarded. The new test of TestEngineRuns found one engine less after the restart before.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
@@ -27,10 +27,10 @@
 import org.baykeel.gateway.telemetry.GatewayLog;
 
 /**
- * Keeps the ends that this node observed, and its unresolved runs of guarded requests, in a row of
- * its own in the store, and reads the rows of all nodes on start and after each write. So evidence
- * outlives the nodes, and a node that does not receive the notices of its peers learns it when it
- * observes an end itself.
+ * Keeps the ends that this node observed, and its unresolved runs, in a row of its own in the
+ * store, and reads the rows of all nodes on start and after each write. So evidence outlives the
+ * nodes, and a node that does not receive the notices of its peers learns it when it observes an
+ * end itself.
  */
 final class EngineEndTable {
   private static final String TABLE = "engine-end";
@@ -73,7 +73,8 @@
   private final Listener listener;
   private final Map<EngineIncarnation, OwnEnd> ownEnds = new LinkedHashMap<>();
   private boolean loaded;
-  private boolean writeScheduled;
+  private EventLoop.Timer scheduledWrite;
+  private long scheduledNanos;
 
   /**
    * Creates a table.
@@ -121,9 +122,9 @@
     return new OwnEnd(Math.min(one.endedNanos(), other.endedNanos()), List.copyOf(requests));
   }
 
-  /** Writes the row soon, since there are further unresolved runs. */
-  void changed() {
-    scheduleWrite(WRITE_DELAY_MILLIS);
+  /** Writes the row within a time, since there are further unresolved runs. */
+  void changedWithin(long millis) {
+    scheduleWrite(millis);
   }
 
   /** Removes an end that has proved wrong. */
@@ -138,20 +139,25 @@
     return Collections.unmodifiableMap(ownEnds);
   }
 
+  /** Schedules a write, unless one is scheduled for an earlier time. */
   private void scheduleWrite(long millis) {
-    if (!writeScheduled) {
-      writeScheduled = true;
-      eventLoop.schedule(millis, this::write);
+    long nanos = eventLoop.nanoTime() + millis * NANOS_PER_MILLI;
+    if (scheduledWrite == null || nanos - scheduledNanos < 0) {
+      if (scheduledWrite != null) {
+        scheduledWrite.cancel();
+      }
+      scheduledNanos = nanos;
+      scheduledWrite = eventLoop.schedule(millis, this::write);
     }
   }
 
   private void write() {
     if (!loaded || !clock.known()) {
       // The row of this node's earlier incarnation must be read before it is replaced.
-      eventLoop.schedule(RETRY_MILLIS, this::write);
+      scheduledWrite = eventLoop.schedule(RETRY_MILLIS, this::write);
       return;
     }
-    writeScheduled = false;
+    scheduledWrite = null;
     long now = eventLoop.nanoTime();
     ownEnds.values().removeIf(end -> expired(end, now));
     List<PeerMessage.EngineRunNotice> runs = unresolvedRuns.get();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -46,12 +46,16 @@
   /** More than the error of a time that was converted between the clocks of two nodes. */
   private static final long CLOCK_TOLERANCE_NANOS = 100_000_000L;
 
+  private static final long GUARDED_WRITE_MILLIS = 20;
+  private static final long MIN_WRITE_MILLIS = 200;
+  private static final long WRITE_MILLIS_OF_NODE = 20;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** The most requests or engines that a line of the log names. */
   private static final int MAX_LOGGED = 16;
 
   private final EngineDirectory engines;
+  private final PeerDirectory peers;
   private final EventLoop eventLoop;
   private final GatewayLog log;
   private final EngineEndHistory history = new EngineEndHistory();
@@ -98,6 +102,7 @@
       EventLoop eventLoop,
       GatewayLog log) {
     this.engines = engines;
+    this.peers = peers;
     this.placement = new SuspectPlacement(history, topology);
     this.eventLoop = eventLoop;
     this.log = log;
@@ -263,12 +268,18 @@
 
   /** Shares what this node knows of a request, if it is guarded from now on. */
   private void guard(RequestFingerprint request) {
-    if (exposure.guarded(request, eventLoop.nanoTime())) {
+    boolean guarded = exposure.guarded(request, eventLoop.nanoTime());
+    if (guarded) {
       runs.announceOpen(request);
-      if (runs.hasUnresolved(request)) {
-        table.changed();
-      }
     }
+    if (runs.hasUnresolved(request)) {
+      table.changedWithin(guarded ? GUARDED_WRITE_MILLIS : unguardedWriteMillis());
+    }
+  }
+
+  /** All nodes together write a limited number of rows for requests that are not guarded. */
+  private long unguardedWriteMillis() {
+    return Math.max(MIN_WRITE_MILLIS, peers.peers().size() * WRITE_MILLIS_OF_NODE);
   }
 
   private void sendEndsTo(PeerAddress peer) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -43,7 +43,7 @@
   private static final int MAX_PASSED_ON = 32;
 
   /** The most runs that are kept in the store. */
-  private static final int MAX_KEPT = 64;
+  private static final int MAX_KEPT = 128;
 
   private static final int NODE_BITS = 16;
   private static final int NODE_MASK = (1 << NODE_BITS) - 1;
@@ -397,13 +397,10 @@
         .forEach(run -> notifier.sendTo(peer, run));
   }
 
-  /** Returns notices of the unresolved runs of guarded requests, which are kept in the store. */
+  /** Returns notices of the latest unresolved runs, which are kept in the store. */
   List<PeerMessage.EngineRunNotice> noticesToKeep() {
-    long now = eventLoop.nanoTime();
-    return ledger.unresolved().stream()
-        .filter(run -> exposure.guarded(run.request(), now))
-        .limit(MAX_KEPT)
-        .map(notifier::notice)
-        .toList();
+    List<TrackedRun> unresolved = ledger.unresolved();
+    int from = Math.max(0, unresolved.size() - MAX_KEPT);
+    return unresolved.subList(from, unresolved.size()).stream().map(notifier::notice).toList();
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -252,6 +252,20 @@
     assertEquals(Verdict.HELD, verdict(0));
   }
 
+  /** Guards against a first unresolved run that only the nodes that were killed knew. */
+  @Test
+  void firstUnresolvedRunOutlivesAllNodes() {
+    sendUntilDeadline(node(0), 0);
+    eventLoop.advance(300);
+    cluster.nodes().forEach(node -> cluster.network().detach(node.address()));
+    for (int i = 0; i < NODES; i++) {
+      cluster.restart(i);
+    }
+    sendUntilDeadline(node(1), 1);
+    sendUntilDeadline(node(2), 2);
+    assertEquals(Verdict.HELD, verdict(3));
+  }
+
   /** Guards against an unresolved run that is not kept, as its request was not guarded then. */
   @Test
   void unresolvedRunIsKeptOnceItsRequestIsGuarded() {
