Requests wait after a start until the rows of the store have been read

A node now lets requests wait until its rows have been read, for two seconds after its start at most; a failed first read is repeated after 100 ms. Two new tests of TestEngineRuns.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
@@ -36,7 +36,7 @@
   private static final int PAGE_ROWS = 500;
 
   /** Delay before the row is written, so that joining does not slow the start of serving. */
-  private static final long JOIN_DELAY_MILLIS = 200;
+  private static final long JOIN_DELAY_MILLIS = 500;
 
   private static final long RETRY_MILLIS = 1_000;
   private static final int MAX_PEERS = 1_024;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
@@ -41,6 +41,7 @@
   private static final long WRITE_DELAY_MILLIS = 20;
 
   private static final long RETRY_MILLIS = 1_000;
+  private static final long LOAD_RETRY_MILLIS = 100;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** Receives the ends in the rows of all nodes. */
@@ -134,6 +135,11 @@
     }
   }
 
+  /** Returns whether the rows of all nodes have been read. */
+  boolean loaded() {
+    return loaded;
+  }
+
   /** Returns the engines that ended, with the requests of this node that they ran. */
   Map<EngineIncarnation, OwnEnd> ownEnds() {
     return Collections.unmodifiableMap(ownEnds);
@@ -211,7 +217,7 @@
 
   private void onRead(String fromKey, ReadOutcome outcome) {
     if (!(outcome instanceof ReadOutcome.Rows page)) {
-      eventLoop.schedule(RETRY_MILLIS, () -> read(fromKey));
+      eventLoop.schedule(loaded ? RETRY_MILLIS : LOAD_RETRY_MILLIS, () -> read(fromKey));
       return;
     }
     page.rows().stream().filter(row -> !row.removed()).forEach(this::adopt);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -30,8 +30,8 @@
  * Used only from the event loop.
  *
  * <p>Invariants: a request is found fatal only if at least three engines ended while they ran it,
- * and no completed run of it is known; while no connection to an engine is lost, nothing is sent,
- * stored or hashed.
+ * and no completed run of it is known; while each run of a request ends with a whole response or
+ * the engine's statement that it did not run it, nothing is sent, stored or hashed.
  */
 public final class RequestQuarantine implements Quarantine, PeerMessageListener {
   /**
@@ -46,6 +46,12 @@
   /** More than the error of a time that was converted between the clocks of two nodes. */
   private static final long CLOCK_TOLERANCE_NANOS = 100_000_000L;
 
+  /**
+   * How long requests wait after the start of a node until the store's rows have been read. Nodes
+   * read their configuration from the same store before they can serve.
+   */
+  private static final long MAX_LOAD_NANOS = 2_000_000_000L;
+
   private static final long GUARDED_WRITE_MILLIS = 20;
   private static final long MIN_WRITE_MILLIS = 200;
   private static final long WRITE_MILLIS_OF_NODE = 20;
@@ -70,6 +76,8 @@
   private final List<Runnable> listeners = new ArrayList<>();
   private final Set<RequestFingerprint> reported = new HashSet<>();
   private final Set<Integer> suspectHeads = new HashSet<>();
+  private long awaitRowsUntilNanos;
+  private boolean awaitsRows;
 
   /** From what a node learnt that an engine ended, for the log. */
   private enum Source {
@@ -168,6 +176,14 @@
   /** Reads the evidence that the store has. */
   public void start() {
     table.load();
+    awaitRowsUntilNanos = eventLoop.nanoTime() + MAX_LOAD_NANOS;
+    awaitsRows = true;
+  }
+
+  /** Whether the rows of the store, which may have evidence against any request, are awaited. */
+  private boolean awaitsRows() {
+    awaitsRows &= !table.loaded() && eventLoop.nanoTime() - awaitRowsUntilNanos < 0;
+    return awaitsRows;
   }
 
   /** Returns the number of requests that are suspected at present. */
@@ -186,6 +202,9 @@
 
   @Override
   public boolean isSuspectHead(IntSupplier head) {
+    if (awaitsRows()) {
+      return true;
+    }
     if (suspectHeads.isEmpty() && !ledger.hasHeads()) {
       return false;
     }
@@ -202,6 +221,9 @@
 
   /** Returns what the ends of engines alone say of a request. */
   private Verdict evidence(RequestFingerprint request) {
+    if (awaitsRows()) {
+      return Verdict.UNDECIDED;
+    }
     BlameAssessment assessment = assessment();
     if (assessment.blame(request) == 0) {
       return Verdict.CLEAR;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -252,6 +252,30 @@
     assertEquals(Verdict.HELD, verdict(0));
   }
 
+  /** Guards against sends of a node that has started and has not read what the store knows. */
+  @Test
+  void requestsWaitUntilRowsOfStoreHaveBeenRead() {
+    for (int i = 0; i < 3; i++) {
+      endUnder(node(0), i);
+    }
+    cluster.nodes().forEach(node -> cluster.network().detach(node.address()));
+    cluster.store().failReads(true);
+    cluster.restart(1);
+    assertEquals(Verdict.UNDECIDED, verdict(1));
+    cluster.store().failReads(false);
+    eventLoop.advance(300);
+    assertEquals(Verdict.FATAL, verdict(1));
+  }
+
+  @Test
+  void requestsDoNotWaitLongForRowsOfStore() {
+    cluster.store().failReads(true);
+    cluster.restart(1);
+    assertEquals(Verdict.UNDECIDED, verdict(1));
+    eventLoop.advance(2_000);
+    assertEquals(Verdict.CLEAR, verdict(1));
+  }
+
   /** Guards against a first unresolved run that only the nodes that were killed knew. */
   @Test
   void firstUnresolvedRunOutlivesAllNodes() {
