--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestQuarantinedCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestQuarantinedCall.java
@@ -38,6 +38,26 @@
     assertEquals(0, responder.refusal().retryAfterMillis());
   }
 
+  /** Guards against a send while three engines may still end under the request. */
+  @Test
+  void heldRequestIsRefusedAtOnceWithTimeOfItsReturn() {
+    quarantine.verdict(Verdict.HELD);
+    node.call(responder);
+    assertEquals(0, node.transport().count());
+    assertEquals(ErrorKind.REQUEST_HELD, responder.refusal().kind());
+    assertEquals(1_000, responder.refusal().retryAfterMillis());
+  }
+
+  @Test
+  void heldRequestThatRanIsNotReportedAsNotRun() {
+    node.call(responder);
+    last().loseConnection();
+    quarantine.verdict(Verdict.HELD);
+    quarantine.endChecks();
+    assertEquals(1, node.transport().count());
+    assertEquals(ErrorKind.BACKEND_FAILED, responder.refusal().kind());
+  }
+
   @Test
   void requestThatRanIsNotReportedAsNotRun() {
     node.call(responder);
