--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -151,7 +151,7 @@
     }
   }
 
-  /** Returns whether an engine seemed to run when it was checked lately. */
+  /** Returns whether the last check of an engine, within a time limit, found that it runs. */
   boolean seemsToRun(EngineIncarnation engine) {
     return seemedToRun.containsKey(engine);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -9,9 +9,9 @@
 import org.baykeel.gateway.program.RequestFingerprint;
 
 /**
- * Counts the engines that a request has ended or may still end: those that ended under it lately,
- * those at which a run of it is unresolved and, once there is a reason to guard it, those that run
- * it and the claims to send it.
+ * Counts the engines that a request has ended or may still end: those that ended under it within
+ * {@link #END_NANOS}, those at which a run of it is unresolved and, once there is a reason to guard
+ * it, those that run it and the claims to send it.
  *
  * <p>Invariant: a request is sent only while fewer engines than {@link #MAX_ENGINES} count, so that
  * no more of them end under it, whenever they do.
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -282,6 +282,8 @@
     sendUntilDeadline(node(0), 0);
     eventLoop.advance(300);
     cluster.nodes().forEach(node -> cluster.network().detach(node.address()));
+    // Notices that the lost nodes repeat must not reach the restarted ones.
+    eventLoop.advance(2_300);
     for (int i = 0; i < NODES; i++) {
       cluster.restart(i);
     }
