--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/BlameAssessment.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/BlameAssessment.java
@@ -19,6 +19,10 @@
  * without a request that was blamed before: then a cause outside of the engines is likely, such as
  * the failure of a rack. Once a request is found to be fatal, the ends under it blame no other
  * request.
+ *
+ * <p>While engines also end without a request that ran beside others, it may have run beside the
+ * causes of several ends. Then it counts as fatal only if it ran alone at all but one of its
+ * engines.
  */
 final class BlameAssessment {
   /** The longest time between the first and the last end of one moment. */
@@ -33,6 +37,9 @@
   /** The blame of three ends, from which on a request counts as fatal. */
   private static final int FATAL_BLAME = 3 * BLAME_OF_END;
 
+  /** The blame of ends under a request alone that is needed while engines also end without it. */
+  private static final int MIN_BLAME_ALONE = FATAL_BLAME - BLAME_OF_END;
+
   /** The number of ends from which on a request beside another one may be the cause instead. */
   private static final int RIVAL_ENDS = 2;
 
@@ -45,11 +52,13 @@
   /** The evidence against one request. */
   private static final class Suspect {
     private int blame;
+    private int blameAlone;
     private int moments;
     private long lastEndedNanos;
 
-    private void add(int blameOfMoment, long endedNanos) {
+    private void add(int blameOfMoment, int blameOfMomentAlone, long endedNanos) {
       blame += blameOfMoment;
+      blameAlone += blameOfMomentAlone;
       moments++;
       lastEndedNanos = endedNanos;
     }
@@ -100,7 +109,9 @@
       blames.forEach(
           (request, blame) -> {
             if (blame > 0) {
-              suspects.computeIfAbsent(request, any -> new Suspect()).add(blame, endedNanos);
+              suspects
+                  .computeIfAbsent(request, any -> new Suspect())
+                  .add(blame, Math.min(blame, blameAlone(request, moment)), endedNanos);
             }
           });
       List<RequestFingerprint> found = blames.keySet().stream().filter(this::becomesFatal).toList();
@@ -133,16 +144,34 @@
     return sharedCause ? BLAME_OF_SHARED_CAUSE : ends * BLAME_OF_END;
   }
 
+  private int blameAlone(RequestFingerprint request, List<EngineEnd> moment) {
+    int ends = 0;
+    for (EngineEnd end : moment) {
+      ends += end.ran(request) && end.requests().size() == 1 ? 1 : 0;
+    }
+    return ends * BLAME_OF_END;
+  }
+
   private boolean ranSuspect(EngineEnd end) {
     return !Collections.disjoint(end.requests(), suspects.keySet());
   }
 
   /**
    * A request becomes fatal unless another one, equally blamed, ran beside it at several of its
-   * engines, so that either may be the cause.
+   * engines, so that either may be the cause, or engines also end without it, so that it may have
+   * run beside several causes.
    */
   private boolean becomesFatal(RequestFingerprint request) {
-    return blame(request) >= FATAL_BLAME && !fatal.contains(request) && !hasRival(request);
+    return blame(request) >= FATAL_BLAME
+        && !fatal.contains(request)
+        && !hasRival(request)
+        && (blameAlone(request) >= MIN_BLAME_ALONE || !enginesEndWithout(request));
+  }
+
+  private boolean enginesEndWithout(RequestFingerprint request) {
+    return moments.stream()
+        .flatMap(List::stream)
+        .anyMatch(end -> !end.ran(request) && !explains(end, request));
   }
 
   private boolean hasRival(RequestFingerprint request) {
@@ -166,6 +195,12 @@
     return suspect == null ? 0 : suspect.blame;
   }
 
+  /** Returns the blame of the ends at which a request ran alone. */
+  int blameAlone(RequestFingerprint request) {
+    Suspect suspect = suspects.get(request);
+    return suspect == null ? 0 : suspect.blameAlone;
+  }
+
   /** Returns whether a request made at least three engines end. */
   boolean isFatal(RequestFingerprint request) {
     return fatal.contains(request);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -340,6 +340,8 @@
             request,
             "blame",
             assessment.blame(request),
+            "alone",
+            assessment.blameAlone(request),
             "engines",
             logged(history.enginesThatRan(request)));
       }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestBlameAssessment.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestBlameAssessment.java
@@ -62,6 +62,10 @@
     "three racks with idle engines, 0:a 1: 500:a 501: 900:a 901:, ''",
     "two fatal requests apart, 0:a 150:b 300:a 450:b 600:a 750:b, ab",
     "two fatal requests in the same moments, 0:a 1:b 300:a 301:b 600:a 601:b 900:a 901:b, ab",
+    "beside three others before the causes are known, 0:ia 150:ib 300:b 450:ic, ''",
+    "at two silent engines and at one that ends, 0:xic 200:xidj 350:k 2600:iefghl, ''",
+    "alone although other engines end, 0:a 150:x 300:a 450:y 600:a, a",
+    "beside another once although other engines end, 0:a 200:ab 350:x 500:a, a",
     "beside three fatal ones in turn, 0:ia 150:a 300:a 450:ib 600:b 750:b 900:ic 1050:c 1200:c, abc",
   })
   void fatalRequestsAreFound(String name, String ends, String fatal) {
