--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -426,6 +426,7 @@
     if (reason == EngineAttempt.NotRun.FULL) {
       // The engine may be tried again once it is expected to have a free slot.
       anyEngineFull = true;
+      quarantine.responded(attempt);
       triedEngines.remove(attempt.engine().record().id());
     }
     endAttempt(outcome, EngineRun::closed);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
@@ -19,9 +19,8 @@
 import org.baykeel.gateway.telemetry.GatewayMetrics;
 
 /**
- * Checks whether an engine runs by the connections that are open to it. Without one, opens a
- * connection: a process that has ended refuses it, and one that was started in its place at the
- * same address says that it is another.
+ * Checks whether an engine runs over a new connection: a process that has ended refuses it, and one
+ * that was started in its place at the same address says that it is another.
  */
 public final class ConnectingLivenessCheck implements EngineLivenessCheck {
   private static final int CONNECT_TIMEOUT_MILLIS = 150;
@@ -29,8 +28,11 @@
   /** Connections of a process that ends are closed one after the other within this time. */
   private static final long SETTLE_MILLIS = 5;
 
-  /** An engine is expected to respond within this time. */
-  private static final long RESPONSE_MILLIS = 50;
+  /** An engine that is checked is expected to respond within this time. */
+  private static final long CHECK_RESPONSE_MILLIS = 50;
+
+  /** An engine that is asked may start, or have much to do, before it responds. */
+  private static final long ASK_RESPONSE_MILLIS = 1_000;
 
   /** A process that is just ending may accept connections for a moment and then close them. */
   private static final int MAX_CONNECTS = 4;
@@ -67,25 +69,20 @@
     group.next().execute(() -> checkConnections(engine, answer));
   }
 
-  private void checkConnections(Engine engine, Consumer<EngineLiveness> answer) {
-    if (transport.isConnected(engine)) {
-      schedule(SETTLE_MILLIS, () -> checkConnectionsAgain(engine, answer));
-    } else {
-      connect(engine, 1, answer);
-    }
+  @Override
+  public void ask(Engine engine, Consumer<EngineLiveness> answer) {
+    group.next().execute(() -> connect(engine, 1, ASK_RESPONSE_MILLIS, answer));
   }
 
-  private void checkConnectionsAgain(Engine engine, Consumer<EngineLiveness> answer) {
-    if (transport.isConnected(engine)) {
-      answer.accept(EngineLiveness.CONNECTED);
-    } else {
-      connect(engine, 1, answer);
-    }
+  private void checkConnections(Engine engine, Consumer<EngineLiveness> answer) {
+    long delayMillis = transport.isConnected(engine) ? SETTLE_MILLIS : 0;
+    schedule(delayMillis, () -> connect(engine, 1, CHECK_RESPONSE_MILLIS, answer));
   }
 
-  private void connect(Engine engine, int connects, Consumer<EngineLiveness> answer) {
+  private void connect(
+      Engine engine, int connects, long responseMillis, Consumer<EngineLiveness> answer) {
     metrics.engineConnectionOpened();
-    Connection connection = new Connection(engine, connects, answer);
+    Connection connection = new Connection(engine, connects, responseMillis, answer);
     KeepAliveBootstrap.bootstrap(group, CONNECT_TIMEOUT_MILLIS)
         .handler(
             new ChannelInitializer<SocketChannel>() {
@@ -106,12 +103,14 @@
   private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
     private final Engine engine;
     private final int connects;
+    private final long responseMillis;
     private final Consumer<EngineLiveness> answer;
     private boolean concluded;
 
-    Connection(Engine engine, int connects, Consumer<EngineLiveness> answer) {
+    Connection(Engine engine, int connects, long responseMillis, Consumer<EngineLiveness> answer) {
       this.engine = engine;
       this.connects = connects;
+      this.responseMillis = responseMillis;
       this.answer = answer;
     }
 
@@ -122,9 +121,9 @@
       }
       connected.channel().writeAndFlush(translator.identityRequest(engine));
       schedule(
-          RESPONSE_MILLIS,
+          responseMillis,
           () -> {
-            conclude(EngineLiveness.ACCEPTING);
+            conclude(unlessConnected(EngineLiveness.ACCEPTING));
             connected.channel().close();
           });
     }
@@ -136,6 +135,10 @@
       return refused ? EngineLiveness.ENDED : EngineLiveness.UNKNOWN;
     }
 
+    private EngineLiveness unlessConnected(EngineLiveness liveness) {
+      return transport.isConnected(engine) ? EngineLiveness.CONNECTED : liveness;
+    }
+
     private void conclude(EngineLiveness liveness) {
       if (!concluded) {
         concluded = true;
@@ -158,11 +161,13 @@
       if (concluded) {
         return;
       }
-      if (connects < MAX_CONNECTS) {
+      if (connects < MAX_CONNECTS && !transport.isConnected(engine)) {
         concluded = true;
-        schedule(RECONNECT_MILLIS * connects, () -> connect(engine, connects + 1, answer));
+        schedule(
+            RECONNECT_MILLIS * connects,
+            () -> connect(engine, connects + 1, responseMillis, answer));
       } else {
-        conclude(EngineLiveness.CLOSING);
+        conclude(unlessConnected(EngineLiveness.CLOSING));
       }
     }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.program.RequestFingerprint;
@@ -14,8 +15,8 @@
 
 /**
  * Detects that the process of an engine has ended, as opposed to a connection that was reset or
- * became silent. One check covers all requests that lose their connections to an engine at about
- * the same time.
+ * became silent. One check covers all requests that lose their connections to an engine before it
+ * begins; a result that is older than a lost connection says nothing about it.
  *
  * <p>An engine that was about to leave by plan, or one that does not respond at all, gives no
  * evidence against the requests that it ran: its machine or the network to it may have failed.
@@ -55,7 +56,10 @@
   private final EventLoop eventLoop;
   private final GatewayLog log;
   private final Listener listener;
-  private final Map<Engine, Check> firstChecks = new HashMap<>();
+
+  /** The checks that have not begun yet. */
+  private final Map<Engine, Check> nextChecks = new HashMap<>();
+
   private final Map<EngineIncarnation, Check> seemedToRun = new HashMap<>();
 
   /** The check of one engine, from a lost connection to a conclusion. */
@@ -63,23 +67,27 @@
     private final Engine engine;
     private final long lostNanos = eventLoop.nanoTime();
     private final List<RequestFingerprint> requests = new ArrayList<>();
-    private final List<Runnable> waiting = new ArrayList<>();
+    private final List<Consumer<EngineLiveness>> waiting = new ArrayList<>();
     private int checks;
 
     Check(Engine engine) {
       this.engine = engine;
     }
 
-    void begin() {
-      eventLoop.schedule(MAX_WAIT_MILLIS, this::release);
+    void schedule() {
+      eventLoop.schedule(0, this::begin);
+      eventLoop.schedule(MAX_WAIT_MILLIS, () -> release(EngineLiveness.UNKNOWN));
+    }
+
+    private void begin() {
+      nextChecks.remove(engine, this);
       checks++;
       livenessCheck.check(engine, this::onFirstResult);
     }
 
     private void onFirstResult(EngineLiveness liveness) {
-      firstChecks.remove(engine, this);
       onResult(liveness);
-      release();
+      release(liveness);
     }
 
     private void onResult(EngineLiveness liveness) {
@@ -125,10 +133,10 @@
       livenessCheck.check(engine, this::onResult);
     }
 
-    private void release() {
-      List<Runnable> released = List.copyOf(waiting);
+    private void release(EngineLiveness liveness) {
+      List<Consumer<EngineLiveness>> released = List.copyOf(waiting);
       waiting.clear();
-      released.forEach(Runnable::run);
+      released.forEach(decided -> decided.accept(liveness));
     }
   }
 
@@ -151,35 +159,30 @@
     }
   }
 
-  /** Returns whether the last check of an engine, within a time limit, found that it runs. */
-  boolean seemsToRun(EngineIncarnation engine) {
-    return seemedToRun.containsKey(engine);
-  }
-
   /**
    * Checks whether an engine has ended, after a connection to it was lost.
    *
    * @param request the request that the engine was running
-   * @param decided is called exactly once, when it is known whether the engine has ended or after a
-   *     time limit
+   * @param decided receives exactly once what a check has found that began after the loss; {@link
+   *     EngineLiveness#UNKNOWN} after a time limit, and for an engine that leaves
    */
-  void connectionLost(Engine engine, RequestFingerprint request, Runnable decided) {
+  void connectionLost(Engine engine, RequestFingerprint request, Consumer<EngineLiveness> decided) {
     if (engine.removed() || engine.record().draining()) {
-      decided.run();
+      decided.accept(EngineLiveness.UNKNOWN);
       return;
     }
-    Check check = firstChecks.get(engine);
+    Check check = nextChecks.get(engine);
     boolean first = check == null;
     if (first) {
       check = new Check(engine);
-      firstChecks.put(engine, check);
+      nextChecks.put(engine, check);
     }
     if (check.requests.size() < MAX_REQUESTS) {
       check.requests.add(request);
     }
     check.waiting.add(decided);
     if (first) {
-      check.begin();
+      check.schedule();
     }
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
@@ -10,6 +10,8 @@
  * @param id identifies the run among those of all nodes
  * @param engine the engine; that of {@link EngineIncarnation#NONE} while the run is a claim
  * @param startedNanos when it began, by the event loop's clock
+ * @param provableNanos from when a response of the engine to another request proves that it no
+ *     longer runs this one, by the event loop's clock
  * @param expiresNanos until when the notice holds, by the event loop's clock
  */
 record PeerRun(
@@ -18,9 +20,18 @@
     EngineIncarnation engine,
     RunPhase phase,
     long startedNanos,
+    long provableNanos,
     long expiresNanos) {
 
   PeerRun expiringAt(long nanos) {
-    return new PeerRun(id, request, engine, phase, startedNanos, nanos);
+    return new PeerRun(id, request, engine, phase, startedNanos, provableNanos, nanos);
+  }
+
+  /** Returns the run as a later notice tells it, provable as soon as by this one. */
+  PeerRun updatedBy(PeerRun later) {
+    boolean sooner = phase == later.phase && provableNanos - later.provableNanos < 0;
+    long provable = sooner ? provableNanos : later.provableNanos;
+    return new PeerRun(
+        id, request, engine, later.phase, later.startedNanos, provable, later.expiresNanos);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -32,6 +32,10 @@
   /** A run in progress is expected to have an outcome within this time. */
   private static final long OPEN_NANOS = 500_000_000L;
 
+  /** An engine is asked within this time once its answer proves that it ceased a run. */
+  private static final long PROOF_NANOS = 1_500_000_000L;
+
+  private static final long SILENCE_NANOS = 500_000_000L;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final EngineEndHistory history;
@@ -101,7 +105,7 @@
     int ended = count.size();
     List<TrackedRun> own = ledger.of(request);
     List<PeerRun> ofPeers = ledger.peerRunsOf(request, nowNanos);
-    addUnresolved(count, own, ofPeers);
+    addUnresolved(count, own, ofPeers, nowNanos);
     count.guarded = ended > 0 || count.size() >= GUARDED_UNRESOLVED;
     if (count.guarded) {
       addInProgress(count, own, ofPeers, claim, nowNanos);
@@ -109,19 +113,25 @@
     return count;
   }
 
-  private static void addUnresolved(Count count, List<TrackedRun> own, List<PeerRun> ofPeers) {
+  private static void addUnresolved(
+      Count count, List<TrackedRun> own, List<PeerRun> ofPeers, long nowNanos) {
     for (TrackedRun run : own) {
       if (run.phase() == RunPhase.UNRESOLVED) {
-        count.add(run.incarnation(), run.untilNanos());
+        count.add(run.incarnation(), expectedProofNanos(run.provableNanos(), nowNanos));
       }
     }
     for (PeerRun run : ofPeers) {
       if (run.phase() == RunPhase.UNRESOLVED) {
-        count.add(run.engine(), run.expiresNanos());
+        count.add(run.engine(), expectedProofNanos(run.provableNanos(), nowNanos));
       }
     }
   }
 
+  /** An engine that has given no answer so far is expected to give none for some time. */
+  private static long expectedProofNanos(long provableNanos, long nowNanos) {
+    return Math.max(provableNanos + PROOF_NANOS, nowNanos + SILENCE_NANOS);
+  }
+
   private static void addInProgress(
       Count count, List<TrackedRun> own, List<PeerRun> ofPeers, TrackedRun claim, long nowNanos) {
     for (TrackedRun run : own) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -171,6 +171,11 @@
     public void exposureGrew(RequestFingerprint request) {
       guard(request);
     }
+
+    @Override
+    public void runResolved() {
+      table.changedWithin(unguardedWriteMillis());
+    }
   }
 
   /** Reads the evidence that the store has. */
@@ -253,7 +258,7 @@
 
   @Override
   public void connectionLost(Engine engine, RequestFingerprint request, Runnable decided) {
-    detector.connectionLost(engine, request, decided);
+    detector.connectionLost(engine, request, liveness -> decided.run());
   }
 
   private void onObserved(Engine engine, long endedNanos, List<RequestFingerprint> requests) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
@@ -142,7 +142,7 @@
       count(previous.request().head(), -1);
     }
     if (run.phase() != RunPhase.CLOSED) {
-      peerRuns.put(run.id(), run);
+      peerRuns.put(run.id(), previous == null ? run : previous.updatedBy(run));
       count(run.request().head(), 1);
     }
     if (peerRuns.size() > MAX_PEER_RUNS) {
@@ -192,6 +192,22 @@
     return peerRuns.values().stream().filter(run -> run.engine().equals(engine)).toList();
   }
 
+  /**
+   * Removes the unresolved runs of peers at an engine that responded to a request.
+   *
+   * @param sentNanos when that request was sent, by the event loop's clock
+   */
+  void removePeerRunsProvedBy(Engine engine, long sentNanos, long nowNanos) {
+    if (peerRuns.isEmpty()) {
+      return;
+    }
+    for (PeerRun run : peerRunsAt(EngineIncarnation.of(engine.record()), nowNanos)) {
+      if (run.phase() == RunPhase.UNRESOLVED && sentNanos - run.provableNanos() >= 0) {
+        removePeerRun(run.id());
+      }
+    }
+  }
+
   // Requests that completed.
 
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunNotifier.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunNotifier.java
@@ -17,7 +17,7 @@
   /** A claim is followed within this time by a notice of the run, or withdrawn. */
   private static final long CLAIM_MILLIS = 1_000;
 
-  /** Notices of runs hold for longer than the runs count at this node. */
+  /** More than the error of a time that was converted between the clocks of two nodes. */
   private static final long MARGIN_MILLIS = 3_000;
 
   private static final long NANOS_PER_MILLI = 1_000_000;
@@ -56,7 +56,7 @@
             run.engine(),
             run.phase(),
             (now - run.startedNanos()) / NANOS_PER_MILLI,
-            (run.expiresNanos() - now) / NANOS_PER_MILLI));
+            Math.max(0, (run.provableNanos() - now) / NANOS_PER_MILLI)));
   }
 
   /** Returns what is known of a run now. */
@@ -72,15 +72,19 @@
   }
 
   private static long remainingMillis(TrackedRun run, long nowNanos) {
-    long millis = (run.untilNanos() - nowNanos) / NANOS_PER_MILLI;
     return switch (run.phase()) {
       case CLAIMED -> CLAIM_MILLIS;
-      case OPEN -> millis + RunTracker.MAX_PROOF_MILLIS + MARGIN_MILLIS;
-      case UNRESOLVED -> millis + MARGIN_MILLIS;
+      case OPEN ->
+          millis(run.deadlineNanos() - nowNanos) + RunTracker.MAX_PROOF_MILLIS + MARGIN_MILLIS;
+      case UNRESOLVED -> millis(run.provableNanos() - nowNanos) + MARGIN_MILLIS;
       case CLOSED -> 0;
     };
   }
 
+  private static long millis(long nanos) {
+    return Math.max(0, nanos / NANOS_PER_MILLI);
+  }
+
   /** Returns how many datagrams were not sent because of the limit. */
   long noticesDropped() {
     return broadcast.dropped();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -20,8 +20,9 @@
  * proved that the engine no longer runs them, and tells all peers of those that are unresolved.
  *
  * <p>Invariants: a run that was sent counts until the engine responds to it, states that it did not
- * run it, or responds to something else after the time for which it may run it; a run at an engine
- * that ends or vanishes meanwhile is evidence against its request.
+ * run it, or responds to something that was sent after the time for which it may run it or after
+ * its connection was lost; an accepted or open connection, or an earlier response, proves nothing.
+ * A run at an engine that ends meanwhile is evidence against its request.
  */
 final class RunTracker {
   /** A run whose attempt ended early is unresolved for at most so long before the proof. */
@@ -30,9 +31,12 @@
   /** Engines cease work at the deadline, but may end a little after it. */
   private static final long AFTER_DEADLINE_NANOS = 3_000_000_000L;
 
-  /** For so long a proof is awaited from other responses of the engine before it is checked. */
+  /** For so long a proof is awaited from other responses of the engine before it is asked. */
   private static final long PROOF_MILLIS = 1_500;
 
+  /** The same after a lost connection, since the engine may have ended. */
+  private static final long LOST_PROOF_MILLIS = 250;
+
   /** The longest time from a deadline until a run is resolved, in milliseconds. */
   static final long MAX_PROOF_MILLIS = AFTER_DEADLINE_NANOS / 1_000_000 + PROOF_MILLIS;
 
@@ -59,8 +63,11 @@
      */
     void engineEnded(Engine engine, long endedNanos, List<RequestFingerprint> requests);
 
-    /** Called when there is a further reason to guard a request. */
+    /** Called when there is a further, or a lasting, reason to guard a request. */
     void exposureGrew(RequestFingerprint request);
+
+    /** Called when a run that may be kept in the store counts no longer. */
+    void runResolved();
   }
 
   private final EngineEndHistory history;
@@ -68,7 +75,7 @@
   private final RequestExposure exposure;
   private final Function<RequestFingerprint, Verdict> evidence;
   private final EngineEndDetector detector;
-  private final EngineLivenessCheck livenessCheck;
+  private final EngineProver prover;
   private final RunNotifier notifier;
   private final EventLoop eventLoop;
   private final GatewayLog log;
@@ -100,7 +107,7 @@
     this.exposure = exposure;
     this.evidence = evidence;
     this.detector = detector;
-    this.livenessCheck = livenessCheck;
+    this.prover = new EngineProver(livenessCheck, eventLoop, new ProofListener());
     this.notifier = notifier;
     this.eventLoop = eventLoop;
     this.log = log;
@@ -197,16 +204,17 @@
 
     @Override
     public void connectionLost(Runnable decided) {
-      detector.connectionLost(run.engine(), run.request(), () -> onChecked(decided));
+      long lostNanos = eventLoop.nanoTime();
+      detector.connectionLost(
+          run.engine(), run.request(), liveness -> onChecked(lostNanos, liveness, decided));
     }
 
-    private void onChecked(Runnable decided) {
-      EngineEnd end = history.find(run.incarnation());
-      boolean runs = detector.seemsToRun(run.incarnation());
-      if (end != null || runs) {
+    private void onChecked(long lostNanos, EngineLiveness liveness, Runnable decided) {
+      boolean ended = history.find(run.incarnation()) != null;
+      if (ended || liveness == EngineLiveness.RUNNING) {
         closed();
       } else {
-        onAbandoned(run);
+        onConnectionLost(run, lostNanos);
       }
       decided.run();
     }
@@ -226,61 +234,121 @@
       ledger.remove(run);
       return;
     }
-    long ceasesNanos = Math.min(run.untilNanos(), now + MAX_UNRESOLVED_NANOS);
-    run.until(Math.max(ceasesNanos, now) + AFTER_DEADLINE_NANOS);
+    long ceasesNanos = Math.min(run.deadlineNanos(), now + MAX_UNRESOLVED_NANOS);
+    run.provableFrom(Math.max(ceasesNanos, now) + AFTER_DEADLINE_NANOS, false);
+    addUnresolved(run, "attempt", PROOF_MILLIS);
+  }
+
+  private void onConnectionLost(TrackedRun run, long lostNanos) {
+    run.provableFrom(lostNanos, true);
+    addUnresolved(run, "connection_lost", LOST_PROOF_MILLIS);
+  }
+
+  private void addUnresolved(TrackedRun run, String after, long proofMillis) {
     ledger.addUnresolved(run);
     notifier.send(run);
+    log.write(
+        GatewayEvent.RUN_UNRESOLVED,
+        "engine",
+        run.engine().record().id(),
+        "work",
+        run.request(),
+        "after",
+        after,
+        "provable_ms",
+        (run.provableNanos() - eventLoop.nanoTime()) / NANOS_PER_MILLI);
     listener.exposureGrew(run.request());
-    scheduleProof(run, now);
-    if (run.engine().removed()) {
-      checkRemoved(run);
-    }
+    boolean removed = run.engine().removed();
+    long proofNanos = run.provableNanos() + proofMillis * NANOS_PER_MILLI;
+    prover.askAt(run.engine(), removed ? eventLoop.nanoTime() : proofNanos);
   }
 
-  private void scheduleProof(TrackedRun run, long nowNanos) {
-    long millis = (run.untilNanos() - nowNanos) / NANOS_PER_MILLI;
-    eventLoop.schedule(millis + PROOF_MILLIS, () -> prove(run));
+  private void resolve(TrackedRun run, String by) {
+    ledger.remove(run);
+    notifier.send(run);
+    log.write(
+        GatewayEvent.RUN_RESOLVED,
+        "engine",
+        run.engine().record().id(),
+        "work",
+        run.request(),
+        "by",
+        by,
+        "ms",
+        (eventLoop.nanoTime() - run.startedNanos()) / NANOS_PER_MILLI);
+    listener.runResolved();
   }
 
-  private boolean unresolved(TrackedRun run) {
-    return run.phase() == RunPhase.UNRESOLVED;
+  private void end(TrackedRun run, long foundNanos) {
+    resolve(run, "end");
+    listener.engineEnded(run.engine(), run.endedNanos(foundNanos), List.of(run.request()));
   }
 
-  /** Checks the engine of a run that it should have ceased, and that nothing has proved since. */
-  private void prove(TrackedRun run) {
-    if (unresolved(run)) {
-      livenessCheck.check(run.engine(), liveness -> onProof(run, liveness));
+  /** Records that an engine responded to a request that was sent at a time. */
+  void responded(Engine engine, long sentNanos) {
+    for (TrackedRun run : ledger.unresolvedAt(engine)) {
+      if (sentNanos - run.provableNanos() >= 0) {
+        resolve(run, "response");
+      }
     }
+    ledger.removePeerRunsProvedBy(engine, sentNanos, eventLoop.nanoTime());
   }
 
-  private void onProof(TrackedRun run, EngineLiveness liveness) {
-    if (!unresolved(run)) {
-      return;
+  // Questions to engines.
+
+  /** Applies what engines with unresolved runs answer. */
+  private final class ProofListener implements EngineProver.Listener {
+    @Override
+    public void answered(
+        Engine engine, EngineLiveness liveness, long askedNanos, boolean askedAfterRemoval) {
+      for (TrackedRun run : ledger.unresolvedAt(engine)) {
+        switch (liveness) {
+          case RUNNING -> onRunning(run, askedNanos, askedAfterRemoval);
+          case ENDED -> onEnded(run);
+          default -> onNoAnswer(run, liveness, askedAfterRemoval);
+        }
+      }
     }
-    boolean planned = run.leftByPlan() || run.engine().record().draining();
-    if (liveness == EngineLiveness.ENDED && !planned) {
-      end(run, eventLoop.nanoTime());
-    } else if (!vanished(run)) {
-      ledger.remove(run);
+
+    @Override
+    public long nextQuestionNanos(Engine engine) {
+      return ledger.unresolvedAt(engine).stream()
+          .mapToLong(TrackedRun::provableNanos)
+          .min()
+          .orElse(Long.MAX_VALUE);
     }
   }
 
-  /** Whether the run counts since its engine vanished, and does so for longer. */
-  private boolean vanished(TrackedRun run) {
-    return run.untilNanos() - eventLoop.nanoTime() > 0;
+  private void onRunning(TrackedRun run, long askedNanos, boolean askedAfterRemoval) {
+    if (askedNanos - run.provableNanos() >= 0) {
+      resolve(run, "answer");
+    } else if (askedAfterRemoval) {
+      run.markLeftByPlan();
+    }
   }
 
-  private void end(TrackedRun run, long endedNanos) {
-    ledger.remove(run);
-    listener.engineEnded(run.engine(), endedNanos, List.of(run.request()));
+  private void onEnded(TrackedRun run) {
+    if (run.atLeavingEngine()) {
+      resolve(run, "plan");
+    } else {
+      end(run, eventLoop.nanoTime());
+    }
   }
 
-  /** Records that an engine responded to a request that was sent at a time. */
-  void responded(Engine engine, long sentNanos) {
-    for (TrackedRun run : ledger.unresolvedAt(engine)) {
-      if (sentNanos - run.untilNanos() >= 0) {
-        ledger.remove(run);
+  private void onNoAnswer(TrackedRun run, EngineLiveness liveness, boolean askedAfterRemoval) {
+    long now = eventLoop.nanoTime();
+    boolean provable = now - run.provableNanos() >= 0;
+    if (provable && run.atLeavingEngine()) {
+      resolve(run, "plan");
+    } else if (now - run.startedNanos() > RequestExposure.END_NANOS) {
+      resolve(run, "expiry");
+    } else {
+      if (askedAfterRemoval && !run.vanished()) {
+        logVanished(run, liveness);
       }
+      // Peers, and the rows of the store, count the run for a limited time only.
+      notifier.send(run);
+      listener.exposureGrew(run.request());
     }
   }
 
@@ -298,10 +366,15 @@
     return ledger.peerRunsAt(engine, eventLoop.nanoTime()).stream().map(PeerRun::request).toList();
   }
 
-  /** Handles that the entry of an engine is gone. */
+  /**
+   * Handles that the entry of an engine is gone: if the engine responds, it leaves by plan; if not,
+   * it vanished and may have ended under its runs.
+   */
   void engineRemoved(Engine engine) {
-    ledger.unresolvedAt(engine).forEach(this::checkRemoved);
     long now = eventLoop.nanoTime();
+    if (!ledger.unresolvedAt(engine).isEmpty()) {
+      prover.askAt(engine, now);
+    }
     if (!engine.record().draining()) {
       for (PeerRun run : ledger.peerRunsAt(EngineIncarnation.of(engine.record()), now)) {
         ledger.put(run.expiringAt(now + RequestExposure.END_NANOS), now);
@@ -309,28 +382,8 @@
     }
   }
 
-  /**
-   * Checks an engine whose entry is gone: if it responds, it leaves by plan; if not, it vanished
-   * and may have ended under the run.
-   */
-  private void checkRemoved(TrackedRun run) {
-    livenessCheck.check(run.engine(), liveness -> onRemovedChecked(run, liveness));
-  }
-
-  private void onRemovedChecked(TrackedRun run, EngineLiveness liveness) {
-    if (!unresolved(run)) {
-      return;
-    }
-    if (liveness == EngineLiveness.RUNNING) {
-      run.markLeftByPlan();
-    } else if (liveness == EngineLiveness.ENDED && !run.engine().record().draining()) {
-      end(run, eventLoop.nanoTime());
-    } else {
-      vanish(run, liveness);
-    }
-  }
-
-  private void vanish(TrackedRun run, EngineLiveness liveness) {
+  private void logVanished(TrackedRun run, EngineLiveness liveness) {
+    run.markVanished();
     log.write(
         GatewayEvent.ENGINE_VANISHED,
         "engine",
@@ -339,10 +392,6 @@
         liveness.name().toLowerCase(Locale.ROOT),
         "work",
         run.request());
-    run.until(eventLoop.nanoTime() + RequestExposure.END_NANOS);
-    notifier.send(run);
-    scheduleProof(run, eventLoop.nanoTime());
-    listener.exposureGrew(run.request());
   }
 
   // Runs of peers, and guarded requests.
@@ -369,6 +418,8 @@
   void onNotice(PeerMessage.EngineRunNotice notice, long writtenNanos) {
     long now = eventLoop.nanoTime();
     long startedNanos = writtenNanos - notice.ageMillis() * NANOS_PER_MILLI;
+    long provableNanos = writtenNanos + notice.remainingMillis() * NANOS_PER_MILLI;
+    boolean unresolved = notice.phase() == RunPhase.UNRESOLVED;
     PeerRun run =
         new PeerRun(
             notice.runId(),
@@ -376,13 +427,14 @@
             notice.engine(),
             notice.phase(),
             startedNanos,
-            writtenNanos + notice.remainingMillis() * NANOS_PER_MILLI);
+            provableNanos,
+            unresolved ? provableNanos + RequestExposure.END_NANOS : provableNanos);
     boolean own = (notice.runId() & NODE_MASK) == nodeBits && notice.runId() - firstId >= 0;
     if (own || history.completedAfter(notice.request(), startedNanos)) {
       return;
     }
     ledger.put(run, now);
-    if (notice.phase() == RunPhase.UNRESOLVED) {
+    if (unresolved) {
       listener.exposureGrew(notice.request());
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/TrackedRun.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/TrackedRun.java
@@ -15,8 +15,11 @@
   private long startedNanos;
   private Engine engine;
   private RunPhase phase = RunPhase.CLAIMED;
-  private long untilNanos;
+  private long deadlineNanos;
+  private long provableNanos;
+  private boolean connectionLost;
   private boolean announced;
+  private boolean vanished;
   private boolean leftByPlan;
 
   TrackedRun(long id, RequestFingerprint.Builder work, long nowNanos) {
@@ -77,27 +80,44 @@
     return phase;
   }
 
-  void sent(Engine newEngine, long deadlineNanos, long nowNanos) {
+  void sent(Engine newEngine, long newDeadlineNanos, long nowNanos) {
     engine = newEngine;
     startedNanos = nowNanos;
     phase = RunPhase.OPEN;
-    untilNanos = deadlineNanos;
+    deadlineNanos = newDeadlineNanos;
   }
 
   void phase(RunPhase newPhase) {
     phase = newPhase;
   }
 
+  /** Returns until when the engine was asked to run the request, by the event loop's clock. */
+  long deadlineNanos() {
+    return deadlineNanos;
+  }
+
+  /**
+   * Returns from when a response of the engine to another request proves that it no longer runs
+   * this one, by the event loop's clock.
+   */
+  long provableNanos() {
+    return provableNanos;
+  }
+
   /**
-   * Returns until when the engine may run the request, or may be found to have ended under it, by
-   * the event loop's clock.
+   * Sets from when the run is provable.
+   *
+   * @param afterLostConnection whether the engine's connection was lost at that time, so that the
+   *     engine ended then if it did
    */
-  long untilNanos() {
-    return untilNanos;
+  void provableFrom(long nanos, boolean afterLostConnection) {
+    provableNanos = nanos;
+    connectionLost = afterLostConnection;
   }
 
-  void until(long nanos) {
-    untilNanos = nanos;
+  /** Returns when the engine ended, if that is found at a given time. */
+  long endedNanos(long foundNanos) {
+    return connectionLost ? provableNanos : foundNanos;
   }
 
   /** Whether peers were notified of the run. */
@@ -109,6 +129,15 @@
     announced = true;
   }
 
+  /** Whether the engine's entry is gone and it gave no answer since. */
+  boolean vanished() {
+    return vanished;
+  }
+
+  void markVanished() {
+    vanished = true;
+  }
+
   /** Whether the engine responded after its entry had gone, so that it leaves by plan. */
   boolean leftByPlan() {
     return leftByPlan;
@@ -117,4 +146,9 @@
   void markLeftByPlan() {
     leftByPlan = true;
   }
+
+  /** Whether the engine leaves, or has left, by plan. */
+  boolean atLeavingEngine() {
+    return leftByPlan || engine.record().draining();
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -50,6 +50,8 @@
   CALL_CUT(366),
   ENGINE_VANISHED(367),
   REQUEST_HELD(368),
+  RUN_UNRESOLVED(369),
+  RUN_RESOLVED(370),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -259,10 +259,22 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"KEEP, CONNECTED", "CLOSE, RUNNING", "RESET, RUNNING"})
-  void engineThatListensHasNotEnded(After after, EngineLiveness liveness) throws Exception {
-    Response identity = new Response(OWN.replace("r1", "e"), After.KEEP);
-    try (ScriptedEngine scripted = new ScriptedEngine(new Response(OWN, after), identity)) {
+  @CsvSource({"KEEP, RUNNING", "CLOSE, RUNNING", "RESET, RUNNING"})
+  void engineThatRespondsHasNotEnded(After after, EngineLiveness liveness) throws Exception {
+    requireLivenessAfter(after, new Response(OWN.replace("r1", "e"), After.KEEP), liveness);
+  }
+
+  /** Guards against an accepted or open connection that is taken for a proof. */
+  @ParameterizedTest
+  @CsvSource({"KEEP, KEEP, CONNECTED", "CLOSE, KEEP, ACCEPTING", "KEEP, CLOSE, CONNECTED"})
+  void engineThatDoesNotRespondIsNotFoundToRun(
+      After after, After afterQuestion, EngineLiveness liveness) throws Exception {
+    requireLivenessAfter(after, new Response("", afterQuestion), liveness);
+  }
+
+  private void requireLivenessAfter(After after, Response second, EngineLiveness liveness)
+      throws Exception {
+    try (ScriptedEngine scripted = new ScriptedEngine(new Response(OWN, after), second)) {
       Engine engine = engineAt(scripted.port());
       sendAndAwait(engine, "r1");
       scripted.awaitOpen(after == After.KEEP ? 1 : 0);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/QuarantineNodes.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/QuarantineNodes.java
@@ -26,6 +26,9 @@
   /** The liveness of engines that have not ended. */
   EngineLiveness livenessOfRunning = EngineLiveness.RUNNING;
 
+  /** What engines that have not ended answer to a question; null for {@link #livenessOfRunning}. */
+  EngineLiveness answerOfRunning;
+
   /** The time that a check of an engine takes, in milliseconds. */
   long checkMillis = 2;
 
@@ -73,6 +76,25 @@
     return nodes.get(number);
   }
 
+  private void answer(Engine engine, EngineLiveness ofRunning, Consumer<EngineLiveness> answer) {
+    boolean hasEnded = ended.contains(engine.record().id());
+    EngineLiveness liveness = hasEnded ? EngineLiveness.ENDED : ofRunning;
+    eventLoop.schedule(checkMillis, () -> answer.accept(liveness));
+  }
+
+  /** Finds what the test says. */
+  private final class LivenessOfFakes implements EngineLivenessCheck {
+    @Override
+    public void check(Engine engine, Consumer<EngineLiveness> answer) {
+      answer(engine, livenessOfRunning, answer);
+    }
+
+    @Override
+    public void ask(Engine engine, Consumer<EngineLiveness> answer) {
+      answer(engine, answerOfRunning == null ? livenessOfRunning : answerOfRunning, answer);
+    }
+  }
+
   /** One incarnation of a node. */
   final class Node {
     private final PeerAddress address;
@@ -100,7 +122,7 @@
               "n" + number,
               engines,
               Topology.ofOneRegion("z"),
-              this::check,
+              new LivenessOfFakes(),
               peers,
               transport,
               codec,
@@ -116,12 +138,6 @@
       }
     }
 
-    private void check(Engine engine, Consumer<EngineLiveness> answer) {
-      boolean hasEnded = ended.contains(engine.record().id());
-      EngineLiveness liveness = hasEnded ? EngineLiveness.ENDED : livenessOfRunning;
-      eventLoop.schedule(checkMillis, () -> answer.accept(liveness));
-    }
-
     PeerAddress address() {
       return address;
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -163,6 +163,86 @@
     }
   }
 
+  /** Loses the connection of a run; returns whether the request was sent. */
+  private boolean sendUntilLost(QuarantineNodes.Node node, int engine) {
+    EngineRun run = run(node);
+    if (!claim(run).sendable()) {
+      return false;
+    }
+    run.sent(node.engine(engine), deadline());
+    eventLoop.advance(5);
+    run.connectionLost(() -> {});
+    eventLoop.advance(10);
+    return true;
+  }
+
+  /** Guards against an accepted or open connection that is taken for a proof. */
+  @ParameterizedTest
+  @EnumSource(names = {"ACCEPTING", "CONNECTED", "CLOSING", "UNKNOWN"})
+  void lostConnectionsToEnginesThatDoNotRespondHoldARequest(EngineLiveness liveness) {
+    cluster.livenessOfRunning = liveness;
+    for (int i = 0; i < 3; i++) {
+      assertTrue(sendUntilLost(node(i), i));
+    }
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.HELD, verdict(i));
+    }
+    eventLoop.advance(RESOLVED_MILLIS);
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.HELD, verdict(i));
+    }
+  }
+
+  @Test
+  void engineThatAnswersLaterResolvesItsLostRuns() {
+    cluster.livenessOfRunning = EngineLiveness.ACCEPTING;
+    cluster.answerOfRunning = EngineLiveness.RUNNING;
+    for (int i = 0; i < 3; i++) {
+      sendUntilLost(node(i), i);
+    }
+    assertEquals(Verdict.HELD, verdict(4));
+    eventLoop.advance(500);
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.CLEAR, verdict(i));
+    }
+  }
+
+  /** As for a full engine that resets connections and goes on with its work. */
+  @Test
+  void responseToRequestThatWasSentAfterTheLossResolvesTheRunAtEachNode() {
+    cluster.livenessOfRunning = EngineLiveness.CONNECTED;
+    for (int i = 0; i < 3; i++) {
+      sendUntilLost(node(0), i);
+    }
+    long sentNanos = eventLoop.nanoTime();
+    eventLoop.advance(5_000);
+    assertEquals(Verdict.HELD, verdict(0));
+    for (int i = 0; i < 2; i++) {
+      node(i).quarantine().responded(node(i).engine(2), eventLoop.nanoTime());
+      eventLoop.advance(10);
+    }
+    assertEquals(Verdict.CLEAR, verdict(0));
+    node(0).quarantine().responded(node(0).engine(1), sentNanos - 1_000_000_000);
+    assertTrue(sendUntilLost(node(0), 3));
+    assertEquals(Verdict.HELD, verdict(0));
+  }
+
+  /** Guards against a result that is older than the lost connection and is taken for a proof. */
+  @Test
+  void connectionThatIsLostDuringACheckIsCheckedAgain() {
+    EngineRun first = run(node(0));
+    EngineRun second = run(node(0));
+    first.sent(node(0).engine(0), deadline());
+    second.sent(node(0).engine(0), deadline());
+    cluster.checkMillis = 50;
+    first.connectionLost(() -> {});
+    eventLoop.advance(20);
+    second.connectionLost(() -> {});
+    cluster.ended().add("e0");
+    eventLoop.advance(60);
+    assertEquals(Verdict.SUSPECT, verdict(0));
+  }
+
   /** Its entry is gone, but it serves until it ends by plan. */
   @Test
   void enginesThatLeaveByPlanBlameNothing() {
