--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
@@ -23,10 +23,11 @@
 import org.baykeel.gateway.topology.Topology;
 
 /**
- * The peers to which this node sends datagrams. On start a node writes its address to the store,
- * reads the addresses of the other nodes once, and announces itself to them; nodes that start later
- * announce themselves to it. Correctness does not depend on a complete list: the messages to its
- * peers only save requests to engines and calls to the store.
+ * The peers to which this node sends datagrams. On start a node reads the addresses of the other
+ * nodes and announces itself to them; then it writes its own address to the store and reads and
+ * announces again, so that of two nodes that start at the same time at least one finds the other.
+ * Nodes that start later announce themselves to it. A peer that still knows this node from before
+ * its start is announced to with its first message, whether or not the store responds.
  *
  * <p>Each node also publishes its zone, so that others can prefer the peers in their own region. If
  * there are several regions, a peer whose zone is not known yet counts as one of another region.
@@ -39,6 +40,10 @@
   private static final long JOIN_DELAY_MILLIS = 500;
 
   private static final long RETRY_MILLIS = 1_000;
+
+  /** Peers answer an announcement within this time. */
+  private static final long ANSWER_NANOS = 30_000_000L;
+
   private static final int MAX_PEERS = 1_024;
 
   /** Separates the address and the zone in a node's row. */
@@ -57,6 +62,9 @@
   private final Map<PeerAddress, String> zoneByPeer = new LinkedHashMap<>();
   private final Set<PeerAddress> peersInRegion = new LinkedHashSet<>();
   private long ownRowVersion = Transaction.ABSENT;
+  private boolean joined;
+  private boolean announced;
+  private long announcedNanos;
   private boolean loaded;
   private boolean left;
 
@@ -90,6 +98,8 @@
    * Publishes this node and loads the peers from the store, with retries until the store responds.
    */
   public void join() {
+    joined = true;
+    readPeers(null, this::announce);
     eventLoop.schedule(JOIN_DELAY_MILLIS, this::writeOwnRow);
   }
 
@@ -110,31 +120,52 @@
       if (left) {
         removeOwnRow();
       } else {
-        readPeers(null);
+        readPeers(null, this::onLoaded);
       }
     } else {
       eventLoop.schedule(RETRY_MILLIS, this::writeOwnRow);
     }
   }
 
-  private void readPeers(String fromKey) {
+  private void readPeers(String fromKey, Runnable read) {
     store.read(
-        new RangeRead(TABLE, "", fromKey, PAGE_ROWS), outcome -> onPeerRows(fromKey, outcome));
+        new RangeRead(TABLE, "", fromKey, PAGE_ROWS),
+        outcome -> onPeerRows(fromKey, outcome, read));
   }
 
-  private void onPeerRows(String fromKey, ReadOutcome outcome) {
+  private void onPeerRows(String fromKey, ReadOutcome outcome, Runnable read) {
     if (!(outcome instanceof ReadOutcome.Rows page)) {
-      eventLoop.schedule(RETRY_MILLIS, () -> readPeers(fromKey));
+      eventLoop.schedule(RETRY_MILLIS, () -> readPeers(fromKey, read));
       return;
     }
     page.rows().forEach(this::addFromRow);
     if (page.more()) {
-      readPeers(page.rows().get(page.rows().size() - 1).address().key() + '\0');
-      return;
+      readPeers(page.rows().get(page.rows().size() - 1).address().key() + '\0', read);
+    } else {
+      read.run();
     }
-    loaded = true;
-    byte[] announcement = codec.encode(new PeerMessage.NodeAnnouncement(topology.ownZone()));
+  }
+
+  private void announce() {
+    recordAnnouncement();
+    byte[] announcement = announcement();
     zoneByPeer.keySet().forEach(peer -> transport.send(peer, announcement));
+  }
+
+  private void recordAnnouncement() {
+    if (!announced) {
+      announced = true;
+      announcedNanos = eventLoop.nanoTime();
+    }
+  }
+
+  private byte[] announcement() {
+    return codec.encode(new PeerMessage.NodeAnnouncement(topology.ownZone()));
+  }
+
+  private void onLoaded() {
+    loaded = true;
+    announce();
     log.write(
         GatewayEvent.PEERS_KNOWN, "peers", zoneByPeer.size(), "in_region", peersInRegion.size());
   }
@@ -155,14 +186,28 @@
   }
 
   /**
-   * Adds the sender of a message with an unknown zone, unless the sender is already known.
+   * Adds the sender of a message with an unknown zone, unless the sender is already known. It knows
+   * this node, possibly from before its start, and is told that it has started.
    *
    * @param peer the address of the sender
    */
   public void onSender(PeerAddress peer) {
     if (!zoneByPeer.containsKey(peer)) {
       add(peer, UNKNOWN_ZONE);
+      recordAnnouncement();
+      transport.send(peer, announcement());
+    }
+  }
+
+  /**
+   * Returns whether this node has just started, so that peers have not told it yet what they know:
+   * it knows none of them, or has only just announced itself.
+   */
+  public boolean awaitsAnswers() {
+    if (!joined || loaded && zoneByPeer.isEmpty()) {
+      return false;
     }
+    return !announced || eventLoop.nanoTime() - announcedNanos < ANSWER_NANOS;
   }
 
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -47,8 +47,8 @@
   private static final long CLOCK_TOLERANCE_NANOS = 100_000_000L;
 
   /**
-   * How long requests wait after the start of a node until the store's rows have been read. Nodes
-   * read their configuration from the same store before they can serve.
+   * How long requests wait after the start of a node until the store's rows have been read and
+   * peers have answered. Nodes read their configuration from the same store before they can serve.
    */
   private static final long MAX_LOAD_NANOS = 2_000_000_000L;
 
@@ -76,8 +76,8 @@
   private final List<Runnable> listeners = new ArrayList<>();
   private final Set<RequestFingerprint> reported = new HashSet<>();
   private final Set<Integer> suspectHeads = new HashSet<>();
-  private long awaitRowsUntilNanos;
-  private boolean awaitsRows;
+  private long awaitEvidenceUntilNanos;
+  private boolean awaitsEvidence;
 
   /** From what a node learnt that an engine ended, for the log. */
   private enum Source {
@@ -181,14 +181,19 @@
   /** Reads the evidence that the store has. */
   public void start() {
     table.load();
-    awaitRowsUntilNanos = eventLoop.nanoTime() + MAX_LOAD_NANOS;
-    awaitsRows = true;
+    awaitEvidenceUntilNanos = eventLoop.nanoTime() + MAX_LOAD_NANOS;
+    awaitsEvidence = true;
   }
 
-  /** Whether the rows of the store, which may have evidence against any request, are awaited. */
-  private boolean awaitsRows() {
-    awaitsRows &= !table.loaded() && eventLoop.nanoTime() - awaitRowsUntilNanos < 0;
-    return awaitsRows;
+  /**
+   * Whether the rows of the store or the answers of peers, which may have evidence against any
+   * request, are awaited.
+   */
+  private boolean awaitsEvidence() {
+    awaitsEvidence &=
+        (!table.loaded() || peers.awaitsAnswers())
+            && eventLoop.nanoTime() - awaitEvidenceUntilNanos < 0;
+    return awaitsEvidence;
   }
 
   /** Returns the number of requests that are suspected at present. */
@@ -207,7 +212,7 @@
 
   @Override
   public boolean isSuspectHead(IntSupplier head) {
-    if (awaitsRows()) {
+    if (awaitsEvidence()) {
       return true;
     }
     if (suspectHeads.isEmpty() && !ledger.hasHeads()) {
@@ -226,7 +231,7 @@
 
   /** Returns what the ends of engines alone say of a request. */
   private Verdict evidence(RequestFingerprint request) {
-    if (awaitsRows()) {
+    if (awaitsEvidence()) {
       return Verdict.UNDECIDED;
     }
     BlameAssessment assessment = assessment();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/QuarantineNodes.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/QuarantineNodes.java
@@ -32,6 +32,9 @@
   /** The time that a check of an engine takes, in milliseconds. */
   long checkMillis = 2;
 
+  /** A node has read the rows and heard its peers within this time, in milliseconds. */
+  private static final long START_MILLIS = 40;
+
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final TestingStore store = new TestingStore(eventLoop);
   private final TestingPeerNetwork network = new TestingPeerNetwork(eventLoop);
@@ -71,8 +74,14 @@
 
   /** Replaces a node by a new incarnation, which knows nothing. */
   Node restart(int number) {
+    Node node = restartWithoutPause(number);
+    eventLoop.advance(START_MILLIS);
+    return node;
+  }
+
+  /** The same, before the new incarnation has received anything. */
+  Node restartWithoutPause(int number) {
     nodes.set(number, new Node(number));
-    eventLoop.advance(20);
     return nodes.get(number);
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -398,6 +398,51 @@
     assertEquals(Verdict.FATAL, verdict(4));
   }
 
+  /** Guards against a send before the peers of a restarted node could tell it of three ends. */
+  @Test
+  void nodeThatStartsLearnsOfEndsBeforeItSends() {
+    cluster.store().fault(TestingStore.Fault.REFUSE);
+    endThreeThatAreNoLongerRepeated();
+    cluster.restartWithoutPause(4);
+    assertTrue(!claim(run(node(4))).sendable());
+  }
+
+  /** Guards against ends that a restarted node tells nobody, since it could not write its row. */
+  @Test
+  void endsThatARestartedNodeSeesReachItsPeersAtOnce() {
+    cluster.store().fault(TestingStore.Fault.REFUSE);
+    cluster.restart(4);
+    eventLoop.advance(100);
+    for (int i = 0; i < 3; i++) {
+      endUnder(node(4), i);
+    }
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.FATAL, verdict(i));
+    }
+  }
+
+  /** As when the store does not respond at all, and peers know the node from before its start. */
+  @Test
+  void peerThatSendsAMessageTellsARestartedNodeWhatItKnows() {
+    cluster.store().fault(TestingStore.Fault.REFUSE);
+    endThreeThatAreNoLongerRepeated();
+    cluster.store().failReads(true);
+    cluster.restart(4);
+    eventLoop.advance(2_500);
+    EngineRun other = node(0).quarantine().newRun(work("other"));
+    other.sent(node(0).engine(9), deadline());
+    other.abandoned();
+    eventLoop.advance(40);
+    assertEquals(Verdict.FATAL, verdict(4));
+  }
+
+  private void endThreeThatAreNoLongerRepeated() {
+    for (int i = 0; i < 3; i++) {
+      endUnder(node(0), i);
+    }
+    eventLoop.advance(6_000);
+  }
+
   @Test
   void runsOfANodeThatIsKilledCountAtItsPeers() {
     sendUntilDeadline(node(0), 0);
