--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
@@ -30,8 +30,10 @@
   /** Returns the run as a later notice tells it, provable as soon as by this one. */
   PeerRun updatedBy(PeerRun later) {
     boolean sooner = phase == later.phase && provableNanos - later.provableNanos < 0;
-    long provable = sooner ? provableNanos : later.provableNanos;
-    return new PeerRun(
-        id, request, engine, later.phase, later.startedNanos, provable, later.expiresNanos);
+    return sooner ? later.provableFrom(provableNanos) : later;
+  }
+
+  private PeerRun provableFrom(long nanos) {
+    return new PeerRun(id, request, engine, phase, startedNanos, nanos, expiresNanos);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -9,22 +9,24 @@
 import org.baykeel.gateway.program.RequestFingerprint;
 
 /**
- * Counts the engines that a request has ended or may still end: those that ended under it within
- * {@link #END_NANOS}, those at which a run of it is unresolved and, once there is a reason to guard
- * it, those that run it and the claims to send it.
+ * Counts the engines that a request has ended or may still end: those that ended under it, those at
+ * which a run of it is unresolved and, once there is a reason to guard it, those that run it and
+ * the claims to send it.
  *
  * <p>Invariant: a request is sent only while fewer engines than {@link #MAX_ENGINES} count, so that
- * no more of them end under it, whenever they do.
+ * no more of them end under it, whenever they do. Ends count as long as they are evidence. A
+ * request that may be innocent gets one send more, and no other beside it, once it has been held
+ * for {@link #HOLD_NANOS}: a completed run clears it, a further end counts like the others.
  */
 final class RequestExposure {
   /** The number of engines that may end under a request. */
   static final int MAX_ENGINES = 3;
 
   /**
-   * How long an end counts for a request that may be innocent: longer than callers repeat a request
-   * within its deadline.
+   * How long a request is held after the last of three engines began to count: longer than callers
+   * repeat a request within its deadline.
    */
-  static final long END_NANOS = 60_000_000_000L;
+  static final long HOLD_NANOS = 60_000_000_000L;
 
   /** The number of unresolved runs from which on runs in progress count too. */
   private static final int GUARDED_UNRESOLVED = 2;
@@ -35,7 +37,6 @@
   /** An engine is asked within this time once its answer proves that it ceased a run. */
   private static final long PROOF_NANOS = 1_500_000_000L;
 
-  private static final long SILENCE_NANOS = 500_000_000L;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final EngineEndHistory history;
@@ -50,13 +51,28 @@
   private static final class Count {
     private final Set<EngineIncarnation> engines = new HashSet<>();
     private final List<Long> expiries = new ArrayList<>();
+    private int exposed;
+    private long lastExposedNanos;
     private int claims;
     private boolean guarded;
 
-    private void add(EngineIncarnation engine, long expiresNanos) {
-      if (engines.add(engine)) {
+    /**
+     * Adds an engine that ended or at which a run is unresolved.
+     *
+     * @param sinceNanos when it ended, or the run began
+     */
+    private void addExposed(EngineIncarnation engine, long sinceNanos, long expiresNanos) {
+      boolean last = exposed == 0 || sinceNanos - lastExposedNanos > 0;
+      lastExposedNanos = last ? sinceNanos : lastExposedNanos;
+      exposed += add(engine, expiresNanos) ? 1 : 0;
+    }
+
+    private boolean add(EngineIncarnation engine, long expiresNanos) {
+      boolean added = engines.add(engine);
+      if (added) {
         expiries.add(expiresNanos);
       }
+      return added;
     }
 
     private void addClaim(long expiresNanos) {
@@ -64,14 +80,26 @@
       expiries.add(expiresNanos);
     }
 
-    private int size() {
-      return engines.size() + claims;
+    private boolean exhausted(long nowNanos) {
+      boolean heldLongEnough = exposed == MAX_ENGINES && nowNanos - lastExposedNanos >= HOLD_NANOS;
+      return engines.size() + claims >= (heldLongEnough ? MAX_ENGINES + 1 : MAX_ENGINES);
+    }
+
+    private long retryNanos() {
+      expiries.sort(Long::compare);
+      int remaining = expiries.size() - MAX_ENGINES;
+      if (remaining < 0) {
+        return Long.MIN_VALUE;
+      }
+      long expiryNanos = expiries.get(remaining);
+      long holdEndNanos = lastExposedNanos + HOLD_NANOS;
+      return exposed == MAX_ENGINES ? Math.min(expiryNanos, holdEndNanos) : expiryNanos;
     }
   }
 
   /** Returns whether so many engines count that the request must not be sent. */
   boolean exhausted(RequestFingerprint request, long nowNanos) {
-    return count(request, null, nowNanos).size() >= MAX_ENGINES;
+    return count(request, null, nowNanos).exhausted(nowNanos);
   }
 
   /**
@@ -79,7 +107,7 @@
    * precede it exhaust the request.
    */
   boolean exhausted(TrackedRun claim, long nowNanos) {
-    return count(claim.request(), claim, nowNanos).size() >= MAX_ENGINES;
+    return count(claim.request(), claim, nowNanos).exhausted(nowNanos);
   }
 
   /** Returns whether a request may be sent only after a claim. */
@@ -89,24 +117,25 @@
 
   /** Returns the time until the request may be sent again, in milliseconds. */
   long retryMillis(RequestFingerprint request, long nowNanos) {
-    List<Long> expiries = count(request, null, nowNanos).expiries;
-    expiries.sort(Long::compare);
-    int remaining = expiries.size() - MAX_ENGINES;
-    return remaining < 0 ? 0 : Math.max(0, (expiries.get(remaining) - nowNanos) / NANOS_PER_MILLI);
+    long retryNanos = count(request, null, nowNanos).retryNanos();
+    return retryNanos == Long.MIN_VALUE
+        ? 0
+        : Math.max(0, (retryNanos - nowNanos) / NANOS_PER_MILLI);
   }
 
   private Count count(RequestFingerprint request, TrackedRun claim, long nowNanos) {
     Count count = new Count();
     for (EngineEnd end : history.endsUnder(request)) {
-      if (nowNanos - end.endedNanos() <= END_NANOS) {
-        count.add(end.engine(), end.endedNanos() + END_NANOS);
+      long expiresNanos = end.endedNanos() + EngineEndHistory.LIFETIME_NANOS;
+      if (nowNanos - expiresNanos <= 0) {
+        count.addExposed(end.engine(), end.endedNanos(), expiresNanos);
       }
     }
-    int ended = count.size();
+    boolean ended = count.exposed > 0;
     List<TrackedRun> own = ledger.of(request);
     List<PeerRun> ofPeers = ledger.peerRunsOf(request, nowNanos);
     addUnresolved(count, own, ofPeers, nowNanos);
-    count.guarded = ended > 0 || count.size() >= GUARDED_UNRESOLVED;
+    count.guarded = ended || count.exposed >= GUARDED_UNRESOLVED;
     if (count.guarded) {
       addInProgress(count, own, ofPeers, claim, nowNanos);
     }
@@ -117,19 +146,22 @@
       Count count, List<TrackedRun> own, List<PeerRun> ofPeers, long nowNanos) {
     for (TrackedRun run : own) {
       if (run.phase() == RunPhase.UNRESOLVED) {
-        count.add(run.incarnation(), expectedProofNanos(run.provableNanos(), nowNanos));
+        long proofNanos = expectedProofNanos(run.startedNanos(), run.provableNanos(), nowNanos);
+        count.addExposed(run.incarnation(), run.startedNanos(), proofNanos);
       }
     }
     for (PeerRun run : ofPeers) {
       if (run.phase() == RunPhase.UNRESOLVED) {
-        count.add(run.engine(), expectedProofNanos(run.provableNanos(), nowNanos));
+        long proofNanos = expectedProofNanos(run.startedNanos(), run.provableNanos(), nowNanos);
+        count.addExposed(run.engine(), run.startedNanos(), proofNanos);
       }
     }
   }
 
-  /** An engine that has given no answer so far is expected to give none for some time. */
-  private static long expectedProofNanos(long provableNanos, long nowNanos) {
-    return Math.max(provableNanos + PROOF_NANOS, nowNanos + SILENCE_NANOS);
+  /** An engine that has not responded although it was asked may never respond. */
+  private static long expectedProofNanos(long startedNanos, long provableNanos, long nowNanos) {
+    long proofNanos = provableNanos + PROOF_NANOS;
+    return proofNanos - nowNanos > 0 ? proofNanos : startedNanos + EngineEndHistory.LIFETIME_NANOS;
   }
 
   private static void addInProgress(
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -340,7 +340,7 @@
     boolean provable = now - run.provableNanos() >= 0;
     if (provable && run.atLeavingEngine()) {
       resolve(run, "plan");
-    } else if (now - run.startedNanos() > RequestExposure.END_NANOS) {
+    } else if (now - run.startedNanos() > EngineEndHistory.LIFETIME_NANOS) {
       resolve(run, "expiry");
     } else {
       if (askedAfterRemoval && !run.vanished()) {
@@ -377,7 +377,7 @@
     }
     if (!engine.record().draining()) {
       for (PeerRun run : ledger.peerRunsAt(EngineIncarnation.of(engine.record()), now)) {
-        ledger.put(run.expiringAt(now + RequestExposure.END_NANOS), now);
+        ledger.put(run.expiringAt(now + RequestExposure.HOLD_NANOS), now);
       }
     }
   }
@@ -428,7 +428,7 @@
             notice.phase(),
             startedNanos,
             provableNanos,
-            unresolved ? provableNanos + RequestExposure.END_NANOS : provableNanos);
+            unresolved ? provableNanos + RequestExposure.HOLD_NANOS : provableNanos);
     boolean own = (notice.runId() & NODE_MASK) == nodeBits && notice.runId() - firstId >= 0;
     if (own || history.completedAfter(notice.request(), startedNanos)) {
       return;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -163,6 +163,81 @@
     }
   }
 
+  /** Sends for a time, with a pause after each try; returns how many engines got the request. */
+  private int sentEngines(int seconds, int pauseSeconds, boolean ends, int firstEngine) {
+    int sent = 0;
+    for (int second = 0; second < seconds; second += pauseSeconds) {
+      int engine = firstEngine + sent;
+      QuarantineNodes.Node node = node(second / pauseSeconds);
+      if (ends) {
+        EngineRun run = run(node);
+        if (claim(run).sendable()) {
+          sent++;
+          endBesideOther(node, run, engine);
+        }
+      } else {
+        sent += sendUntilDeadline(node, engine) ? 1 : 0;
+      }
+      eventLoop.advance(pauseSeconds * 1_000L);
+    }
+    return sent;
+  }
+
+  /** The engine ends under the run while another one, which did not run the request, ends too. */
+  private void endBesideOther(QuarantineNodes.Node node, EngineRun run, int engine) {
+    run.sent(node.engine(engine), deadline());
+    int other = ENGINES - 1 - engine;
+    cluster.ended().addAll(List.of("e" + engine, "e" + other));
+    run.connectionLost(() -> {});
+    node.loseConnection(other, work("other " + engine).build());
+    eventLoop.advance(50);
+  }
+
+  /**
+   * Guards against ends that are forgotten by time alone: a caller that comes back once its request
+   * is no longer held.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 10, 62, 90})
+  void endsBesideOthersLetOneFurtherRunBeginWhileTheyAreEvidence(int pauseSeconds) {
+    int sent = sentEngines(590, pauseSeconds, true, 0);
+    assertTrue(sent <= 4, () -> sent + " engines");
+  }
+
+  /** Guards against silence that is forgotten by time alone: entries stay, nothing responds. */
+  @ParameterizedTest
+  @EnumSource(names = {"ACCEPTING", "UNKNOWN", "CONNECTED"})
+  void silentEnginesThatKeepTheirEntriesHoldARequest(EngineLiveness liveness) {
+    cluster.livenessOfRunning = liveness;
+    int withinAMinute = sentEngines(60, 10, false, 0);
+    assertEquals(3, withinAMinute);
+    int later = sentEngines(500, 10, false, withinAMinute);
+    assertTrue(later <= 1, () -> later + " engines more");
+  }
+
+  /** As when three racks end: nothing but the hold is known of it. */
+  @Test
+  void heldRequestThatCompletesAfterItsHoldIsFree() {
+    sentEngines(30, 10, true, 0);
+    assertEquals(Verdict.HELD, verdict(1));
+    long retryMillis = node(1).quarantine().retryMillis(work("a").build());
+    assertTrue(retryMillis > 0 && retryMillis <= 60_000, () -> retryMillis + " ms");
+    eventLoop.advance(retryMillis + 1);
+    EngineRun run = run(node(1));
+    EngineRun beside = run(node(2));
+    assertTrue(claim(run).sendable());
+    assertEquals(Verdict.HELD, claim(beside));
+    run.sent(node(1).engine(9), deadline());
+    eventLoop.advance(100);
+    assertEquals(Verdict.HELD, verdict(2));
+    run.closed();
+    node(1).quarantine().completed(work("a").build());
+    eventLoop.advance(100);
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.CLEAR, verdict(i));
+    }
+  }
+
   /** Loses the connection of a run; returns whether the request was sent. */
   private boolean sendUntilLost(QuarantineNodes.Node node, int engine) {
     EngineRun run = run(node);
