--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndDetector.java
@@ -31,11 +31,15 @@
   /** After this time an engine is checked again if connections to it seemed to be open. */
   private static final long CONFIRMATION_MILLIS = 50;
 
-  private static final long UNKNOWN_RETRY_MILLIS = 250;
+  /** After this time an engine is checked again if the result may change. */
+  private static final long RETRY_MILLIS = 250;
 
   private static final int MAX_CONNECTED_CHECKS = 2;
   private static final int MAX_UNKNOWN_CHECKS = 6;
 
+  /** An engine that is just ending may close some connections before it ceases to respond. */
+  private static final int MAX_RUNNING_CHECKS = 2;
+
   private static final int MAX_REQUESTS = 256;
 
   /** For so long it may turn out that an engine has ended that seemed to run. */
@@ -102,17 +106,27 @@
           "ms",
           (eventLoop.nanoTime() - lostNanos) / 1_000_000);
       switch (liveness) {
-        case ENDED -> listener.engineEnded(engine, lostNanos, List.copyOf(requests));
+        case ENDED -> onEnded();
         case CONNECTED -> {
           retainForReports();
           repeatAfter(CONFIRMATION_MILLIS, MAX_CONNECTED_CHECKS);
         }
         case CLOSING -> {
           retainForReports();
-          repeatAfter(UNKNOWN_RETRY_MILLIS, MAX_UNKNOWN_CHECKS);
+          repeatAfter(RETRY_MILLIS, MAX_UNKNOWN_CHECKS);
+        }
+        case UNKNOWN -> repeatAfter(RETRY_MILLIS, MAX_UNKNOWN_CHECKS);
+        case RUNNING -> {
+          retainForReports();
+          repeatAfter(RETRY_MILLIS, MAX_RUNNING_CHECKS);
         }
-        case UNKNOWN -> repeatAfter(UNKNOWN_RETRY_MILLIS, MAX_UNKNOWN_CHECKS);
-        case RUNNING, ACCEPTING -> retainForReports();
+        case ACCEPTING -> retainForReports();
+      }
+    }
+
+    private void onEnded() {
+      if (!engine.record().draining()) {
+        listener.engineEnded(engine, lostNanos, List.copyOf(requests));
       }
     }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRequestQuarantine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRequestQuarantine.java
@@ -132,6 +132,16 @@
     assertEquals(Set.of(Verdict.SUSPECT), verdicts());
   }
 
+  /** Guards against an engine that still responds while its connections are closed. */
+  @Test
+  void engineThatEndsShortlyAfterItRespondedIsCheckedAgain() {
+    node(0).loseConnection(0, FATAL);
+    eventLoop.advance(10);
+    ended.add("e0");
+    eventLoop.advance(300);
+    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+  }
+
   /** As when the machine of the engine loses its power. */
   @Test
   void silentEngineBlamesNothingAlthoughItsEntryGoes() {
