--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunNotifier.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunNotifier.java
@@ -47,16 +47,19 @@
 
   /** Passes the notice of another node on to a peer that has started. */
   void sendTo(PeerAddress peer, PeerRun run) {
+    broadcast.sendTo(peer, notice(run));
+  }
+
+  /** Returns the notice of a run of another node, or of an earlier incarnation of this one. */
+  PeerMessage.EngineRunNotice notice(PeerRun run) {
     long now = eventLoop.nanoTime();
-    broadcast.sendTo(
-        peer,
-        new PeerMessage.EngineRunNotice(
-            run.id(),
-            run.request(),
-            run.engine(),
-            run.phase(),
-            (now - run.startedNanos()) / NANOS_PER_MILLI,
-            Math.max(0, (run.provableNanos() - now) / NANOS_PER_MILLI)));
+    return new PeerMessage.EngineRunNotice(
+        run.id(),
+        run.request(),
+        run.engine(),
+        run.phase(),
+        (now - run.startedNanos()) / NANOS_PER_MILLI,
+        millis(run.provableNanos() - now));
   }
 
   /** Returns what is known of a run now. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.quarantine;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Function;
@@ -264,8 +265,13 @@
   }
 
   private void resolve(TrackedRun run, String by) {
-    ledger.remove(run);
+    remove(run, by);
     notifier.send(run);
+    listener.runResolved();
+  }
+
+  private void remove(TrackedRun run, String by) {
+    ledger.remove(run);
     log.write(
         GatewayEvent.RUN_RESOLVED,
         "engine",
@@ -276,11 +282,11 @@
         by,
         "ms",
         (eventLoop.nanoTime() - run.startedNanos()) / NANOS_PER_MILLI);
-    listener.runResolved();
   }
 
+  /** Peers count the run until they know the end, which another datagram tells. */
   private void end(TrackedRun run, long foundNanos) {
-    resolve(run, "end");
+    remove(run, "end");
     listener.engineEnded(run.engine(), run.endedNanos(foundNanos), List.of(run.request()));
   }
 
@@ -429,7 +435,7 @@
             startedNanos,
             provableNanos,
             unresolved ? provableNanos + RequestExposure.HOLD_NANOS : provableNanos);
-    boolean own = (notice.runId() & NODE_MASK) == nodeBits && notice.runId() - firstId >= 0;
+    boolean own = isOfThisNode(notice.runId()) && notice.runId() - firstId >= 0;
     if (own || history.completedAfter(notice.request(), startedNanos)) {
       return;
     }
@@ -449,10 +455,23 @@
         .forEach(run -> notifier.sendTo(peer, run));
   }
 
-  /** Returns notices of the latest unresolved runs, which are kept in the store. */
+  private boolean isOfThisNode(long runId) {
+    return (runId & NODE_MASK) == nodeBits;
+  }
+
+  /**
+   * Returns notices of the latest unresolved runs of this node and of its earlier incarnations,
+   * which are kept in the store.
+   */
   List<PeerMessage.EngineRunNotice> noticesToKeep() {
     List<TrackedRun> unresolved = ledger.unresolved();
-    int from = Math.max(0, unresolved.size() - MAX_KEPT);
-    return unresolved.subList(from, unresolved.size()).stream().map(notifier::notice).toList();
+    List<PeerMessage.EngineRunNotice> notices = new ArrayList<>();
+    for (PeerRun run : ledger.peerRuns(eventLoop.nanoTime())) {
+      if (isOfThisNode(run.id()) && run.phase() == RunPhase.UNRESOLVED) {
+        notices.add(notifier.notice(run));
+      }
+    }
+    unresolved.forEach(run -> notices.add(notifier.notice(run)));
+    return notices.subList(Math.max(0, notices.size() - MAX_KEPT), notices.size());
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -448,6 +448,53 @@
   }
 
   /** Guards against an unresolved run that is not kept, as its request was not guarded then. */
+  /** Guards against runs that a node's row loses when the node has started again and writes it. */
+  @Test
+  void unresolvedRunsOutliveTwoStartsOfAllNodes() {
+    cluster.livenessOfRunning = EngineLiveness.ACCEPTING;
+    for (int i = 0; i < 3; i++) {
+      sendUntilDeadline(node(0), i);
+    }
+    eventLoop.advance(300);
+    restartAll();
+    EngineRun other = node(0).quarantine().newRun(work("other"));
+    other.sent(node(0).engine(9), deadline());
+    other.abandoned();
+    eventLoop.advance(1_000);
+    restartAll();
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.HELD, verdict(i));
+    }
+  }
+
+  private void restartAll() {
+    cluster.nodes().forEach(node -> cluster.network().detach(node.address()));
+    eventLoop.advance(6_000);
+    for (int i = 0; i < NODES; i++) {
+      cluster.restart(i);
+    }
+    eventLoop.advance(100);
+  }
+
+  /** Guards against a peer that is told that a run counts no longer before it knows the end. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void runCountsAtPeersUntilTheyKnowTheEnd(long seed) {
+    cluster.livenessOfRunning = EngineLiveness.ACCEPTING;
+    for (int i = 0; i < 3; i++) {
+      sendUntilLost(node(0), i);
+    }
+    assertEquals(Verdict.HELD, verdict(1));
+    for (int i = 0; i < 3; i++) {
+      cluster.ended().add("e" + i);
+    }
+    cluster.network().lose(0.5, new Random(seed));
+    for (int millis = 0; millis < 1_500; millis++) {
+      eventLoop.advance(1);
+      assertTrue(!verdict(1).sendable());
+    }
+  }
+
   @Test
   void unresolvedRunIsKeptOnceItsRequestIsGuarded() {
     sendUntilDeadline(node(0), 0);
