--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.function.Function;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineIncarnation;
@@ -13,7 +12,6 @@
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.StableHash;
-import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
 
 /**
@@ -79,7 +77,7 @@
   private final EngineProver prover;
   private final RunNotifier notifier;
   private final EventLoop eventLoop;
-  private final GatewayLog log;
+  private final RunLog log;
   private final Listener listener;
   private final QueryIds runIds;
   private final int nodeBits;
@@ -111,7 +109,7 @@
     this.prover = new EngineProver(livenessCheck, eventLoop, new ProofListener());
     this.notifier = notifier;
     this.eventLoop = eventLoop;
-    this.log = log;
+    this.log = new RunLog(eventLoop, log);
     this.listener = listener;
     this.runIds = new QueryIds(eventLoop);
     this.nodeBits = StableHash.of(nodeName) & NODE_MASK;
@@ -237,56 +235,38 @@
     }
     long ceasesNanos = Math.min(run.deadlineNanos(), now + MAX_UNRESOLVED_NANOS);
     run.provableFrom(Math.max(ceasesNanos, now) + AFTER_DEADLINE_NANOS, false);
-    addUnresolved(run, "attempt", PROOF_MILLIS);
+    addUnresolved(run, RunLog.Doubt.ATTEMPT, PROOF_MILLIS);
   }
 
   private void onConnectionLost(TrackedRun run, long lostNanos) {
     run.provableFrom(lostNanos, true);
-    addUnresolved(run, "connection_lost", LOST_PROOF_MILLIS);
+    addUnresolved(run, RunLog.Doubt.CONNECTION_LOST, LOST_PROOF_MILLIS);
   }
 
-  private void addUnresolved(TrackedRun run, String after, long proofMillis) {
+  private void addUnresolved(TrackedRun run, RunLog.Doubt doubt, long proofMillis) {
     ledger.addUnresolved(run);
     notifier.send(run);
-    log.write(
-        GatewayEvent.RUN_UNRESOLVED,
-        "engine",
-        run.engine().record().id(),
-        "work",
-        run.request(),
-        "after",
-        after,
-        "provable_ms",
-        (run.provableNanos() - eventLoop.nanoTime()) / NANOS_PER_MILLI);
+    log.unresolved(run, doubt);
     listener.exposureGrew(run.request());
     boolean removed = run.engine().removed();
     long proofNanos = run.provableNanos() + proofMillis * NANOS_PER_MILLI;
     prover.askAt(run.engine(), removed ? eventLoop.nanoTime() : proofNanos);
   }
 
-  private void resolve(TrackedRun run, String by) {
-    remove(run, by);
+  private void resolve(TrackedRun run, RunLog.Resolution resolution) {
+    remove(run, resolution);
     notifier.send(run);
     listener.runResolved();
   }
 
-  private void remove(TrackedRun run, String by) {
+  private void remove(TrackedRun run, RunLog.Resolution resolution) {
     ledger.remove(run);
-    log.write(
-        GatewayEvent.RUN_RESOLVED,
-        "engine",
-        run.engine().record().id(),
-        "work",
-        run.request(),
-        "by",
-        by,
-        "ms",
-        (eventLoop.nanoTime() - run.startedNanos()) / NANOS_PER_MILLI);
+    log.resolved(run, resolution);
   }
 
   /** Peers count the run until they know the end, which another datagram tells. */
   private void end(TrackedRun run, long foundNanos) {
-    remove(run, "end");
+    remove(run, RunLog.Resolution.END);
     listener.engineEnded(run.engine(), run.endedNanos(foundNanos), List.of(run.request()));
   }
 
@@ -294,7 +274,7 @@
   void responded(Engine engine, long sentNanos) {
     for (TrackedRun run : ledger.unresolvedAt(engine)) {
       if (sentNanos - run.provableNanos() >= 0) {
-        resolve(run, "response");
+        resolve(run, RunLog.Resolution.RESPONSE);
       }
     }
     ledger.removePeerRunsProvedBy(engine, sentNanos, eventLoop.nanoTime());
@@ -307,11 +287,15 @@
     @Override
     public void answered(
         Engine engine, EngineLiveness liveness, long askedNanos, boolean askedAfterRemoval) {
+      if (liveness == EngineLiveness.ENDED) {
+        onEnded(engine);
+        return;
+      }
       for (TrackedRun run : ledger.unresolvedAt(engine)) {
-        switch (liveness) {
-          case RUNNING -> onRunning(run, askedNanos, askedAfterRemoval);
-          case ENDED -> onEnded(run);
-          default -> onNoAnswer(run, liveness, askedAfterRemoval);
+        if (liveness == EngineLiveness.RUNNING) {
+          onRunning(run, askedNanos, askedAfterRemoval);
+        } else {
+          onNoAnswer(run, liveness, askedAfterRemoval);
         }
       }
     }
@@ -327,30 +311,35 @@
 
   private void onRunning(TrackedRun run, long askedNanos, boolean askedAfterRemoval) {
     if (askedNanos - run.provableNanos() >= 0) {
-      resolve(run, "answer");
+      resolve(run, RunLog.Resolution.ANSWER);
     } else if (askedAfterRemoval) {
       run.markLeftByPlan();
     }
   }
 
-  private void onEnded(TrackedRun run) {
-    if (run.atLeavingEngine()) {
-      resolve(run, "plan");
-    } else {
-      end(run, eventLoop.nanoTime());
+  private void onEnded(Engine engine) {
+    for (TrackedRun run : ledger.unresolvedAt(engine)) {
+      if (run.atLeavingEngine()) {
+        resolve(run, RunLog.Resolution.PLAN);
+      }
     }
+    // The end of one run makes the others at the engine end as well.
+    ledger.unresolvedAt(engine).stream()
+        .findFirst()
+        .ifPresent(run -> end(run, eventLoop.nanoTime()));
   }
 
   private void onNoAnswer(TrackedRun run, EngineLiveness liveness, boolean askedAfterRemoval) {
     long now = eventLoop.nanoTime();
     boolean provable = now - run.provableNanos() >= 0;
     if (provable && run.atLeavingEngine()) {
-      resolve(run, "plan");
+      resolve(run, RunLog.Resolution.PLAN);
     } else if (now - run.startedNanos() > EngineEndHistory.LIFETIME_NANOS) {
-      resolve(run, "expiry");
+      resolve(run, RunLog.Resolution.EXPIRY);
     } else {
       if (askedAfterRemoval && !run.vanished()) {
-        logVanished(run, liveness);
+        run.markVanished();
+        log.vanished(run, liveness);
       }
       // Peers, and the rows of the store, count the run for a limited time only.
       notifier.send(run);
@@ -388,18 +377,6 @@
     }
   }
 
-  private void logVanished(TrackedRun run, EngineLiveness liveness) {
-    run.markVanished();
-    log.write(
-        GatewayEvent.ENGINE_VANISHED,
-        "engine",
-        run.engine().record().id(),
-        "state",
-        liveness.name().toLowerCase(Locale.ROOT),
-        "work",
-        run.request());
-  }
-
   // Runs of peers, and guarded requests.
 
   /** Notifies peers of the runs in progress of a request that is guarded from now on. */
