--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -209,8 +209,11 @@
     }
 
     private void onChecked(long lostNanos, EngineLiveness liveness, Runnable decided) {
-      boolean ended = history.find(run.incarnation()) != null;
-      if (ended || liveness == EngineLiveness.RUNNING) {
+      EngineEnd end = history.find(run.incarnation());
+      if (end != null) {
+        ledger.remove(run);
+        addTo(end, run);
+      } else if (liveness == EngineLiveness.RUNNING) {
         closed();
       } else {
         onConnectionLost(run, lostNanos);
@@ -221,12 +224,19 @@
 
   // Runs whose attempts have ended.
 
+  /** The end may be known from a peer that did not run the request. */
+  private void addTo(EngineEnd end, TrackedRun run) {
+    if (!end.ran(run.request())) {
+      listener.engineEnded(run.engine(), end.endedNanos(), List.of(run.request()));
+    }
+  }
+
   private void onAbandoned(TrackedRun run) {
     long now = eventLoop.nanoTime();
     EngineEnd end = history.find(run.incarnation());
     if (end != null) {
       ledger.remove(run);
-      listener.engineEnded(run.engine(), end.endedNanos(), List.of(run.request()));
+      addTo(end, run);
       return;
     }
     if (history.completedAfter(run.request(), run.startedNanos())) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -302,6 +302,28 @@
     assertEquals(Verdict.HELD, verdict(0));
   }
 
+  /** Guards against an end that is known already, but not under the request of this node. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void requestCountsAtAnEndThatAPeerReportedBefore(boolean entryRemoved) {
+    for (int i = 0; i < 3; i++) {
+      EngineRun run = run(node(0));
+      assertTrue(claim(run).sendable());
+      run.sent(node(0).engine(i), deadline());
+      cluster.ended().add("e" + i);
+      node(1).loseConnection(i, work("other " + i).build());
+      eventLoop.advance(20);
+      if (entryRemoved) {
+        node(0).engines().remove("e" + i, 0, eventLoop.nanoTime());
+      }
+      run.connectionLost(() -> {});
+      eventLoop.advance(200);
+    }
+    for (int i = 0; i < NODES; i++) {
+      assertTrue(!verdict(i).sendable());
+    }
+  }
+
   /** Guards against a result that is older than the lost connection and is taken for a proof. */
   @Test
   void connectionThatIsLostDuringACheckIsCheckedAgain() {
