Lines of responses name their exchange, and unrelated responses are logged

Cause: line 330 named no connection, a response to another request was skipped without a line, and so was a response behind a complete one.

Change: lines 330 and 331 give connection, exchange, responses skipped in this exchange and the signature that was passed on; 371 and 372 are written for a skipped response and for one that no request waits for. Texts of engines are cut after 64 characters. A connection gives at most 17 lines 371 and one line 372, since it is not used again.

No decision changes.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -387,7 +387,9 @@
   @Override
   public void onStreamHead(ResponseHead head) {
     quarantine.responded(attempt);
-    relay.setHead(head);
+    if (relay.setHead(head)) {
+      record.responseTaken(attempt);
+    }
   }
 
   @Override
@@ -508,6 +510,7 @@
       attempt.engine().succeeded();
       quarantine.completed();
     }
+    record.responseTaken(attempt);
     endAttempt("complete", EngineRun::closed);
     owner.onWholeResponse(head, body);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallRecord.java
@@ -12,6 +12,7 @@
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.telemetry.LogText;
 import org.baykeel.gateway.urgency.Urgency;
 
 /** Records one call for the log and the metrics. */
@@ -27,6 +28,8 @@
   private String lastVersion = "none";
   private int uncachedTokens;
   private int lastRank = Urgency.UNRANKED;
+  private ConnectionUse responseUse = ConnectionUse.NONE;
+  private String signature;
 
   /** The reasons for which a call waits, other than its engine. */
   enum Wait {
@@ -174,6 +177,12 @@
         retryMillis);
   }
 
+  /** Records the attempt whose response is passed on. */
+  void responseTaken(EngineAttempt attempt) {
+    responseUse = attempt.connectionUse();
+    signature = LogText.bounded(attempt.signature());
+  }
+
   void callEnded(End end) {
     CallAttributes attributes = request.attributes();
     long received = request.receivedNanos();
@@ -232,6 +241,14 @@
         "runs",
         end.runs(),
         "events",
-        end.events());
+        end.events(),
+        "connection",
+        responseUse.connection(),
+        "exchange",
+        responseUse.exchange(),
+        "skipped",
+        responseUse.skipped(),
+        "signature",
+        signature);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -128,6 +128,11 @@
     return exchange.connectionUse();
   }
 
+  /** The engine's signature of the response, or null. */
+  String signature() {
+    return head == null ? null : head.traits().signature();
+  }
+
   /** The version of the engine's software when the attempt was created, if it was known. */
   Optional<SoftwareVersion> softwareVersion() {
     return softwareVersion;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ResponseRelay.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ResponseRelay.java
@@ -52,11 +52,15 @@
   /**
    * Takes the head of an engine's response; the caller gets that of the engine that produced the
    * first event, or the latest one if there is no event.
+   *
+   * @return whether the caller gets this head unless a later one replaces it
    */
-  void setHead(ResponseHead newHead) {
-    if (!headSent && held.isEmpty()) {
+  boolean setHead(ResponseHead newHead) {
+    boolean taken = !headSent && held.isEmpty();
+    if (taken) {
       head = newHead;
     }
+    return taken;
   }
 
   /** Passes held events and all later ones on. Returns how many held events went to the caller. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -33,6 +33,7 @@
 
   private final EngineConnectionPool pool;
   private final CallTranslator translator;
+  private final UnrelatedResponseLog unrelatedResponses;
   private final long number;
   private int exchanges;
   private Channel channel;
@@ -74,11 +75,17 @@
   /**
    * Creates a connection that is not open yet.
    *
+   * @param unrelatedResponses the log of responses that belong to no request in progress
    * @param number its number among all connections of the transport, from 1
    */
-  EngineConnection(EngineConnectionPool pool, CallTranslator translator, long number) {
+  EngineConnection(
+      EngineConnectionPool pool,
+      CallTranslator translator,
+      UnrelatedResponseLog unrelatedResponses,
+      long number) {
     this.pool = pool;
     this.translator = translator;
+    this.unrelatedResponses = unrelatedResponses;
     this.number = number;
   }
 
@@ -152,7 +159,7 @@
     readingPaused = false;
     otherResponses = 0;
     otherBytes = 0;
-    exchange.attach(this, new ConnectionUse(number, ++exchanges));
+    exchange.attach(this, new ConnectionUse(number, ++exchanges, 0));
     sentNanos = System.nanoTime();
     written = channel.writeAndFlush(exchange.request());
   }
@@ -176,8 +183,7 @@
     }
     if (current == null) {
       // Bytes after a complete response belong to no request.
-      releasable = false;
-      close();
+      readUnexpected(object);
       return;
     }
     if (object instanceof HttpResponse response) {
@@ -188,6 +194,15 @@
     }
   }
 
+  private void readUnexpected(HttpObject object) {
+    if (object instanceof HttpResponse response && !closing) {
+      unrelatedResponses.unexpected(
+          pool.engine(), number, exchanges, response.status(), translator.responseTraits(response));
+    }
+    releasable = false;
+    close();
+  }
+
   private void readHead(HttpResponse response) {
     if (response.status().code() < 200) {
       informational = true;
@@ -197,9 +212,7 @@
     ResponseTraits traits = translator.responseTraits(response);
     boolean own = current.requestId().equals(traits.requestId());
     if (!own && (traits.requestId() != null || reused)) {
-      skipping = true;
-      reusable = false;
-      countOtherResponse();
+      skip(response, traits);
       return;
     }
     responseStarted = true;
@@ -212,6 +225,14 @@
             response.status().code(), HopByHopHeaders.copyWithout(response.headers()), traits));
   }
 
+  private void skip(HttpResponse response, ResponseTraits traits) {
+    skipping = true;
+    reusable = false;
+    current.responseSkipped();
+    unrelatedResponses.skipped(pool.engine(), current, response.status(), traits);
+    countOtherResponse();
+  }
+
   private void countOtherResponse() {
     otherResponses++;
     endBeyondLimits();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -34,6 +34,7 @@
   private final GatewayMetrics metrics;
   private final RoundTrips roundTrips;
   private final GatewayLog log;
+  private final UnrelatedResponseLog unrelatedResponses;
 
   /** Keyed by incarnation: a connection to an earlier incarnation is not used for a later one. */
   private final Map<Engine, EngineConnectionPool> poolByEngine = new IdentityHashMap<>();
@@ -57,6 +58,7 @@
     this.metrics = metrics;
     this.roundTrips = roundTrips;
     this.log = log;
+    this.unrelatedResponses = new UnrelatedResponseLog(log);
     group
         .next()
         .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -121,7 +123,8 @@
   }
 
   private void connect(Engine engine, EngineConnectionPool pool, PendingExchange exchange) {
-    EngineConnection connection = new EngineConnection(pool, translator, ++connectionsOpened);
+    EngineConnection connection =
+        new EngineConnection(pool, translator, unrelatedResponses, ++connectionsOpened);
     pool.onOpened();
     metrics.engineConnectionOpened();
     long startNanos = System.nanoTime();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
@@ -63,6 +63,10 @@
     }
   }
 
+  void responseSkipped() {
+    connectionUse = connectionUse.withSkippedResponse();
+  }
+
   boolean cancelled() {
     return cancelled;
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -52,6 +52,8 @@
   REQUEST_HELD(368),
   RUN_UNRESOLVED(369),
   RUN_RESOLVED(370),
+  RESPONSE_SKIPPED(371),
+  RESPONSE_UNEXPECTED(372),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestToolCallsUnderLoad.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestToolCallsUnderLoad.java
@@ -103,7 +103,7 @@
 
     private ResponseHead head(int status) {
       boolean success = status == 200;
-      ResponseTraits traits = new ResponseTraits("r", !success, success, false);
+      ResponseTraits traits = new ResponseTraits("r", !success, success ? "s" : null, false);
       return new ResponseHead(status, new DefaultHttpHeaders(), traits);
     }
   }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
@@ -42,6 +42,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final List<GatewayEvent> events = new CopyOnWriteArrayList<>();
+  private final List<String> callLines = new CopyOnWriteArrayList<>();
   private final HeldBytesLimiter held;
   private final IngressServer ingress;
   private final int port;
@@ -71,7 +72,8 @@
                     translator,
                     new GatewayMetrics(),
                     new RoundTrips(Topology.ofOneRegion("z")),
-                    (event, fields) -> {}))
+                    this::addCallLine))
+            .log(this::addCallLine)
             .build();
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       port = free.getLocalPort();
@@ -158,6 +160,26 @@
     }
   }
 
+  private void addCallLine(GatewayEvent event, Object... fields) {
+    StringBuilder line = new StringBuilder(event.name());
+    for (int i = 0; i + 1 < fields.length; i += 2) {
+      line.append(' ').append(fields[i]).append('=').append(fields[i + 1]);
+    }
+    callLines.add(line.toString());
+  }
+
+  /**
+   * Waits for lines of one kind about calls and about connections to the engine, and returns them.
+   */
+  List<String> awaitCallLines(GatewayEvent event, int count) throws Exception {
+    await(count + " lines " + event, () -> callLines(event).size() >= count);
+    return callLines(event);
+  }
+
+  private List<String> callLines(GatewayEvent event) {
+    return callLines.stream().filter(line -> line.startsWith(event.name() + ' ')).toList();
+  }
+
   /** Returns the number of calls for which reading from the engine is paused. */
   long paused() throws Exception {
     return onLoop(held::pausedCalls);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedEngines.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedEngines.java
@@ -166,7 +166,8 @@
   }
 
   private static ResponseHead head(int status, boolean notExecuted) {
-    ResponseTraits traits = new ResponseTraits("r", notExecuted, !notExecuted, !notExecuted);
+    ResponseTraits traits =
+        new ResponseTraits("r", notExecuted, notExecuted ? null : "s", !notExecuted);
     return new ResponseHead(status, new DefaultHttpHeaders(), traits);
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
@@ -22,8 +22,16 @@
     RESET
   }
 
-  /** The bytes of one response and the state of the connection after it. */
-  public record Response(String bytes, After after) {}
+  /**
+   * The bytes of one response and the state of the connection after it.
+   *
+   * @param late is sent before the next response on the connection
+   */
+  public record Response(String bytes, After after, String late) {
+    public Response(String bytes, After after) {
+      this(bytes, after, after == After.REPEAT ? bytes : "");
+    }
+  }
 
   private final ServerSocket listener;
   private final List<Response> responses;
@@ -102,7 +110,7 @@
         String bytes = late + response.bytes();
         socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
         socket.getOutputStream().flush();
-        late = response.after() == After.REPEAT ? response.bytes() : "";
+        late = response.late();
         if (response.after() == After.RESET) {
           Thread.sleep(100);
           socket.setSoLinger(true, 0);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
@@ -21,6 +21,7 @@
 import org.baykeel.gateway.scheduling.EngineSelector;
 import org.baykeel.gateway.storage.DurableStore;
 import org.baykeel.gateway.storage.StoreHealth;
+import org.baykeel.gateway.telemetry.GatewayLog;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.tenancy.KeyAuthenticator;
 import org.baykeel.gateway.urgency.Urgency;
@@ -50,6 +51,7 @@
   private TurnHistory history;
   private Urgency urgency = Urgency.NONE;
   private Quarantine quarantine = Quarantine.NONE;
+  private GatewayLog log = (event, fields) -> {};
 
   /**
    * Creates a builder with the components that each node has.
@@ -122,6 +124,12 @@
     return this;
   }
 
+  /** Sets the log of calls. */
+  public TestingContext log(GatewayLog newLog) {
+    log = newLog;
+    return this;
+  }
+
   /** Returns the context. */
   public GatewayContext build() {
     return new GatewayContext(
@@ -146,7 +154,7 @@
         transport,
         new ResponseBytesLimiter(RESPONSES),
         storeHealth,
-        (event, fields) -> {},
+        log,
         new GatewayMetrics());
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTranslator.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTranslator.java
@@ -45,7 +45,7 @@
     return new ResponseTraits(
         headers.get(ID),
         headers.contains("X-Not-Run"),
-        headers.contains("X-Signed"),
+        headers.get("X-Signed"),
         "text/event-stream".equals(headers.get("Content-Type")));
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
@@ -66,7 +66,8 @@
 
     /** Responds with a head. */
     public Sent head(int status, boolean signed, boolean eventStream, boolean notExecuted) {
-      ResponseTraits traits = new ResponseTraits("r", notExecuted, signed, eventStream);
+      ResponseTraits traits =
+          new ResponseTraits("r", notExecuted, signed ? "s" : null, eventStream);
       listener.onHead(new ResponseHead(status, new DefaultHttpHeaders(), traits));
       return this;
     }
