A connection to an engine carries a request identifier at most once

What callers saw: the second try of a request with the same identifier got the late second answer of the engine to the first try, a 200, where its own answer was a 500.

Cause: a response names its request, not the send. A set of each call kept the connections that the call had used, but a caller's next try is another call and got the connection back from the pool, on which the late answer to the first try then came first.

Change: the connection itself records what it has carried, as hashes of 32 bits, and the pool passes over it for an identifier that it has carried, whichever call sends it. This replaces the set of the call. A connection is not used again after 1,024 requests, which bounds the record to 4 KiB.

Cost: a connection to an engine for each identifier that is used again at the same engine, and one for every 1,024 requests on a connection.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -55,7 +55,6 @@
   private final Owner owner;
   private final EventLoop eventLoop;
   private final Set<String> triedEngines = new HashSet<>();
-  private final UsedConnections usedConnections = new UsedConnections();
   private final WaitQueue waitQueue;
   private final SilenceWatch silenceWatch;
   private final CallQuarantine quarantine;
@@ -213,13 +212,7 @@
     attempt.send(
         context.transport(),
         new EngineRequest(
-            call.request(),
-            engineBody,
-            remainingMillis,
-            call.caller(),
-            relay.lastEventId(),
-            rank,
-            usedConnections));
+            call.request(), engineBody, remainingMillis, call.caller(), relay.lastEventId(), rank));
     relay.readFrom(this);
     silenceWatch.sent();
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineRequest.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineRequest.java
@@ -13,8 +13,6 @@
  * @param caller on whose behalf it runs
  * @param lastEventId the last event that the caller has; {@link CallAttributes#ABSENT} if none
  * @param rank its rank in the engine's queue; {@link Urgency#UNRANKED} if in order of arrival
- * @param usedConnections the connections on which the caller's request was sent before; the
- *     transport uses none of them and adds the one that it uses
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record EngineRequest(
@@ -23,5 +21,4 @@
     long remainingMillis,
     Caller caller,
     long lastEventId,
-    int rank,
-    UsedConnections usedConnections) {}
+    int rank) {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -20,6 +20,11 @@
  * A connection to an engine, with at most one request at a time. It is reused only after a complete
  * response to its own request with no further bytes behind it. A response to another request is
  * skipped, and the connection is then not reused.
+ *
+ * <p>An engine may send a second response to a request later on the same connection, and a response
+ * names its request but not the send. The connection therefore carries a request with a given
+ * identifier at most once, whichever call sends it: a response with the identifier of the request
+ * in progress can only belong to this send.
  */
 final class EngineConnection extends ChannelInboundHandlerAdapter {
   private static final long DEFAULT_IDLE_MILLIS = 1_000;
@@ -35,6 +40,7 @@
   private final CallTranslator translator;
   private final UnrelatedResponseLog unrelatedResponses;
   private final long number;
+  private final CarriedRequests carried = new CarriedRequests();
   private int exchanges;
   private Channel channel;
   private PendingExchange current;
@@ -109,6 +115,11 @@
     return channel.isActive() && nowNanos - idleUntilNanos < 0;
   }
 
+  /** Whether a request with the identifier may have been sent on the connection. */
+  boolean hasCarried(String requestId) {
+    return carried.contains(requestId);
+  }
+
   /** Records that the connection is closed and returns whether this is the first call. */
   boolean markClosed() {
     boolean first = !closeRecorded;
@@ -154,7 +165,7 @@
 
   void send(PendingExchange exchange) {
     current = exchange;
-    exchange.usedConnections().add(this);
+    carried.add(exchange.requestId());
     responseStarted = false;
     readingPaused = false;
     otherResponses = 0;
@@ -297,7 +308,12 @@
     resumeReading();
     // If the response came before the whole request was written, the rest is still to be sent and
     // the connection cannot be reused.
-    releasable = reusable && written.isDone() && channel.isActive() && !completed.cancelled();
+    releasable =
+        reusable
+            && !carried.isFull()
+            && written.isDone()
+            && channel.isActive()
+            && !completed.cancelled();
     if (!releasable) {
       close();
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnectionPool.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnectionPool.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
-import org.baykeel.gateway.call.UsedConnections;
 import org.baykeel.gateway.directory.Engine;
 
 /** The connections of this node to one engine. */
@@ -41,16 +40,16 @@
   }
 
   /**
-   * Takes the most recently used connection that the engine is not about to close.
+   * Takes the most recently used connection that the engine is not about to close and that has not
+   * carried the request; those that have stay in the pool.
    *
-   * @param excluded connections that are left in the pool
    * @return null if there is none
    */
-  EngineConnection takeIdle(long nowNanos, UsedConnections excluded) {
+  EngineConnection takeIdle(long nowNanos, String requestId) {
     Iterator<EngineConnection> mostRecentFirst = idle.descendingIterator();
     while (mostRecentFirst.hasNext()) {
       EngineConnection candidate = mostRecentFirst.next();
-      if (excluded.contains(candidate)) {
+      if (candidate.hasCarried(requestId)) {
         continue;
       }
       mostRecentFirst.remove();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -71,10 +71,9 @@
         new PendingExchange(
             request.source().attributes().requestId(),
             encode(request, engine),
-            request.usedConnections(),
             listener,
             this::onSilence);
-    EngineConnection idle = pool.takeIdle(System.nanoTime(), request.usedConnections());
+    EngineConnection idle = pool.takeIdle(System.nanoTime(), exchange.requestId());
     if (idle != null) {
       idle.send(exchange);
     } else if (pool.open() >= MAX_CONNECTIONS_PER_ENGINE && !pool.closeOldestIdle()) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
@@ -4,13 +4,11 @@
 import org.baykeel.gateway.call.ConnectionUse;
 import org.baykeel.gateway.call.EngineTransport;
 import org.baykeel.gateway.call.ResponseHead;
-import org.baykeel.gateway.call.UsedConnections;
 
 /** A request sent to one engine, with the listener for its response. */
 final class PendingExchange implements EngineTransport.Exchange {
   private final String requestId;
   private final FullHttpRequest request;
-  private final UsedConnections usedConnections;
   private final EngineTransport.Listener listener;
   private final SilenceListener onSilence;
   private EngineConnection connection;
@@ -33,12 +31,10 @@
   PendingExchange(
       String requestId,
       FullHttpRequest request,
-      UsedConnections usedConnections,
       EngineTransport.Listener listener,
       SilenceListener onSilence) {
     this.requestId = requestId;
     this.request = request;
-    this.usedConnections = usedConnections;
     this.listener = listener;
     this.onSilence = onSilence;
   }
@@ -51,10 +47,6 @@
     return request;
   }
 
-  UsedConnections usedConnections() {
-    return usedConnections;
-  }
-
   void attach(EngineConnection engineConnection, ConnectionUse use) {
     connection = engineConnection;
     connectionUse = use;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -10,11 +10,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.baykeel.gateway.call.CallRequest;
 import org.baykeel.gateway.call.EngineRequest;
 import org.baykeel.gateway.call.EngineTransport;
 import org.baykeel.gateway.call.ResponseHead;
-import org.baykeel.gateway.call.UsedConnections;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
@@ -63,10 +63,6 @@
 
   /** Sends a request and returns its outcome: status and body, or the failure. */
   private String sendAndAwait(Engine engine, String id) throws Exception {
-    return sendAndAwait(engine, id, new UsedConnections());
-  }
-
-  private String sendAndAwait(Engine engine, String id, UsedConnections used) throws Exception {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("Host", "h");
     headers.set(TestingTranslator.ID, id);
@@ -104,7 +100,7 @@
             () ->
                 transport.send(
                     engine,
-                    new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1, used),
+                    new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1),
                     listener));
     String result = end.get(20, TimeUnit.SECONDS);
     // The connection returns to the pool after the read that completed the response.
@@ -142,9 +138,8 @@
   void sendsARequestAtMostOnceOnAConnection() throws Exception {
     try (ScriptedEngine engine = new ScriptedEngine(new Response(OWN, After.REPEAT))) {
       Engine target = engineAt(engine.port());
-      UsedConnections used = new UsedConnections();
-      assertEquals("200 body", sendAndAwait(target, "r1", used));
-      assertEquals("200 body", sendAndAwait(target, "r1", used));
+      assertEquals("200 body", sendAndAwait(target, "r1"));
+      assertEquals("200 body", sendAndAwait(target, "r1"));
       assertEquals(2, engine.connections());
     }
   }
@@ -154,15 +149,33 @@
   void atTheLimitOfConnectionsAnIdleOneMakesWay() throws Exception {
     try (ScriptedEngine engine = new ScriptedEngine(new Response(OWN, After.KEEP))) {
       Engine target = engineAt(engine.port());
-      UsedConnections used = new UsedConnections();
       for (int i = 0; i < MAX_CONNECTIONS + 2; i++) {
-        assertEquals("200 body", sendAndAwait(target, "r1", used));
+        assertEquals("200 body", sendAndAwait(target, "r1"));
       }
       assertEquals(MAX_CONNECTIONS + 2, engine.connections());
       engine.awaitOpen(MAX_CONNECTIONS);
     }
   }
 
+  /** Guards against a record of carried requests that grows without bound. */
+  @Test
+  void replacesAConnectionThatHasCarriedTheMostRequests() throws Exception {
+    int requests = CarriedRequests.MAX_REQUESTS;
+    Response[] responses =
+        IntStream.rangeClosed(0, requests)
+            .mapToObj(i -> new Response(OWN.replace("r1", "q" + i), After.KEEP))
+            .toArray(Response[]::new);
+    try (ScriptedEngine engine = new ScriptedEngine(responses)) {
+      Engine target = engineAt(engine.port());
+      for (int i = 0; i < requests; i++) {
+        assertEquals("200 body", sendAndAwait(target, "q" + i));
+      }
+      assertEquals(1, engine.connections());
+      assertEquals("200 body", sendAndAwait(target, "q" + requests));
+      assertEquals(2, engine.connections());
+    }
+  }
+
   @Test
   void reusesAConnectionAfterACompleteResponse() throws Exception {
     try (ScriptedEngine engine =
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
@@ -21,7 +21,6 @@
 import org.baykeel.gateway.call.EngineRequest;
 import org.baykeel.gateway.call.EngineTransport;
 import org.baykeel.gateway.call.ResponseHead;
-import org.baykeel.gateway.call.UsedConnections;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineRecord;
@@ -98,9 +97,7 @@
     CallRequest source =
         new CallRequest(
             "POST", "/x", "h", headers, new byte[3], TestingTranslator.attributesOf(id), 0);
-    EngineRequest request =
-        new EngineRequest(
-            source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1, new UsedConnections());
+    EngineRequest request = new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1);
     Sent sent = new Sent();
     group.next().execute(() -> sent.exchange.complete(transport.send(engine, request, sent)));
     return sent;
