A response that changes the protocol ends its connection

What callers saw: a request whose engine answers 101 waited until its deadline, and all bytes behind it were read and dropped without a limit.

Cause: a status below 200 counts as an interim response, but the decoder passes on raw bytes after 101, which the connection ignores; nothing ends the exchange and none of these bytes count against its limits.

Change: 101 is never asked for, so the response is broken and the connection is closed.

Evidence: the new row of TestEngineConnection failed before (no outcome within 20 s) and gives BROKEN now. Found while reading what else may stand before the response to a request.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -215,6 +216,12 @@
   }
 
   private void readHead(HttpResponse response) {
+    if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+      // What follows is not decoded any more.
+      failure = "response changes the protocol";
+      close();
+      return;
+    }
     if (response.status().code() < 200) {
       informational = true;
       countOtherResponse();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -119,6 +119,7 @@
     "no response, '', CLOSE, CONNECTION_LOST",
     "not HTTP, GARBAGE||, CLOSE, BROKEN",
     "after an interim response, HTTP/1.1 100 Continue||HTTP/1.1 200 OK|X-Id: r1|Content-Length: 2||ok, KEEP, 200 ok",
+    "after a change of protocol, HTTP/1.1 101 Switching Protocols|X-Id: r1|Upgrade: x|Connection: upgrade||HTTP/1.1 200 OK|X-Id: r1|Content-Length: 2||ok, KEEP, BROKEN",
     "after a response to another request, HTTP/1.1 200 OK|X-Id: zz|Content-Length: 2||noHTTP/1.1 200 OK|X-Id: r1|Content-Length: 2||ok, KEEP, 200 ok",
     "only a response to another request, HTTP/1.1 200 OK|X-Id: zz|Content-Length: 2||no, CLOSE, CONNECTION_LOST",
   })
