Tests of responses that are cut, late or sent twice, which pass before any change

Another operator reported a success with an empty or short body, framed as whole, after an engine had stopped in the head of its response and closed.

ScriptedEngine can choose its response by the request, send bytes outside of a response, and notices a state that a test waits for within 1 ms.

--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -8,6 +8,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.UnaryOperator;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
 import org.baykeel.gateway.buffering.HeldBytesLimiter;
 import org.baykeel.gateway.configuration.RequestLimits;
 import org.baykeel.gateway.configuration.Route;
@@ -26,6 +29,7 @@
   private static final String RESPONSE =
       "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s\r\nContent-Length: 4\r\n\r\nbody";
   private static final int TIMEOUT_MILLIS = 20_000;
+  private static final long ROUTE_TIMEOUT_MILLIS = 300;
   private static final int LONG_BODY = 16 << 20;
   private static final RequestLimits LIMITS = new RequestLimits(2_000, 100, 3_000, 15_000);
 
@@ -153,4 +157,85 @@
       assertEquals(3, responses.split("HTTP/1.1 200", -1).length, responses);
     }
   }
+
+  /** Returns a request whose path ends with its identifier. */
+  private static String requestOf(String id) {
+    return "GET /p/" + id + " HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\n\r\n";
+  }
+
+  private static String responseTo(String id) {
+    return RESPONSE.replace("r1", id);
+  }
+
+  /** Starts a node with an engine whose response depends on the identifier of the request. */
+  private void restart(long timeoutMillis, UnaryOperator<String> bytesOf) throws IOException {
+    stop();
+    engine =
+        new ScriptedEngine(
+            head -> {
+              String id = head.substring("GET /p/".length(), head.indexOf(" HTTP"));
+              return new Response(bytesOf.apply(id), id.equals("cut") ? After.CLOSE : After.KEEP);
+            });
+    Route route = LoopbackGateway.route(RouteKind.UNSAFE, timeoutMillis);
+    gateway = new LoopbackGateway(engine.port(), route, LIMITS, HeldBytesLimiter.Bounds.DEFAULT);
+    port = gateway.port();
+  }
+
+  /** Returns the statuses and the identifiers in responses, in order. */
+  private static List<String> statusesAndIds(String responses) {
+    return Pattern.compile("(?<=HTTP/1.1 )\\d+|(?<=X-Id: )\\S+")
+        .matcher(responses)
+        .results()
+        .map(MatchResult::group)
+        .toList();
+  }
+
+  /** Guards against the response to one request on a kept connection, given to another one. */
+  @Test
+  void eachPipelinedRequestGetsItsOwnResponse() throws IOException {
+    restart(
+        2_000,
+        id ->
+            switch (id) {
+              case "cut" -> responseTo(id).substring(0, 20);
+              case "twice" -> responseTo(id) + responseTo(id);
+              default -> responseTo(id);
+            });
+    List<String> ids = List.of("a", "cut", "b", "twice", "c");
+    try (Socket socket = connect()) {
+      StringBuilder requests = new StringBuilder();
+      ids.forEach(id -> requests.append(requestOf(id)));
+      String responses = exchange(socket, requests.toString(), ids.size() - 1);
+      assertEquals(
+          List.of("200", "a", "502", "200", "b", "200", "twice", "200", "c"),
+          statusesAndIds(responses));
+    }
+  }
+
+  /** Guards against the late response to a request that timed out, given to the next request. */
+  @Test
+  void aLateResponseIsNotGivenToTheNextRequest() throws IOException {
+    restart(
+        ROUTE_TIMEOUT_MILLIS,
+        id -> {
+          if (id.equals("late")) {
+            sleep(2 * ROUTE_TIMEOUT_MILLIS);
+          }
+          return responseTo(id);
+        });
+    try (Socket socket = connect()) {
+      String responses = exchange(socket, requestOf("late") + requestOf("a") + requestOf("b"), 2);
+      sleep(2 * ROUTE_TIMEOUT_MILLIS);
+      responses += exchange(socket, requestOf("c"), 1);
+      assertEquals(List.of("504", "200", "a", "200", "b", "200", "c"), statusesAndIds(responses));
+    }
+  }
+
+  private static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/link/TestLink.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/link/TestLink.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import io.netty.channel.ChannelFuture;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.baykeel.gateway.budget.GrantTransfer;
@@ -31,6 +33,10 @@
 class TestLink {
   private static final String LOOPBACK = "127.0.0.1";
   private static final long TIMEOUT_SECONDS = 10;
+
+  /** Within this time, what was sent on loopback has arrived. */
+  private static final long SETTLE_MILLIS = 100;
+
   private static final ProgramId PROGRAM = new ProgramId("p");
   private static final GrantTransfer TRANSFER = new GrantTransfer(500, 2_000, 17, 99);
   private static final StoredTurn TURN =
@@ -74,9 +80,13 @@
   }
 
   private StoreReply call(PeerAddress peer, StoreCall call) throws Exception {
+    return callAsync(peer, call).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private CompletableFuture<StoreReply> callAsync(PeerAddress peer, StoreCall call) {
     CompletableFuture<StoreReply> reply = new CompletableFuture<>();
     group.next().execute(() -> client.call(peer, call, reply::complete));
-    return reply.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    return reply;
   }
 
   private static StoreCall change(String body, long timeoutMillis) {
@@ -127,6 +137,60 @@
     assertInstanceOf(StoreReply.Lost.class, call(silent, change("", 100)));
   }
 
+  /** Guards against the late reply to a call that timed out, given to a later call. */
+  @Test
+  void aLateReplyIsNotTakenForThatToALaterCall() throws Exception {
+    List<Consumer<StoreReply>> callbacks = new CopyOnWriteArrayList<>();
+    PeerAddress peer = serve((call, callback) -> callbacks.add(callback));
+    assertInstanceOf(StoreReply.Lost.class, call(peer, change("one", 100)));
+    CompletableFuture<StoreReply> second = callAsync(peer, change("two", 5_000));
+    awaitSize(callbacks, 2);
+    reply(callbacks.get(0), 501);
+    Thread.sleep(SETTLE_MILLIS);
+    assertFalse(second.isDone());
+    reply(callbacks.get(1), 502);
+    assertEquals(502, status(second));
+  }
+
+  /** Guards against a second reply to a call, given to a later call. */
+  @Test
+  void aSecondReplyIsNotTakenForThatToALaterCall() throws Exception {
+    List<Consumer<StoreReply>> callbacks = new CopyOnWriteArrayList<>();
+    PeerAddress peer = serve((call, callback) -> callbacks.add(callback));
+    CompletableFuture<StoreReply> first = callAsync(peer, change("one", 5_000));
+    awaitSize(callbacks, 1);
+    reply(callbacks.get(0), 501);
+    assertEquals(501, status(first));
+    CompletableFuture<StoreReply> second = callAsync(peer, change("two", 5_000));
+    CompletableFuture<StoreReply> third = callAsync(peer, change("three", 5_000));
+    awaitSize(callbacks, 3);
+    reply(callbacks.get(0), 501);
+    reply(callbacks.get(2), 503);
+    assertEquals(503, status(third));
+    assertFalse(second.isDone());
+    reply(callbacks.get(1), 502);
+    assertEquals(502, status(second));
+  }
+
+  private void reply(Consumer<StoreReply> callback, int status) {
+    group.next().execute(() -> callback.accept(new StoreReply.Answered(status, new byte[0])));
+  }
+
+  private static int status(CompletableFuture<StoreReply> reply) throws Exception {
+    StoreReply received = reply.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    return assertInstanceOf(StoreReply.Answered.class, received).status();
+  }
+
+  private static void awaitSize(List<?> list, int size) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+    while (list.size() < size) {
+      if (System.nanoTime() - end > 0) {
+        throw new AssertionError(list.size() + " instead of " + size);
+      }
+      Thread.sleep(1);
+    }
+  }
+
   @Test
   void closesAConnectionWithInvalidBytesAndKeepsServingOthers() throws Exception {
     PeerAddress peer =
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/ScriptedEngine.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 
 /** An engine on loopback that responds to each request with scripted bytes. */
 public final class ScriptedEngine implements AutoCloseable {
@@ -26,25 +27,41 @@
   public record Response(String bytes, After after) {}
 
   private final ServerSocket listener;
-  private final List<Response> responses;
-  private final AtomicInteger next = new AtomicInteger();
+  private final Function<String, Response> script;
   private final AtomicInteger connections = new AtomicInteger();
   private final AtomicInteger open = new AtomicInteger();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final List<String> requests = new CopyOnWriteArrayList<>();
+  private volatile long resetDelayMillis = 100;
 
+  /** Creates an engine that gives the responses in order and then repeats the last one. */
   public ScriptedEngine(Response... responses) throws IOException {
-    this.responses = List.of(responses);
+    this(inOrder(List.of(responses)));
+  }
+
+  /** Creates an engine whose response depends on the head of the request. */
+  public ScriptedEngine(Function<String, Response> script) throws IOException {
+    this.script = script;
     this.listener = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
     start(this::accept);
   }
 
+  private static Function<String, Response> inOrder(List<Response> responses) {
+    AtomicInteger next = new AtomicInteger();
+    return head -> responses.get(Math.min(next.getAndIncrement(), responses.size() - 1));
+  }
+
   private static void start(Runnable task) {
     Thread thread = new Thread(task, "scripted-engine");
     thread.setDaemon(true);
     thread.start();
   }
 
+  /** Sets the time between a response and the reset that follows it. */
+  public void resetDelayMillis(long millis) {
+    resetDelayMillis = millis;
+  }
+
   public int port() {
     return listener.getLocalPort();
   }
@@ -61,7 +78,16 @@
       if (System.nanoTime() - end > 0) {
         throw new AssertionError(open.get() + " connections are open, not " + count);
       }
-      Thread.sleep(10);
+      Thread.sleep(1);
+    }
+  }
+
+  /** Sends bytes on all open connections, outside a response. */
+  public void sendOnAll(String bytes) throws IOException {
+    for (Socket socket : sockets) {
+      if (!socket.isClosed()) {
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+      }
     }
   }
 
@@ -98,13 +124,13 @@
           return;
         }
         requests.add(head);
-        Response response = responses.get(Math.min(next.getAndIncrement(), responses.size() - 1));
+        Response response = script.apply(head);
         String bytes = late + response.bytes();
         socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
         socket.getOutputStream().flush();
         late = response.after() == After.REPEAT ? response.bytes() : "";
         if (response.after() == After.RESET) {
-          Thread.sleep(100);
+          Thread.sleep(resetDelayMillis);
           socket.setSoLinger(true, 0);
           return;
         }
