A connection to the store is closed as soon as it receives what was not asked for

What was seen: with a second response right behind the first, a call to the store or a query for a load report gets it as the answer to the next call, and each further call gets the answer to the one before it: calls a, b, c gave a, "wrong", b. A part of a response, down to one byte, lost the next call. An interim response (100, 103) was taken for the outcome of a call.

Cause: these exchanges have no identifiers; the order on the connection alone tells which call a response belongs to. The connection returned to the pool when the first response was decoded, before the rest of the same read was, and bytes on an idle connection were noticed only once they made a whole response.

Fix: a response is passed on when everything that arrived with it has been read. The decoder knows whether it is at the end of a response, so that any byte outside of an exchange closes the connection (event 377). Of two responses to one call on a reused connection none is taken, since the first may belong to the call before; on a new one it can only be its own.

What remains: a late response that arrives alone, after the next query was sent, cannot be told from its own; it is taken once, and the own one then closes the connection (aStrayResponseIsTakenByAtMostOneCall). An identifier in the query would prevent it, but engines must not see one that no caller sent. Only a load report can be affected, which is then older by one interval; the store sends no second responses.

Tests: TestPooledHttpClient and one more of TestHttpLoadReportClient.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
@@ -10,10 +10,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -133,7 +134,8 @@
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
-                    .addLast(new HttpClientCodec())
+                    .addLast(connection.decoder)
+                    .addLast(new HttpRequestEncoder())
                     .addLast(new HttpObjectAggregator(maxResponseBytes))
                     .addLast(connection);
               }
@@ -151,11 +153,20 @@
             });
   }
 
-  /** One pooled connection. */
+  /**
+   * One pooled connection. Responses have no identifiers, so the order on the connection alone
+   * tells which request a response belongs to. The connection is closed as soon as it has received
+   * anything that was not asked for.
+   */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final ResponseBoundaryDecoder decoder = new ResponseBoundaryDecoder();
     private Channel channel;
     private Consumer<StoreReply> pendingCallback;
     private Future<?> timeout;
+    private StoreReply response;
+    private boolean keepAlive;
+    private boolean surplus;
+    private boolean reused;
     private long idleSinceNanos;
 
     @Override
@@ -173,26 +184,56 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      if (response.decoderResult().isFailure() || pendingCallback == null) {
-        fail("not an answer");
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse message) {
+      if (pendingCallback == null || response != null) {
+        surplus = true;
+      } else if (message.decoderResult().isFailure()) {
+        response = new StoreReply.Lost("not an answer");
+        keepAlive = false;
+      } else if (message.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+        byte[] body = new byte[message.content().readableBytes()];
+        message.content().readBytes(body);
+        response = new StoreReply.Answered(message.status().code(), body);
+        keepAlive = HttpUtil.isKeepAlive(message);
+      }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+      boolean asked = pendingCallback != null;
+      if (!asked && !channel.isActive()) {
         return;
       }
-      byte[] body = new byte[response.content().readableBytes()];
-      response.content().readBytes(body);
+      boolean unexpected = surplus || (!asked || response != null) && !decoder.isAtBoundary();
+      if (unexpected) {
+        log.write(
+            GatewayEvent.UNEXPECTED_RESPONSE, "kind", kind, "address", address, "asked", asked);
+      }
+      if (unexpected && (reused || !asked)) {
+        // The first of several responses may belong to an earlier request.
+        fail("more than one answer");
+      } else if (response != null) {
+        complete(keepAlive && !unexpected);
+      }
+    }
+
+    private void complete(boolean reusable) {
+      StoreReply reply = response;
       Consumer<StoreReply> callback = takePendingCallback();
-      if (HttpUtil.isKeepAlive(response) && idle.size() < MAX_IDLE) {
+      if (reusable && idle.size() < MAX_IDLE) {
+        reused = true;
         idleSinceNanos = System.nanoTime();
         idle.addLast(this);
       } else {
         channel.close();
       }
-      callback.accept(new StoreReply.Answered(response.status().code(), body));
+      callback.accept(reply);
     }
 
     private Consumer<StoreReply> takePendingCallback() {
       Consumer<StoreReply> callback = pendingCallback;
       pendingCallback = null;
+      response = null;
       if (timeout != null) {
         timeout.cancel(false);
       }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -52,6 +52,7 @@
   REQUEST_HELD(368),
   RUN_UNRESOLVED(369),
   RUN_RESOLVED(370),
+  UNEXPECTED_RESPONSE(377),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestHttpLoadReportClient.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestHttpLoadReportClient.java
@@ -119,6 +119,24 @@
     }
   }
 
+  /**
+   * Guards against a late second copy of a report that is taken for the next one, and for all that
+   * follow on the connection.
+   */
+  @Test
+  void aReportThatArrivesTwiceIsNotTakenForTheNextOne() throws Exception {
+    Response next = new Response(REPORT.replace('7', '8'), After.KEEP);
+    try (ScriptedEngine server = new ScriptedEngine(new Response(REPORT, After.REPEAT), next)) {
+      Engine engine = engineAt(server.port());
+      assertInstanceOf(LoadQueryResult.Reported.class, queryAndAwait(engine));
+      assertEquals(new LoadQueryResult.NoResponse("more than one answer"), queryAndAwait(engine));
+      LoadQueryResult.Reported reported =
+          assertInstanceOf(LoadQueryResult.Reported.class, queryAndAwait(engine));
+      assertEquals(new LoadReport(new EngineLoad(0, 8, 0, 0), 5), reported.report());
+      assertEquals(2, server.connections());
+    }
+  }
+
   @ParameterizedTest(name = "{0}: {1}")
   @CsvSource({
     "404 Not Found, Unavailable[reason=status 404]",
