Only a complete final head proves which engine responds

What was seen: an engine that closes the connection in the head of its response to the question which engine responds counted as running, and so did one that responds with bytes that are not HTTP. An interim response counted as the final one: it names no engine.

Cause: the decoder reports a head that was cut as an invalid response when the connection is closed, and each invalid response was taken for one of the same engine. "Running" and "ended" are proofs: the first resolves the run of a request that may have ended the engine, so that a process that ends while it writes its head could clear the request that ended it.

Fix: a response that is cut is none, and the connection counts as closed; one that is not valid proves nothing (accepting); interim responses are skipped.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
@@ -7,9 +7,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.net.ConnectException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -148,12 +150,27 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject object) {
-      if (object instanceof HttpResponse response) {
-        boolean usable = response.decoderResult().isSuccess();
-        boolean other = usable && translator.isFromOtherEngine(response, engine);
+      if (!(object instanceof HttpResponse response) || isInterim(response)) {
+        return;
+      }
+      if (response.decoderResult().isSuccess()) {
+        boolean other = translator.isFromOtherEngine(response, engine);
         conclude(other ? EngineLiveness.ENDED : EngineLiveness.RUNNING);
-        context.close();
+      } else if (!isCut(response)) {
+        conclude(unlessConnected(EngineLiveness.ACCEPTING));
       }
+      context.close();
+    }
+
+    /** An interim response does not tell which engine responds. */
+    private boolean isInterim(HttpResponse response) {
+      return response.decoderResult().isSuccess()
+          && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
+    /** Whether the connection was closed in the head of the response. */
+    private boolean isCut(HttpResponse response) {
+      return response.decoderResult().cause() instanceof PrematureChannelClosureException;
     }
 
     @Override
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -295,6 +295,31 @@
     }
   }
 
+  /**
+   * Guards against a response that is cut or not valid, or an interim one, that is taken for a
+   * proof that the same engine runs.
+   */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "cut in the status line, HTTP/1.1 2, CLOSE, CLOSING",
+    "cut after the status line, HTTP/1.1 200 OK|, CLOSE, CLOSING",
+    "cut in the name of the engine, HTTP/1.1 200 OK|X-Id: e, CLOSE, CLOSING",
+    "cut before the empty line, HTTP/1.1 200 OK|X-Id: e|, CLOSE, CLOSING",
+    "not valid, nonsense||, KEEP, ACCEPTING",
+    "interim only, HTTP/1.1 100 Continue||, KEEP, ACCEPTING",
+    "interim only and closed, HTTP/1.1 100 Continue||, CLOSE, CLOSING",
+    "interim and own, HTTP/1.1 100 Continue||HTTP/1.1 200 OK|X-Id: e||, KEEP, RUNNING",
+    "interim and other, HTTP/1.1 100 Continue||HTTP/1.1 200 OK|X-Id: e2||, KEEP, ENDED",
+    "own and a second one, HTTP/1.1 200 OK|X-Id: e|Content-Length: 0||HTTP/1.1 200 OK|X-Id: e2||, KEEP, RUNNING",
+  })
+  void onlyACompleteHeadTellsWhichEngineResponds(
+      String name, String bytes, After after, EngineLiveness liveness) throws Exception {
+    Response response = new Response(bytes.replace("|", "\r\n"), after);
+    try (ScriptedEngine scripted = new ScriptedEngine(response)) {
+      assertEquals(liveness, liveness(engineAt(scripted.port())));
+    }
+  }
+
   @Test
   void engineThatClosesEachConnectionIsUnknown() throws Exception {
     try (ScriptedEngine scripted = new ScriptedEngine(new Response("", After.CLOSE))) {
