Only the registrar that was queried answers who holds a program

What was seen: a reply with the identifier of a pending query counted whichever node sent it. No deployment showed it: identifiers do not repeat within the life of a node, and a wrong holder costs one call to the store.

Cause: the identifier alone was taken for the proof, while the other two kinds of queries by datagram also compare the sender.

Fix: the sender has to be the registrar that was queried.

Tests: TestHolderDirectory.onlyTheFirstReplyOfTheQueriedNodeCounts failed before; the test of replies to an earlier incarnation now has them sent by all nodes, the registrar included.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/handover/HolderDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/handover/HolderDirectory.java
@@ -70,7 +70,10 @@
 
   /** A query to a registrar and all callbacks that wait for its reply. */
   private record Query(
-      long id, ProgramId program, List<Consumer<Optional<PeerAddress>>> callbacks) {}
+      long id,
+      ProgramId program,
+      PeerAddress registrar,
+      List<Consumer<Optional<PeerAddress>>> callbacks) {}
 
   /**
    * Creates a directory.
@@ -131,7 +134,7 @@
       pending.callbacks().add(answer);
       return;
     }
-    Query query = new Query(queryIds.next(), program, new ArrayList<>(List.of(answer)));
+    Query query = new Query(queryIds.next(), program, registrar, new ArrayList<>(List.of(answer)));
     queries.put(query.id(), query);
     queriesByProgram.put(program, query);
     transport.send(registrar, codec.encode(new PeerMessage.HolderQuery(query.id(), program)));
@@ -178,7 +181,10 @@
       transport.send(sender, codec.encode(new PeerMessage.HolderReply(query.queryId(), holder)));
     } else if (message instanceof PeerMessage.HolderReply reply) {
       unresponsiveUntilNanos.remove(sender);
-      complete(reply.queryId(), reply.holder().flatMap(this::unlessOwn));
+      Query query = queries.get(reply.queryId());
+      if (query != null && query.registrar().equals(sender)) {
+        complete(query.id(), reply.holder().flatMap(this::unlessOwn));
+      }
     }
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
@@ -93,10 +93,18 @@
 
   /** Creates a directory at the address of a node, which records what it sends. */
   private HolderDirectory incarnation(int node, List<PeerMessage> sent) {
+    return incarnation(node, new ArrayList<>(), sent);
+  }
+
+  private HolderDirectory incarnation(
+      int node, List<PeerAddress> receivers, List<PeerMessage> sent) {
     PeerAddress address = addresses.get(node);
     PeerMessageCodec codec = new PeerMessageCodec();
     PeerTransport transport =
-        (receiver, datagram) -> sent.add(codec.decode(datagram).orElseThrow());
+        (receiver, datagram) -> {
+          receivers.add(receiver);
+          sent.add(codec.decode(datagram).orElseThrow());
+        };
     PeerDirectory peers =
         new PeerDirectory(
             "n" + node,
@@ -133,12 +141,43 @@
       later.locate(new ProgramId("q" + i), results::add);
     }
     Optional<PeerAddress> holder = Optional.of(addresses.get(3));
-    later.onMessage(addresses.get(1), new PeerMessage.HolderReply(queryId(sentEarlier), holder));
+    for (PeerAddress sender : addresses) {
+      later.onMessage(sender, new PeerMessage.HolderReply(queryId(sentEarlier), holder));
+    }
     eventLoop.advance(100);
     assertEquals(List.of(Optional.empty()), results);
   }
 
   /** Nodes 0, 2 and 4 are in the east region, 1 and 3 in the west region. */
+  /** Guards against a reply by another node than the one that was queried, and a second reply. */
+  @Test
+  void onlyTheFirstReplyOfTheQueriedNodeCounts() {
+    startAll();
+    List<PeerAddress> receivers = new ArrayList<>();
+    List<PeerMessage> sent = new ArrayList<>();
+    HolderDirectory directory = incarnation(0, receivers, sent);
+    List<Optional<PeerAddress>> results = new ArrayList<>();
+    for (int i = 0; sent.isEmpty(); i++) {
+      results.clear();
+      directory.locate(new ProgramId("p" + i), results::add);
+    }
+    PeerAddress registrar = receivers.get(0);
+    for (PeerAddress other : addresses) {
+      if (!other.equals(registrar)) {
+        directory.onMessage(other, reply(sent, 2));
+      }
+    }
+    assertEquals(List.of(), results);
+    directory.onMessage(registrar, reply(sent, 3));
+    directory.onMessage(registrar, reply(sent, 2));
+    eventLoop.advance(100);
+    assertEquals(List.of(Optional.of(addresses.get(3))), results);
+  }
+
+  private PeerMessage reply(List<PeerMessage> sent, int holder) {
+    return new PeerMessage.HolderReply(queryId(sent), Optional.of(addresses.get(holder)));
+  }
+
   private void startInTwoRegions() {
     Map<String, RegionId> regions = Map.of("e", new RegionId("east"), "w", new RegionId("west"));
     startAll(i -> new Topology(i % 2 == 0 ? "e" : "w", regions));
