A call can respond only once, whatever has become of its connection

By reading, not seen: the responder of a call was the caller's connection itself, which serves several requests in turn. A call that had ended and responded again would have written the response to the next request, or one that no request waits for. What prevents it is in many places of the call (a flag after each wait); the contract of CallResponder was checked nowhere.

Each request now has a responder of its own, which passes on one response and discards whatever follows (event 378).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -278,7 +278,8 @@
             attributes,
             System.nanoTime());
     body = null;
-    ClientCall started = coordinator.accept(callRequest, this);
+    ClientCall started =
+        coordinator.accept(callRequest, new OneResponse(this, attributes.requestId(), log));
     if (responding) {
       call = started;
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -53,6 +53,7 @@
   RUN_UNRESOLVED(369),
   RUN_RESOLVED(370),
   UNEXPECTED_RESPONSE(377),
+  RESPONSE_DISCARDED(378),
   FAULT(399);
 
   private final int number;
