--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -54,6 +54,8 @@
   RUN_RESOLVED(370),
   RESPONSE_SKIPPED(371),
   RESPONSE_UNEXPECTED(372),
+  SURPLUS_RESPONSE(377),
+  RESPONSE_DISCARDED(378),
   FAULT(399);
 
   private final int number;
