--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
@@ -46,6 +46,7 @@
   private final NettyEngineTransport transport;
   private final CallTranslator translator;
   private final GatewayMetrics metrics;
+  private final long checkResponseMillis;
 
   /**
    * Creates a check.
@@ -59,10 +60,26 @@
       NettyEngineTransport transport,
       CallTranslator translator,
       GatewayMetrics metrics) {
+    this(group, transport, translator, metrics, CHECK_RESPONSE_MILLIS);
+  }
+
+  /**
+   * Creates a check.
+   *
+   * @param checkResponseMillis the time within which an engine that is checked is expected to
+   *     respond, in milliseconds
+   */
+  ConnectingLivenessCheck(
+      EventLoopGroup group,
+      NettyEngineTransport transport,
+      CallTranslator translator,
+      GatewayMetrics metrics,
+      long checkResponseMillis) {
     this.group = group;
     this.transport = transport;
     this.translator = translator;
     this.metrics = metrics;
+    this.checkResponseMillis = checkResponseMillis;
   }
 
   @Override
@@ -78,7 +95,7 @@
 
   private void checkConnections(Engine engine, Consumer<EngineLiveness> answer) {
     long delayMillis = transport.isConnected(engine) ? SETTLE_MILLIS : 0;
-    schedule(delayMillis, () -> connect(engine, 1, CHECK_RESPONSE_MILLIS, answer));
+    schedule(delayMillis, () -> connect(engine, 1, checkResponseMillis, answer));
   }
 
   private void connect(
