A response on a used connection that names no request ends the exchange

What callers saw: a 200 where the engine's own answer was a 500. The 500 named no request and came on a connection that was used before, so it was skipped; the engine's late second answer, which names the request, was then taken for the first.

Cause: a response without an identifier was treated like one to another request. That one is known to belong to an earlier send; without an identifier nothing tells.

Change: such a response, or one with an empty identifier, ends the exchange as broken (502, or the next engine for requests that may run again). On the first exchange of a connection it can only be the response to this send and is still taken, unless something was read before it. What was decoded from the same bytes is not read any more once the connection is being closed.

Evidence: five rows of TestLateResponses gave the late 200 before.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -188,6 +188,10 @@
   }
 
   private void read(HttpObject object) {
+    if (closing) {
+      // Objects that were decoded from the same bytes still arrive after the close.
+      return;
+    }
     if (object.decoderResult().isFailure()) {
       failure = "response is not valid HTTP";
       close();
@@ -207,7 +211,7 @@
   }
 
   private void readUnexpected(HttpObject object) {
-    if (object instanceof HttpResponse response && !closing) {
+    if (object instanceof HttpResponse response) {
       unrelatedResponses.unexpected(
           pool.engine(), number, exchanges, response.status(), translator.responseTraits(response));
     }
@@ -228,11 +232,19 @@
       return;
     }
     ResponseTraits traits = translator.responseTraits(response);
-    boolean own = current.requestId().equals(traits.requestId());
-    if (!own && (traits.requestId() != null || reused)) {
+    boolean named = traits.requestId() != null && !traits.requestId().isEmpty();
+    if (named && !current.requestId().equals(traits.requestId())) {
       skip(response, traits);
       return;
     }
+    if (!named && (reused || current.connectionUse().skipped() > 0)) {
+      // It may be the response to this send or a late one to an earlier send. If it were skipped, a
+      // second response to this send would be taken for the first.
+      unrelatedResponses.skipped(pool.engine(), current, response.status(), traits);
+      failure = "response names no request";
+      close();
+      return;
+    }
     responseStarted = true;
     boolean framed =
         HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestLateResponses.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestLateResponses.java
@@ -13,6 +13,7 @@
 import org.baykeel.gateway.testing.ScriptedEngine.After;
 import org.baykeel.gateway.testing.ScriptedEngine.Response;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Sends requests through a complete node to an engine that sends some responses twice. */
@@ -52,4 +53,48 @@
       assertEquals(2, engine.requests().size());
     }
   }
+
+  /**
+   * Guards against a second response to a request that is taken for the first one, since the first
+   * names no request and was skipped.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "UNSAFE, ''",
+    "SAFE, ''",
+    "STREAMING, ''",
+    "UNSAFE, X-Id:|",
+    "SAFE, X-Id:|",
+  })
+  void aResponseThatNamesNoRequestIsNotFollowedByAnother(RouteKind kind, String field)
+      throws IOException {
+    String nameless =
+        "HTTP/1.1 500 Failed\r\n" + field.replace("|", "\r\n") + "Content-Length: 0\r\n\r\n";
+    String reusable = SUCCESS.replace("Content-Length", "Keep-Alive: timeout=60\r\nContent-Length");
+    try (ScriptedEngine engine =
+            new ScriptedEngine(
+                new Response(reusable.replace("r1", "r0"), After.KEEP),
+                new Response(nameless + SUCCESS, After.KEEP));
+        LoopbackGateway gateway =
+            new LoopbackGateway(
+                engine.port(),
+                LoopbackGateway.route(kind, TIMEOUT_MILLIS),
+                RequestLimits.DEFAULT,
+                HeldBytesLimiter.Bounds.DEFAULT)) {
+      assertTrue(call(gateway, "r0").startsWith("HTTP/1.1 200"));
+      String response = call(gateway, "r1");
+      assertTrue(response.startsWith("HTTP/1.1 502"), response);
+      assertEquals(1, engine.connections());
+    }
+  }
+
+  private static String call(LoopbackGateway gateway, String id) throws IOException {
+    try (Socket caller = new Socket("127.0.0.1", gateway.port())) {
+      caller.setSoTimeout(TIMEOUT_MILLIS);
+      String request =
+          "GET /p/x HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\nConnection: close\r\n\r\n";
+      caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+  }
 }
