An error of one row, listener or timer ends neither the watch nor the others

Operators saw nodes that stopped following the engines, and starting nodes that never became ready, without a line in the log.

Cause: the reply of the store is passed on inside the callback of Netty's handler. Whatever a listener throws, errors included, ends there: the handler closes the connection and discards the error, and as the watch requests its next page from the same callback, it ends. A timer that throws keeps its error in a future that nobody reads, and a periodic task, such as the housekeeping, is not repeated.

TableWatcher now treats a listener that throws as a failed request: the version is not advanced, nothing counts as caught up, and the rows are requested again with its backoff. A page without rows that claims to have more made readers fail at its last row; it is a failed read. New lines: 374 to 376. Values in the log are cut at 2,000 characters and keep no control characters, since they may be texts of other writers.

The simulation of tenants lets any error of a listener fail the test as before.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -22,6 +22,7 @@
 import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.configuration.RequestLimits;
 import org.baykeel.gateway.telemetry.GatewayLog;
+import org.baykeel.gateway.telemetry.LoggedTask;
 
 /** Accepts the connections of callers and closes those that are idle or stalled for too long. */
 public final class IngressServer implements GracefulStop.CallerConnections {
@@ -87,7 +88,11 @@
     listener = bound.channel();
     group
         .next()
-        .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        .scheduleWithFixedDelay(
+            new LoggedTask("sweep of connections", this::sweep, log),
+            SWEEP_MILLIS,
+            SWEEP_MILLIS,
+            TimeUnit.MILLISECONDS);
     return bound;
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEventLoop.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEventLoop.java
@@ -4,13 +4,22 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.telemetry.GatewayLog;
+import org.baykeel.gateway.telemetry.LoggedTask;
 
 /** The event loop of Netty as clock and timers. */
 public final class NettyEventLoop implements EventLoop {
   private final EventExecutor executor;
+  private final GatewayLog log;
 
-  public NettyEventLoop(EventExecutor executor) {
+  /**
+   * Creates an event loop.
+   *
+   * @param log receives the errors of scheduled tasks
+   */
+  public NettyEventLoop(EventExecutor executor, GatewayLog log) {
     this.executor = executor;
+    this.log = log;
   }
 
   @Override
@@ -20,7 +29,8 @@
 
   @Override
   public Timer schedule(long delayMillis, Runnable task) {
-    Future<?> scheduled = executor.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+    LoggedTask logged = new LoggedTask("timer", task, log);
+    Future<?> scheduled = executor.schedule(logged, delayMillis, TimeUnit.MILLISECONDS);
     return () -> scheduled.cancel(false);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkChannel.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkChannel.java
@@ -7,6 +7,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import java.io.IOException;
 import java.util.function.Consumer;
 
 /** The framing of a connection between nodes: a length of four bytes, then one message. */
@@ -71,6 +73,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      if (!(cause instanceof IOException)) {
+        InternalLoggerFactory.getInstance(LinkChannel.class)
+            .warn("message of a node failed", cause);
+      }
       context.close();
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkClient.java
@@ -26,6 +26,7 @@
 import org.baykeel.gateway.remote.StoreReply;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
+import org.baykeel.gateway.telemetry.LoggedTask;
 
 /** Sends requests to peers over one connection per peer, which is closed when idle. */
 public final class LinkClient implements RelayTransport, HandoverTransport {
@@ -62,7 +63,11 @@
     this.log = log;
     group
         .next()
-        .scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        .scheduleWithFixedDelay(
+            new LoggedTask("sweep of connections", this::sweep, log),
+            SWEEP_MILLIS,
+            SWEEP_MILLIS,
+            TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
@@ -17,6 +17,7 @@
 import org.baykeel.gateway.storage.StoredRow;
 import org.baykeel.gateway.storage.Transaction;
 import org.baykeel.gateway.storage.TransactionOutcome;
+import org.baykeel.gateway.telemetry.ErrorText;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
 import org.baykeel.gateway.topology.Locality;
@@ -180,8 +181,15 @@
       String address = separator < 0 ? text : text.substring(0, separator);
       String zone = separator < 0 ? UNKNOWN_ZONE : text.substring(separator + 1);
       add(PeerAddress.parse(address), zone);
-    } catch (IllegalArgumentException e) {
-      log.write(GatewayEvent.FAULT, "where", "node row", "key", row.address().key(), "error", e);
+    } catch (RuntimeException e) {
+      log.write(
+          GatewayEvent.FAULT,
+          "where",
+          "node row",
+          "key",
+          row.address().key(),
+          "error",
+          ErrorText.of(e));
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
@@ -23,6 +23,7 @@
 import org.baykeel.gateway.storage.StoredRow;
 import org.baykeel.gateway.storage.Transaction;
 import org.baykeel.gateway.storage.TransactionOutcome;
+import org.baykeel.gateway.telemetry.ErrorText;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
 
@@ -230,18 +231,22 @@
 
   private void adopt(StoredRow row) {
     boolean ofEarlierIncarnation = !loaded && row.address().key().equals(ownRow.key());
-    StampedParts notices;
     try {
-      notices = StampedParts.decode(row.value());
-    } catch (IllegalArgumentException e) {
+      StampedParts notices = StampedParts.decode(row.value());
+      for (byte[] datagram : notices.parts()) {
+        codec
+            .decode(datagram)
+            .ifPresent(message -> adopt(message, notices.storeMillis(), ofEarlierIncarnation));
+      }
+    } catch (RuntimeException e) {
       log.write(
-          GatewayEvent.FAULT, "where", "engine end row", "key", row.address().key(), "error", e);
-      return;
-    }
-    for (byte[] datagram : notices.parts()) {
-      codec
-          .decode(datagram)
-          .ifPresent(message -> adopt(message, notices.storeMillis(), ofEarlierIncarnation));
+          GatewayEvent.FAULT,
+          "where",
+          "engine end row",
+          "key",
+          row.address().key(),
+          "error",
+          ErrorText.of(e));
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionTable.java
@@ -17,6 +17,7 @@
 import org.baykeel.gateway.storage.StampedParts;
 import org.baykeel.gateway.storage.StoredRow;
 import org.baykeel.gateway.storage.Transaction;
+import org.baykeel.gateway.telemetry.ErrorText;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
 
@@ -198,8 +199,15 @@
             .map(PeerMessage.StreamVersionNotice.class::cast)
             .ifPresent(notice -> adopt(notice, own));
       }
-    } catch (IllegalArgumentException e) {
-      log.write(GatewayEvent.FAULT, "where", "stream row", "key", row.address().key(), "error", e);
+    } catch (RuntimeException e) {
+      log.write(
+          GatewayEvent.FAULT,
+          "where",
+          "stream row",
+          "key",
+          row.address().key(),
+          "error",
+          ErrorText.of(e));
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/ReadOutcome.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/ReadOutcome.java
@@ -9,12 +9,20 @@
    * The rows as of one moment.
    *
    * @param rows the rows, in ascending order of key for a read and of change for the feed
-   * @param more whether there are further rows beyond the limit
+   * @param more whether there are further rows after the last one; false if there are none
    * @param version the store's change counter at that moment
    * @param asOfNanos a time of this process's monotonic clock that is not later than that moment
    */
   record Rows(List<StoredRow> rows, boolean more, long version, long asOfNanos)
-      implements ReadOutcome {}
+      implements ReadOutcome {
+    /** Copies the list of rows. */
+    public Rows {
+      rows = List.copyOf(rows);
+      if (more && rows.isEmpty()) {
+        throw new IllegalArgumentException("page without rows is not the last one");
+      }
+    }
+  }
 
   /** The feed no longer has the changes since the given version; the table must be read again. */
   record HistoryGone() implements ReadOutcome {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableWatcher.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableWatcher.java
@@ -3,11 +3,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
+import org.baykeel.gateway.telemetry.ErrorText;
+import org.baykeel.gateway.telemetry.GatewayEvent;
+import org.baykeel.gateway.telemetry.GatewayLog;
 
 /**
  * Keeps a process's copy of a table current: reads the whole table once, then follows its change
  * feed with long polls. A page older than the known version is discarded and the table read again,
  * since a store that has just recovered may serve reads from an old state.
+ *
+ * <p>A listener that throws does not end this: the rows count as not received, and are requested
+ * again as after a failure of the store.
  */
 public final class TableWatcher {
   private static final int PAGE_ROWS = 500;
@@ -52,6 +58,7 @@
   private final Recovery recovery;
   private final BiConsumer<Runnable, Long> scheduler;
   private final Listener listener;
+  private final GatewayLog log;
   private final List<StoredRow> pages = new ArrayList<>();
   private long knownVersion;
   private long firstPageVersion;
@@ -83,7 +90,8 @@
       long pauseMillis,
       Recovery recovery,
       BiConsumer<Runnable, Long> scheduler,
-      Listener listener) {
+      Listener listener,
+      GatewayLog log) {
     this.table = table;
     this.store = store;
     this.waitMillis = waitMillis;
@@ -91,6 +99,7 @@
     this.recovery = recovery;
     this.scheduler = scheduler;
     this.listener = listener;
+    this.log = log;
   }
 
   /** Starts to read the table. */
@@ -124,13 +133,29 @@
       readFrom(lastKey + '\0');
       return;
     }
-    retryMillis = FIRST_RETRY_MILLIS;
     knownVersion = Math.max(knownVersion, firstPageVersion);
     hasSnapshot = true;
     changesMayBeMissed = false;
-    listener.onSnapshot(List.copyOf(pages));
+    List<StoredRow> rows = List.copyOf(pages);
     pages.clear();
-    follow();
+    if (passOn(() -> listener.onSnapshot(rows))) {
+      retryMillis = FIRST_RETRY_MILLIS;
+      follow();
+    } else {
+      changesMayBeMissed = true;
+      retryLater(() -> readFrom(null));
+    }
+  }
+
+  /** Calls the listener and returns whether it succeeded. */
+  private boolean passOn(Runnable call) {
+    try {
+      call.run();
+      return true;
+    } catch (RuntimeException | Error e) {
+      log.write(GatewayEvent.STORE_LISTENER_FAILED, "table", table, "error", ErrorText.of(e));
+      return false;
+    }
   }
 
   /**
@@ -168,16 +193,18 @@
   /**
    * Passes on the changes that are not known yet. A long poll and a {@link #poll} beside it may be
    * answered in any order, and the later answer may hold changes that were passed on before.
+   *
+   * @return whether the listener succeeded; otherwise the changes remain unknown
    */
-  private void deliver(ReadOutcome.Rows changes) {
+  private boolean deliver(ReadOutcome.Rows changes) {
     List<StoredRow> unknown = changes.rows().stream().filter(this::mayBeUnknown).toList();
-    knownVersion = Math.max(knownVersion, changes.version());
-    if (!unknown.isEmpty()) {
-      listener.onChanges(unknown);
-    }
-    if (!changes.more() && !changesMayBeMissed) {
-      listener.onCaughtUp(changes.asOfNanos());
+    if (!unknown.isEmpty() && !passOn(() -> listener.onChanges(unknown))) {
+      return false;
     }
+    knownVersion = Math.max(knownVersion, changes.version());
+    return changes.more()
+        || changesMayBeMissed
+        || passOn(() -> listener.onCaughtUp(changes.asOfNanos()));
   }
 
   /** A row that gives no version may always be unknown. */
@@ -186,9 +213,8 @@
   }
 
   private void onFeedOutcome(ReadOutcome outcome) {
-    if (outcome instanceof ReadOutcome.Rows changes) {
+    if (outcome instanceof ReadOutcome.Rows changes && deliver(changes)) {
       retryMillis = FIRST_RETRY_MILLIS;
-      deliver(changes);
       if (changes.rows().isEmpty() || pauseMillis == 0) {
         follow();
       } else {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/AsyncGatewayLog.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/AsyncGatewayLog.java
@@ -15,6 +15,11 @@
  */
 public final class AsyncGatewayLog implements GatewayLog, AutoCloseable {
   private static final int QUEUE_LINES = 2_048;
+
+  /** A longer value is cut. Some values are texts of other writers. */
+  private static final int MAX_VALUE_CHARACTERS = 2_000;
+
+  private static final char DELETE = 0x7f;
   private static final long FLUSH_MILLIS = 250;
   private static final long IDLE_MILLIS = 1_000;
 
@@ -60,12 +65,35 @@
   }
 
   private static void appendValue(StringBuilder line, String value) {
-    boolean plain = !value.isEmpty() && value.indexOf(' ') < 0 && value.indexOf('"') < 0;
-    if (plain && value.indexOf('\n') < 0) {
-      line.append(value);
-    } else {
-      line.append('"').append(value.replace('"', '\'').replace('\n', ' ')).append('"');
+    boolean cut = value.length() > MAX_VALUE_CHARACTERS;
+    String text = cut ? value.substring(0, MAX_VALUE_CHARACTERS) + "..." : value;
+    if (isPlain(text)) {
+      line.append(text);
+      return;
+    }
+    line.append('"');
+    for (int i = 0; i < text.length(); i++) {
+      line.append(quoted(text.charAt(i)));
+    }
+    line.append('"');
+  }
+
+  private static boolean isPlain(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      char character = text.charAt(i);
+      if (character <= ' ' || character == '"' || character == DELETE) {
+        return false;
+      }
+    }
+    return !text.isEmpty();
+  }
+
+  /** Returns the character that stands for another one between quotes. */
+  private static char quoted(char character) {
+    if (character == '"') {
+      return '\'';
     }
+    return character < ' ' || character == DELETE ? ' ' : character;
   }
 
   private void run() {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -52,6 +52,9 @@
   REQUEST_HELD(368),
   RUN_UNRESOLVED(369),
   RUN_RESOLVED(370),
+  STORE_ROW_FAILED(374),
+  STORE_LISTENER_FAILED(375),
+  TASK_FAILED(376),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
@@ -48,7 +48,7 @@
 
   LoopbackGateway(int enginePort, Route route, RequestLimits limits, HeldBytesLimiter.Bounds bounds)
       throws IOException {
-    NettyEventLoop eventLoop = new NettyEventLoop(group.next());
+    NettyEventLoop eventLoop = new NettyEventLoop(group.next(), (event, fields) -> {});
     held = new HeldBytesLimiter(bounds, eventLoop);
     StoreHealth health = new StoreHealth();
     health.answered(System.nanoTime());
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TenancyNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TenancyNode.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -188,7 +189,10 @@
             0,
             TableWatcher.Recovery.REREAD,
             (task, millis) -> loop.schedule(millis, task),
-            new Configuration(catalogue));
+            new Configuration(catalogue),
+            (event, fields) -> {
+              throw new AssertionError(event + Arrays.toString(fields));
+            });
     freshness.setCheck(watcher::poll);
     watcher.start();
     limiter.start();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/storage/TestTableWatcher.java
@@ -4,18 +4,24 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.function.Consumer;
+import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class TestTableWatcher {
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final ScriptedStore store = new ScriptedStore();
   private final List<String> delivered = new ArrayList<>();
   private final List<Long> caughtUp = new ArrayList<>();
+  private final List<GatewayEvent> logged = new ArrayList<>();
+  private int failures;
+  private boolean failWithError;
   private final TableWatcher watcher = watcher(0);
 
   private TableWatcher watcher(long pauseMillis) {
@@ -33,19 +39,33 @@
         new TableWatcher.Listener() {
           @Override
           public void onSnapshot(List<StoredRow> rows) {
+            failIfRequested();
             delivered.add("snapshot " + keys(rows));
           }
 
           @Override
           public void onChanges(List<StoredRow> rows) {
+            failIfRequested();
             delivered.add("changes " + keys(rows));
           }
 
           @Override
           public void onCaughtUp(long nanos) {
+            failIfRequested();
             caughtUp.add(nanos);
           }
-        });
+        },
+        (event, fields) -> logged.add(event));
+  }
+
+  private void failIfRequested() {
+    if (failures > 0) {
+      failures--;
+      if (failWithError) {
+        throw new StackOverflowError();
+      }
+      throw new IllegalStateException("listener fails");
+    }
   }
 
   private static List<String> keys(List<StoredRow> rows) {
@@ -65,6 +85,7 @@
     private final ArrayDeque<ReadOutcome> outcomes = new ArrayDeque<>();
     private final List<String> requests = new ArrayList<>();
     private final List<Integer> waits = new ArrayList<>();
+    private Consumer<ReadOutcome> pending;
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionOutcome> callback) {
@@ -88,8 +109,15 @@
     private void reply(Consumer<ReadOutcome> callback) {
       if (!outcomes.isEmpty()) {
         callback.accept(outcomes.poll());
+      } else {
+        pending = callback;
       }
     }
+
+    /** Replies to the last request that had no reply. */
+    private void answerPending() {
+      pending.accept(outcomes.poll());
+    }
   }
 
   @Test
@@ -206,6 +234,60 @@
     assertEquals(List.of("snapshot [a]", "changes [b]"), delivered);
   }
 
+  /** Guards against an error of the listener that ends the watch before the first snapshot. */
+  @ParameterizedTest(name = "error: {0}")
+  @CsvSource({"false", "true"})
+  void snapshotThatListenerFailedToAdoptIsReadAgain(boolean error) {
+    failWithError = error;
+    failures = 2;
+    store.outcomes.add(rows(5, false, "a"));
+    store.outcomes.add(rows(5, false, "a"));
+    store.outcomes.add(rows(6, false, "a", "b"));
+    watcher.start();
+    watcher.poll();
+    assertEquals(List.of("read null"), store.requests);
+    eventLoop.advance(1_000);
+    assertEquals(List.of("snapshot [a, b]"), delivered);
+    assertEquals(List.of("read null", "read null", "read null", "watch 6"), store.requests);
+    assertEquals(Collections.nCopies(2, GatewayEvent.STORE_LISTENER_FAILED), logged);
+  }
+
+  /** Guards against an error of the listener that ends the watch of the changes. */
+  @ParameterizedTest
+  @EnumSource(TableWatcher.Recovery.class)
+  void changesThatListenerFailedToAdoptAreRequestedAgain(TableWatcher.Recovery recovery) {
+    TableWatcher failing = watcher(0, recovery);
+    store.outcomes.add(rows(5, false, "a"));
+    failing.start();
+    failWithError = true;
+    failures = 1;
+    store.outcomes.add(rows(8, false, "b"));
+    store.answerPending();
+    assertEquals(List.of(), caughtUp);
+    store.outcomes.add(rows(8, false, "b"));
+    store.outcomes.add(rows(8, false));
+    eventLoop.advance(100);
+    String second = recovery == TableWatcher.Recovery.REREAD ? "snapshot [b]" : "changes [b]";
+    assertEquals(List.of("snapshot [a]", second), delivered);
+    assertEquals(8L, caughtUp.get(caughtUp.size() - 1));
+    assertEquals(List.of(GatewayEvent.STORE_LISTENER_FAILED), logged);
+  }
+
+  @Test
+  void changesThatListenerFailedToAdoptFromPollComeWithTheFeed() {
+    store.outcomes.add(rows(5, false, "a"));
+    watcher.start();
+    failures = 1;
+    store.outcomes.add(rows(8, false, "b"));
+    watcher.poll();
+    assertEquals(List.of("snapshot [a]"), delivered);
+    assertEquals(List.of(), caughtUp);
+    store.outcomes.add(rows(8, false, "b"));
+    store.answerPending();
+    assertEquals(List.of("snapshot [a]", "changes [b]"), delivered);
+    assertEquals(List.of(8L), caughtUp);
+  }
+
   @ParameterizedTest(name = "pause {0} ms: {1}")
   @CsvSource({"0, 3, 3", "200, 2, 3"})
   void pausesAfterChangesButNotAfterEmptyResponse(long pause, int atOnce, int afterThePause) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestAsyncGatewayLog.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestAsyncGatewayLog.java
@@ -24,6 +24,19 @@
         line.contains(" event=330 name=CALL_ENDED node=n1 id=r1 detail=\"two words\"\n"), line);
   }
 
+  /** Guards against texts of other writers that add lines to the log, or fill it. */
+  @Test
+  void valueIsOneBoundedText() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    AsyncGatewayLog writer = new AsyncGatewayLog("n1", out);
+    writer.write(GatewayEvent.FAULT, "error", "a\r\nevent=1\u0000\"", "row", "x".repeat(100_000));
+    writer.close();
+    String text = out.toString(StandardCharsets.UTF_8);
+    assertEquals(1, text.lines().count(), text);
+    assertTrue(text.contains(" error=\"a  event=1 '\" row=xxx"), text.substring(0, 200));
+    assertTrue(text.length() < 2_200, text.length() + " characters");
+  }
+
   @Test
   void fullQueueDropsLinesWithoutBlocking() throws Exception {
     CountDownLatch release = new CountDownLatch(1);
