A budget or turn whose row cannot be decoded is answered as unavailable

A request waited until its deadline for the row of its program's budget, or for a stored turn, if another writer had left bytes there that no node wrote.

The decoding exception ended the callback of the store's reply, so that neither a retry was scheduled nor an answer given. Besides, a stored turn that was cut was decoded to a shorter input or output and would have been continued as if it were whole, and one of zero pieces was requested again without end.

A reservation is now retried until it times out and then answered as unavailable, as after an outage; the row is not replaced, since it may be the record of a budget that was spent. A stored turn that cannot be decoded is unavailable at once. A turn with a length beyond its bytes is rejected.

Evidence, with the code as before: 5 of 5 new cases of TestProgramBudgets, 7 of 7 of TestTurnHistory and the new one of TestStoredTurnCodec failed; all pass now. A row of the first of two pieces without the second one is not among them: it is read again until the time limit, as before.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
@@ -242,12 +242,22 @@
     requestTokens();
   }
 
+  /** Decodes the row; if that fails, the reservations are retried until they time out. */
+  private BudgetRow decode(StoredRow stored) {
+    try {
+      return BudgetRow.decode(stored.value());
+    } catch (IllegalArgumentException e) {
+      retryUntilTimeout();
+      throw e;
+    }
+  }
+
   private void onConflict(BudgetRow requested, List<StoredRow> rows) {
     BudgetRow current = BudgetRow.NONE;
     long version = Transaction.ABSENT;
     for (StoredRow stored : rows) {
       if (stored.address().key().equals(address.key()) && !stored.removed()) {
-        current = BudgetRow.decode(stored.value());
+        current = decode(stored);
         version = stored.version();
       }
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/StoredTurnCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/StoredTurnCodec.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
@@ -53,14 +54,22 @@
       for (int i = 0; i < count; i++) {
         ancestors.add(in.readUTF());
       }
-      byte[] input = in.readNBytes(in.readInt());
-      byte[] output = in.readNBytes(in.readInt());
+      byte[] input = readBytes(in);
+      byte[] output = readBytes(in);
       return new StoredTurn(id, ancestors, input, output);
     } catch (IOException e) {
       throw new IllegalArgumentException("invalid stored turn of " + value.length + " bytes", e);
     }
   }
 
+  private static byte[] readBytes(DataInputStream in) throws IOException {
+    int length = in.readInt();
+    if (length < 0 || length > in.available()) {
+      throw new EOFException("field of " + length + " bytes is cut");
+    }
+    return in.readNBytes(length);
+  }
+
   static List<byte[]> encode(StoredTurn turn, int maxValueBytes) {
     byte[] body = encodeWhole(turn);
     int maxPieceBytes = maxValueBytes - 2;
@@ -80,7 +89,7 @@
   }
 
   static int pieceCount(byte[] firstValue) {
-    if (firstValue.length < 2 || firstValue[0] != FORMAT) {
+    if (firstValue.length < 2 || firstValue[0] != FORMAT || firstValue[1] == 0) {
       throw new IllegalArgumentException("invalid stored turn of " + firstValue.length + " bytes");
     }
     return firstValue[1] & 0xFF;
@@ -89,6 +98,9 @@
   static StoredTurn decode(String id, List<byte[]> values) {
     ByteArrayOutputStream body = new ByteArrayOutputStream();
     for (byte[] value : values) {
+      if (value.length < 2) {
+        throw new IllegalArgumentException("invalid piece of a stored turn");
+      }
       body.write(value, 2, value.length - 2);
     }
     return decodeWhole(id, body.toByteArray());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.scheduling.StableHash;
@@ -234,9 +235,10 @@
       confirmAbsent(id, giveUpNanos, answer);
       return;
     }
-    int pieces = StoredTurnCodec.pieceCount(rows.rows().get(0).value());
+    int pieces = decoded(() -> StoredTurnCodec.pieceCount(rows.rows().get(0).value()), answer);
     if (pieces == 1) {
-      answer.accept(new Fetched(cacheTurn(id, rows.rows()), false));
+      StoredTurn turn = decoded(() -> cacheTurn(id, rows.rows()), answer);
+      answer.accept(new Fetched(turn, false));
       return;
     }
     RangeRead read = new RangeRead(TABLE, partition(id), key(id, 0), pieces);
@@ -264,7 +266,8 @@
   private void onAllPieces(
       String id, long giveUpNanos, int pieces, ReadOutcome outcome, Consumer<Fetched> answer) {
     if (outcome instanceof ReadOutcome.Rows rows && rows.rows().size() == pieces) {
-      answer.accept(new Fetched(cacheTurn(id, rows.rows()), false));
+      StoredTurn turn = decoded(() -> cacheTurn(id, rows.rows()), answer);
+      answer.accept(new Fetched(turn, false));
     } else {
       retryFetch(id, giveUpNanos, answer);
     }
@@ -278,6 +281,16 @@
     }
   }
 
+  /** Decodes a stored turn; if that fails, the answer is that it is not available. */
+  private static <T> T decoded(Supplier<T> decoding, Consumer<Fetched> answer) {
+    try {
+      return decoding.get();
+    } catch (RuntimeException e) {
+      answer.accept(new Fetched(null, false));
+      throw e;
+    }
+  }
+
   private StoredTurn cacheTurn(String id, List<StoredRow> rows) {
     StoredTurn turn = StoredTurnCodec.decode(id, rows.stream().map(StoredRow::value).toList());
     cache.put(turn);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TestProgramBudgets {
   private static final String PROGRAM = "p";
@@ -53,6 +54,37 @@
     assertEquals(1, store.transactions());
   }
 
+  /** Guards against a row by another writer for which a turn waits until its deadline. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 16, 17, 1_000})
+  void undecodableRowIsReadAgainUntilTheReservationTimesOut(int bytes) {
+    RowAddress address = new RowAddress("budget", PROGRAM, "granted");
+    store.put(address, new byte[bytes]);
+    Reservation turn = reserve(first, 10_000);
+    int errors = advanceCountingErrors(TIMEOUT_MILLIS / 2);
+    assertTrue(errors > 1, errors + " tries");
+    assertEquals(ReservationStatus.PENDING, turn.status());
+    advanceCountingErrors(TIMEOUT_MILLIS);
+    assertEquals(ReservationStatus.UNAVAILABLE, turn.status());
+    store.put(address, BudgetRow.NONE.encode());
+    Reservation next = reserve(first, 10_000);
+    eventLoop.advance(1_000);
+    assertEquals(ReservationStatus.GRANTED, next.status());
+  }
+
+  /** Returns the number of errors of callbacks, which the store logs. */
+  private int advanceCountingErrors(long millis) {
+    int errors = 0;
+    for (int i = 0; i < millis; i++) {
+      try {
+        eventLoop.advance(1);
+      } catch (IllegalArgumentException e) {
+        errors++;
+      }
+    }
+    return errors;
+  }
+
   @Test
   void takeoverTransfersTheRemainingGrant() {
     TestingHandover handover = new TestingHandover(eventLoop, new Random(5));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestStoredTurnCodec.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestStoredTurnCodec.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.Arrays;
 import java.util.List;
@@ -32,6 +33,16 @@
     }
   }
 
+  /** Guards against a turn that is cut and passed on as if it were whole. */
+  @Test
+  void cutTurnIsRejected() {
+    byte[] whole = StoredTurnCodec.encodeWhole(StoredTurnCodec.decode("t3", VALUES));
+    for (int length = 0; length < whole.length; length++) {
+      byte[] cut = Arrays.copyOf(whole, length);
+      assertThrows(IllegalArgumentException.class, () -> StoredTurnCodec.decodeWhole("t3", cut));
+    }
+  }
+
   @Test
   void bytesAppendedByALaterVersionAreIgnored() {
     byte[] last = VALUES.get(1);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestTurnHistory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestTurnHistory.java
@@ -4,17 +4,22 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
 import org.baykeel.gateway.program.ProgramId;
+import org.baykeel.gateway.storage.RowAddress;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingStore;
 import org.baykeel.gateway.testing.TestingStore.Fault;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TestTurnHistory {
   private static final ProgramId PROGRAM = new ProgramId("p");
@@ -80,6 +85,21 @@
     assertInstanceOf(Lookup.Unavailable.class, find(other, "a"));
   }
 
+  /** Guards against a row by another writer for which the request waits until its deadline. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "01", "0100", "0101", "02010000", "0101ffffffff", "01010000ff"})
+  void aTurnThatCannotBeDecodedIsUnavailableAtOnce(String hex) {
+    save(history, turn("a", List.of(), 10), 10);
+    RowAddress address = store.rows("turn").get(0).address();
+    store.put(address, HexFormat.of().parseHex(hex));
+    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
+    AtomicReference<Lookup> found = new AtomicReference<>();
+    other.find(PROGRAM, "a", eventLoop.nanoTime() + 1_000_000_000L, found::set);
+    // The store logs the error.
+    assertThrows(RuntimeException.class, () -> eventLoop.advance(50));
+    assertInstanceOf(Lookup.Unavailable.class, found.get());
+  }
+
   @Test
   void aReadFromAnOldStateDoesNotMakeATurnAbsent() {
     store.freezeReads(true);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingStore.java
@@ -73,6 +73,11 @@
     return rows.values().stream().filter(row -> row.address().table().equals(table)).count();
   }
 
+  /** Returns the rows of a table. */
+  public List<StoredRow> rows(String table) {
+    return rows.values().stream().filter(row -> row.address().table().equals(table)).toList();
+  }
+
   public int transactions() {
     return transactions;
   }
