A datagram names no more requests than it has bytes for

Not seen by callers; found by reading the decoders of peers' messages for the cause of the unreadable entries: a bound that the writer sets.

A group in a message states the length of its elements and their number, of 32 bits. With the length 0 the elements need no bytes, so a datagram of 22 bytes could make its reader decode up to 1,073,741,824 requests on the event loop. The other groups of datagrams have texts of variable length in each element, which bounds their number by the length of the message.

Evidence: with the code as before, the new test decoded a clearance of 22 bytes with the number 28,784 to as many requests; it is rejected now. 20,000 corrupted copies of the recorded messages, before and now, cause no exception.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineEndCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineEndCodec.java
@@ -69,6 +69,7 @@
     long ageMillis = decoder.ageMillis();
     List<RequestFingerprint> requests = new ArrayList<>();
     for (EngineEndNoticeDecoder.RequestsDecoder request : decoder.requests()) {
+      requireRoom(requests, received);
       requests.add(new RequestFingerprint(request.fingerprint()));
     }
     EngineId id = new EngineId(decoder.engineId());
@@ -89,8 +90,16 @@
     decoder.wrapAndApplyHeader(received, 0, header);
     List<RequestFingerprint> requests = new ArrayList<>();
     for (RequestClearanceDecoder.RequestsDecoder request : decoder.requests()) {
+      requireRoom(requests, received);
       requests.add(new RequestFingerprint(request.fingerprint()));
     }
     return new PeerMessage.RequestClearance(requests);
   }
+
+  /** Elements that a message gives the length 0 would otherwise not be bounded by its length. */
+  private static void requireRoom(List<RequestFingerprint> decoded, UnsafeBuffer received) {
+    if ((decoded.size() + 1) * Long.BYTES > received.capacity()) {
+      throw new IllegalArgumentException("message has more requests than bytes for them");
+    }
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineEndCodec.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineEndCodec.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
@@ -48,6 +49,32 @@
     assertTrue(bytes <= PeerMessageCodec.MAX_MESSAGE_BYTES, bytes + " bytes");
   }
 
+  /** Guards against a short datagram that is decoded to any number of requests. */
+  @Test
+  void requestsOfLengthZeroAreRejected() {
+    for (List<RequestFingerprint> requests : List.of(List.of(REQUEST), List.of(REQUEST, REQUEST))) {
+      assertEquals(Optional.empty(), codec.decode(withEmptyElements(requests)));
+    }
+    PeerMessage.RequestClearance one = new PeerMessage.RequestClearance(List.of(REQUEST));
+    PeerMessage.RequestClearance two = new PeerMessage.RequestClearance(List.of(REQUEST, REQUEST));
+    byte[] datagram = codec.encode(one);
+    setManyEmptyElements(datagram, Arrays.mismatch(datagram, codec.encode(two)));
+    assertEquals(Optional.empty(), codec.decode(datagram));
+  }
+
+  private byte[] withEmptyElements(List<RequestFingerprint> requests) {
+    byte[] datagram = codec.encode(new PeerMessage.EngineEndNotice(ENGINE, 17, requests));
+    byte[] other = codec.encode(notice(requests.size() + 1));
+    setManyEmptyElements(datagram, Arrays.mismatch(datagram, other));
+    return datagram;
+  }
+
+  /** Sets the length of the elements, which precedes their number, to 0. */
+  private static void setManyEmptyElements(byte[] datagram, int numberIndex) {
+    Arrays.fill(datagram, numberIndex - 2, numberIndex, (byte) 0);
+    Arrays.fill(datagram, numberIndex, numberIndex + 2, (byte) 0x70);
+  }
+
   @Test
   void ageThatDoesNotFitIsReduced() {
     byte[] datagram =
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestPeerMessageCompatibility.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestPeerMessageCompatibility.java
@@ -1,9 +1,13 @@
 package org.baykeel.gateway.peer;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.stream.Stream;
 import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.program.ProgramId;
@@ -20,6 +24,7 @@
  * from it are decoded, and encoded datagrams can be read by it.
  */
 class TestPeerMessageCompatibility {
+  private static final int TRIALS = 20_000;
   private static final RecordedBytes RECORDED = new RecordedBytes("peer.hex");
   private static final ProgramId PROGRAM = new ProgramId("t/3fa81c");
 
@@ -80,6 +85,21 @@
     assertEquals(Optional.of(MESSAGES.get(name)), codec.decode(later));
   }
 
+  /** Guards against bytes of another writer that end the reader of the datagrams. */
+  @Test
+  void corruptedBytesCauseNoException() {
+    Random random = new Random(1);
+    List<byte[]> recorded = List.copyOf(RECORDED.all().values());
+    for (int i = 0; i < TRIALS; i++) {
+      byte[] bytes = recorded.get(random.nextInt(recorded.size())).clone();
+      for (int change = random.nextInt(4); change >= 0; change--) {
+        bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+      }
+      byte[] cut = Arrays.copyOf(bytes, random.nextInt(2 * bytes.length));
+      assertDoesNotThrow(() -> codec.decode(random.nextBoolean() ? bytes : cut));
+    }
+  }
+
   @ParameterizedTest
   @MethodSource("names")
   void ignoresMessagesOfALaterVersion(String name) {
