--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
@@ -9,7 +9,12 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.baykeel.gateway.network.IpLiterals;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerTransport;
 
@@ -41,13 +46,15 @@
     }
   }
 
+  /** Drops a datagram to a host name, since resolving the name would block the event loop. */
   @Override
   public void send(PeerAddress receiver, byte[] datagram) {
-    if (channel != null) {
+    Optional<InetAddress> host = IpLiterals.parse(receiver.host());
+    if (channel != null && host.isPresent()) {
       channel.writeAndFlush(
           new DatagramPacket(
               Unpooled.wrappedBuffer(datagram),
-              new InetSocketAddress(receiver.host(), receiver.port())));
+              new InetSocketAddress(host.get(), receiver.port())));
     }
   }
 
@@ -71,7 +78,11 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       // A datagram that cannot be sent or read is lost, which callers of send have to expect
-      // anyway.
+      // anyway. Any other error is one of the receiver.
+      if (!(cause instanceof IOException)) {
+        InternalLoggerFactory.getInstance(DatagramPeerTransport.class)
+            .warn("message of a node failed", cause);
+      }
     }
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpLoadReportClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpLoadReportClient.java
@@ -123,7 +123,7 @@
     if (known != null) {
       known.client.closeIdle();
     }
-    InetSocketAddress address = new InetSocketAddress(record.host(), record.port());
+    InetSocketAddress address = InetSocketAddress.createUnresolved(record.host(), record.port());
     PooledHttpClient client =
         new PooledHttpClient(
             group, address, "engine", MAX_REPORT_BYTES, metrics::engineConnectionOpened, log);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/KeepAliveBootstrap.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/KeepAliveBootstrap.java
@@ -10,7 +10,7 @@
 /**
  * Creates bootstraps for long-lived outgoing connections. Such a connection may stop delivering
  * data without being closed, while new connections work; TCP keep-alive probes detect this, so that
- * it is not reused.
+ * it is not reused. Connecting to a host name does not block the event loop.
  */
 public final class KeepAliveBootstrap {
   /** Time without a byte, in seconds, after which the operating system starts to probe. */
@@ -32,6 +32,7 @@
     return new Bootstrap()
         .group(group)
         .channel(NioSocketChannel.class)
+        .resolver(OffLoopResolverGroup.INSTANCE)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
--- /dev/null
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/network/package-info.java
@@ -0,0 +1,2 @@
+/** Network addresses as they occur in documents and messages. */
+package org.baykeel.gateway.network;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerAddress.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerAddress.java
@@ -2,6 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
+import org.baykeel.gateway.network.IpLiterals;
+
 /**
  * The address at which a node receives datagrams of other nodes.
  *
@@ -9,6 +11,8 @@
  * @param port the UDP port
  */
 public record PeerAddress(String host, int port) {
+  private static final int MAX_PORT = 65_535;
+
   public PeerAddress {
     requireNonNull(host, "host");
   }
@@ -17,14 +21,18 @@
    * Parses an address in the form of {@link #toString}.
    *
    * @param text the address
-   * @throws IllegalArgumentException if the text is not an address
+   * @throws IllegalArgumentException if the text is not an IP address and a port
    */
   public static PeerAddress parse(String text) {
     int colon = text.lastIndexOf(':');
-    if (colon <= 0) {
-      throw new IllegalArgumentException("peer address is not host:port: " + text);
+    if (colon <= 0 || IpLiterals.parse(text.substring(0, colon)).isEmpty()) {
+      throw new IllegalArgumentException("peer address has no IP address and port: " + text);
+    }
+    int port = Integer.parseInt(text.substring(colon + 1));
+    if (port <= 0 || port > MAX_PORT) {
+      throw new IllegalArgumentException("port of peer address is out of range: " + text);
     }
-    return new PeerAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    return new PeerAddress(text.substring(0, colon), port);
   }
 
   @Override
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/datagram/TestDatagramPeerTransport.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/datagram/TestDatagramPeerTransport.java
@@ -60,6 +60,24 @@
     assertEquals(senderAddress + " hello", received.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
   }
 
+  /** Guards against a peer's address whose resolution blocks the event loop. */
+  @Test
+  void dropsADatagramToAHostName() throws Exception {
+    PeerAddress receiver = freeAddress();
+    CompletableFuture<String> first = new CompletableFuture<>();
+    DatagramPeerTransport sender = new DatagramPeerTransport();
+    assertTrue(listens(sender, freeAddress(), (from, datagram) -> {}));
+    assertTrue(
+        listens(
+            new DatagramPeerTransport(),
+            receiver,
+            (from, datagram) -> first.complete(new String(datagram, StandardCharsets.US_ASCII))));
+    byte[] toName = "name".getBytes(StandardCharsets.US_ASCII);
+    sender.send(new PeerAddress("localhost", receiver.port()), toName);
+    sender.send(receiver, "literal".getBytes(StandardCharsets.US_ASCII));
+    assertEquals("literal", first.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+  }
+
   @Test
   void reportsAPortInUseAndThenDropsDatagrams() throws Exception {
     PeerAddress address = freeAddress();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestNodeRow.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestNodeRow.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.baykeel.gateway.storage.RangeRead;
@@ -59,6 +60,31 @@
     assertEquals(Locality.SAME_ZONE, peers.localityOf(NODE));
   }
 
+  /** Guards against a row that keeps the nodes behind it from being announced to. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "10.1.0.9:65536 hall",
+        "10.1.0.9:-1 hall",
+        "10.1.0.9:0 hall",
+        "10.1.0.9: hall",
+        "no-such-host.invalid:7380 hall",
+        "999.1.1.1:7380 hall",
+        "[::1:7380 hall",
+        ":7380",
+        " ",
+        "",
+        "{\"address\":\"10.1.0.9:7380\"}"
+      })
+  void oddRowLeavesTheOtherRowsInUse(String row) {
+    byte[] value = row.getBytes(StandardCharsets.UTF_8);
+    store.put(new RowAddress("node", "", "front-0"), value);
+    store.put(new RowAddress("node", "", "front-1"), RECORDED);
+    PeerDirectory peers = joined("front-2", new PeerAddress("10.1.0.39", 7380));
+    assertEquals(List.of(NODE), List.copyOf(peers.peers()));
+    assertEquals(true, peers.peersIfLoaded().isPresent());
+  }
+
   @Test
   void writesTheRowOfTheVersionInProduction() {
     joined("front-1", NODE);
