An engine that drains or whose entry cannot be read may have ended under a request

What callers saw: a request that makes engines fall silent, or end, while their entries say that they drain, was sent to further engines without limit. The same while an entry could not be read, since the directory then marks the engine as draining.

Cause: RunTracker took the entry for a proof that the engine left by plan. Once the run's time was over, or the engine had ended, the run was resolved by=plan and counted nowhere: an old and indirect sign explained whatever was seen later.

In virtual time six cases of TestEngineRuns were sent to further engines (three kinds of silence while the engine drains; an unreadable entry, connection lost or attempt given up; an end while the engine drains).

Why the fix works: only an engine that responded after its entry had gone has left by plan. An engine that ended while it drained stays no evidence, so no request is refused for good because of it, but its run counts, and the request is held (503) with three of them, for a minute. An entry that shows a restart after a drain is no evidence either. An engine that has ended is asked again only every 30 s.

Measured: TestEngineRuns, TestRequestQuarantine and TestBlameAssessment pass. Failed before: silentEnginesThatDrainHoldARequest (3 of 3), enginesThatEndWhileTheirEntriesAreUnreadableCount (2 of 2), enginesThatDrainAndEndBeforeTheTimeOfTheRunIsOverCount, and the first assertion of requestThatRanAtThreeDrainedEnginesIsHeldForAMinuteAtMost.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineProver.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineProver.java
@@ -12,6 +12,7 @@
 final class EngineProver {
   private static final long MIN_PAUSE_MILLIS = 250;
   private static final long MAX_PAUSE_MILLIS = 30_000;
+  private static final int MAX_DOUBLINGS = Integer.SIZE / 2;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** Knows the unresolved runs. */
@@ -74,8 +75,12 @@
     }
 
     private void answered(EngineLiveness liveness, long askedNanos, boolean askedAfterRemoval) {
-      boolean proof = liveness == EngineLiveness.RUNNING || liveness == EngineLiveness.ENDED;
-      unanswered = proof ? 0 : unanswered + 1;
+      unanswered =
+          switch (liveness) {
+            case RUNNING -> 0;
+            case ENDED -> MAX_DOUBLINGS;
+            default -> unanswered + 1;
+          };
       listener.answered(engine, liveness, askedNanos, askedAfterRemoval);
       asked = false;
       long nextNanos = listener.nextQuestionNanos(engine);
@@ -88,7 +93,7 @@
     }
 
     private long pauseMillis() {
-      int doublings = Math.min(unanswered, Integer.SIZE / 2);
+      int doublings = Math.min(unanswered, MAX_DOUBLINGS);
       return Math.min(MAX_PAUSE_MILLIS, MIN_PAUSE_MILLIS << doublings);
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -298,7 +298,7 @@
     public void answered(
         Engine engine, EngineLiveness liveness, long askedNanos, boolean askedAfterRemoval) {
       if (liveness == EngineLiveness.ENDED) {
-        onEnded(engine);
+        onEnded(engine, askedAfterRemoval);
         return;
       }
       for (TrackedRun run : ledger.unresolvedAt(engine)) {
@@ -327,12 +327,18 @@
     }
   }
 
-  private void onEnded(Engine engine) {
+  private void onEnded(Engine engine, boolean askedAfterRemoval) {
     for (TrackedRun run : ledger.unresolvedAt(engine)) {
-      if (run.atLeavingEngine()) {
+      if (run.leftByPlan()) {
         resolve(run, RunLog.Resolution.PLAN);
+      } else if (run.atDrainingEngine()) {
+        // Its end may be planned or not: no evidence, but the run counts.
+        onNoAnswer(run, EngineLiveness.ENDED, askedAfterRemoval);
       }
     }
+    if (engine.record().draining()) {
+      return;
+    }
     // The end of one run makes the others at the engine end as well.
     ledger.unresolvedAt(engine).stream()
         .findFirst()
@@ -342,7 +348,7 @@
   private void onNoAnswer(TrackedRun run, EngineLiveness liveness, boolean askedAfterRemoval) {
     long now = eventLoop.nanoTime();
     boolean provable = now - run.provableNanos() >= 0;
-    if (provable && run.atLeavingEngine()) {
+    if (provable && run.leftByPlan()) {
       resolve(run, RunLog.Resolution.PLAN);
     } else if (now - run.startedNanos() > EngineEndHistory.LIFETIME_NANOS) {
       resolve(run, RunLog.Resolution.EXPIRY);
@@ -361,8 +367,11 @@
 
   /** Handles that an engine is known to have ended. */
   void engineEnded(EngineIncarnation engine, long endedNanos) {
+    boolean known = history.find(engine) != null;
     for (TrackedRun run : ledger.unresolvedAt(engine)) {
-      end(run, endedNanos);
+      if (known || !run.atDrainingEngine()) {
+        end(run, endedNanos);
+      }
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/TrackedRun.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/TrackedRun.java
@@ -147,8 +147,8 @@
     leftByPlan = true;
   }
 
-  /** Whether the engine leaves, or has left, by plan. */
-  boolean atLeavingEngine() {
-    return leftByPlan || engine.record().draining();
+  /** Whether the engine gets no new work, so that its end may be planned. */
+  boolean atDrainingEngine() {
+    return engine.record().draining();
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestEngineRuns.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import org.baykeel.gateway.directory.EngineId;
+import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.testing.TestingEventLoop;
 import org.baykeel.gateway.testing.TestingStore;
@@ -361,6 +363,124 @@
     }
   }
 
+  private void drain(int engine) {
+    for (QuarantineNodes.Node each : cluster.nodes()) {
+      each.engines()
+          .put(new EngineRecord("e" + engine, "s", "10.0.1." + engine, 80, "z", 8, true, 0, 1_000));
+    }
+  }
+
+  private void makeEntryUnreadable(int engine) {
+    cluster.nodes().forEach(node -> node.engines().withdraw(new EngineId("e" + engine)));
+  }
+
+  /** Guards against an engine that falls silent under a request and is forgotten as it drains. */
+  @ParameterizedTest
+  @EnumSource(names = {"ACCEPTING", "UNKNOWN", "CONNECTED"})
+  void silentEnginesThatDrainHoldARequest(EngineLiveness liveness) {
+    cluster.livenessOfRunning = liveness;
+    for (int i = 0; i < 3; i++) {
+      assertTrue(sendUntilDeadline(node(i), i));
+      drain(i);
+    }
+    eventLoop.advance(RESOLVED_MILLIS);
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.HELD, verdict(i));
+    }
+  }
+
+  /** Guards against an engine with an unreadable entry that is taken for one that leaves. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void enginesThatEndWhileTheirEntriesAreUnreadableCount(boolean connectionLost) {
+    for (int i = 0; i < 3; i++) {
+      EngineRun run = run(node(i));
+      assertTrue(claim(run).sendable());
+      run.sent(node(i).engine(i), deadline());
+      makeEntryUnreadable(i);
+      eventLoop.advance(DEADLINE_MILLIS);
+      cluster.ended().add("e" + i);
+      if (connectionLost) {
+        run.connectionLost(() -> {});
+      } else {
+        run.abandoned();
+      }
+      eventLoop.advance(RESOLVED_MILLIS);
+    }
+    for (int i = 0; i < NODES; i++) {
+      assertTrue(!verdict(i).sendable());
+    }
+  }
+
+  /** Guards against an engine that drains, ends under a request and is taken for one that left. */
+  @Test
+  void enginesThatDrainAndEndBeforeTheTimeOfTheRunIsOverCount() {
+    for (int i = 0; i < 3; i++) {
+      EngineRun run = run(node(i));
+      assertTrue(claim(run).sendable());
+      run.sent(node(i).engine(i), deadline());
+      eventLoop.advance(50);
+      drain(i);
+      cluster.ended().add("e" + i);
+      run.connectionLost(() -> {});
+      eventLoop.advance(1_000);
+    }
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.HELD, verdict(i));
+    }
+  }
+
+  /**
+   * As for a request whose callers left three slow engines that drain, and serve until they end.
+   */
+  @Test
+  void drainingEnginesThatAnswerHoldNothing() {
+    for (int i = 0; i < 3; i++) {
+      sendUntilDeadline(node(i), i);
+      drain(i);
+    }
+    eventLoop.advance(RESOLVED_MILLIS);
+    for (int i = 0; i < 3; i++) {
+      cluster.ended().add("e" + i);
+    }
+    eventLoop.advance(RESOLVED_MILLIS);
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.CLEAR, verdict(i));
+    }
+  }
+
+  /** As for a stream that three engines cut when they have drained: nothing is known against it. */
+  @Test
+  void requestThatRanAtThreeDrainedEnginesIsHeldForAMinuteAtMost() {
+    for (int i = 0; i < 3; i++) {
+      EngineRun run = run(node(i));
+      assertTrue(claim(run).sendable());
+      run.sent(node(i).engine(i), deadline());
+      drain(i);
+      cluster.ended().add("e" + i);
+      run.connectionLost(() -> {});
+      eventLoop.advance(1_000);
+      restart(i);
+    }
+    assertEquals(Verdict.HELD, verdict(4));
+    eventLoop.advance(60_000);
+    assertTrue(claim(run(node(4))).sendable());
+    node(4).quarantine().completed(work("a").build());
+    eventLoop.advance(100);
+    for (int i = 0; i < NODES; i++) {
+      assertEquals(Verdict.CLEAR, verdict(i));
+    }
+  }
+
+  /** An engine is started again under its identifier after it has drained. */
+  private void restart(int engine) {
+    for (QuarantineNodes.Node each : cluster.nodes()) {
+      each.engines()
+          .put(
+              new EngineRecord("e" + engine, "s", "10.0.1." + engine, 80, "z", 8, false, 0, 2_000));
+    }
+  }
+
   /** All nodes learn of the first end while callers wait at each of them. */
   @ParameterizedTest
   @ValueSource(ints = {0, 1, 2})
