A claim is decided once the claims of other nodes have been read

Cause: a claim was decided 30 ms after it was made, by the clock alone. On a node whose event loop lags, the timer fires late, in the same turn of the loop, and the decision precedes the datagrams that arrived meanwhile: time that has passed was taken for knowledge.

Why the fix works: ClaimWait decides only at a look that follows another one within 30 ms, and that one comes 40 ms after the claim or later. Datagrams are read between two looks. A claim that was not read by then was made after the first of these looks, so its node decides later and has read by then that this one has sent. A node that lags for 500 ms rejects the request with 503, as one that is held. A guarded request waits 60 ms instead of 40 ms before it is sent; other requests wait for nothing, as before.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -39,9 +39,6 @@
   /** The longest time from a deadline until a run is resolved, in milliseconds. */
   static final long MAX_PROOF_MILLIS = AFTER_DEADLINE_NANOS / 1_000_000 + PROOF_MILLIS;
 
-  /** A claim is decided after this time, in which the claims of other nodes arrive. */
-  private static final long CLAIM_NANOS = 30_000_000L;
-
   /** The most runs of other nodes that are passed on to a peer that has started. */
   private static final int MAX_PASSED_ON = 32;
 
@@ -128,8 +125,7 @@
   /** A run as its attempt sees it. */
   private final class Run implements EngineRun {
     private TrackedRun run;
-    private long claimedNanos;
-    private boolean claimed;
+    private ClaimWait claimWait;
 
     Run(TrackedRun run) {
       this.run = run;
@@ -144,8 +140,8 @@
         withdraw();
         return found;
       }
-      if (claimed) {
-        return now - claimedNanos < CLAIM_NANOS ? Verdict.UNDECIDED : decideClaim(found, now);
+      if (claimWait != null) {
+        return decideClaim(found, now);
       }
       if (exposure.exhausted(request, now)) {
         return Verdict.HELD;
@@ -154,25 +150,25 @@
     }
 
     private Verdict beginClaim(long now) {
-      claimed = true;
-      claimedNanos = now;
+      claimWait = new ClaimWait(now);
       ledger.addClaim(run);
       notifier.send(run);
       return Verdict.UNDECIDED;
     }
 
     private Verdict decideClaim(Verdict found, long now) {
-      if (exposure.exhausted(run, now)) {
+      ClaimWait.State state = claimWait.look(now);
+      if (state == ClaimWait.State.FAILED || exposure.exhausted(run, now)) {
         withdraw();
         return Verdict.HELD;
       }
-      return found;
+      return state == ClaimWait.State.OVER ? found : Verdict.UNDECIDED;
     }
 
     @Override
     public void withdraw() {
-      if (claimed) {
-        claimed = false;
+      if (claimWait != null) {
+        claimWait = null;
         ledger.remove(run);
         notifier.send(run);
         run = new TrackedRun(newId(), run.request(), eventLoop.nanoTime());
@@ -183,8 +179,8 @@
     public void sent(Engine engine, long deadlineNanos) {
       run.sent(engine, deadlineNanos, eventLoop.nanoTime());
       ledger.addSent(run);
-      if (claimed) {
-        claimed = false;
+      if (claimWait != null) {
+        claimWait = null;
         notifier.send(run);
       }
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingPeerNetwork.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingPeerNetwork.java
@@ -1,7 +1,9 @@
 package org.baykeel.gateway.testing;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -20,6 +22,7 @@
   private final EventLoop eventLoop;
   private final Map<PeerAddress, PeerTransport.Receiver> receivers = new HashMap<>();
   private final Set<String> cutPaths = new HashSet<>();
+  private final Map<PeerAddress, List<Runnable>> unreadByPaused = new HashMap<>();
   private double lossShare;
   private Random random = new Random(0);
   private long sentBytes;
@@ -53,6 +56,16 @@
     receivers.remove(address);
   }
 
+  /** Keeps the datagrams to an address until it resumes, as when its event loop lags. */
+  public void pause(PeerAddress address) {
+    unreadByPaused.put(address, new ArrayList<>());
+  }
+
+  /** Delivers the datagrams that arrived at an address since it paused. */
+  public void resume(PeerAddress address) {
+    unreadByPaused.remove(address).forEach(Runnable::run);
+  }
+
   /** Returns the transport of the node at an address. */
   public PeerTransport transportOf(PeerAddress sender) {
     return (receiver, datagram) -> {
@@ -68,6 +81,11 @@
   }
 
   private void deliver(PeerAddress sender, PeerAddress receiver, byte[] datagram) {
+    List<Runnable> unread = unreadByPaused.get(receiver);
+    if (unread != null) {
+      unread.add(() -> deliver(sender, receiver, datagram));
+      return;
+    }
     PeerTransport.Receiver attached = receivers.get(receiver);
     if (attached != null) {
       attached.receive(sender, datagram);
