A success without name and signature is skipped, as a stray one is

The platform's engines name the request in their answers, and a success without a signature is never passed on.

Change: such a success is skipped on a used connection, as before. A failure, or a signed response, without a name still ends the exchange.

Tests: three rows of TestLateResponses fail without the change (502 for 200); two rows with a signed response are new.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -238,11 +239,7 @@
       return;
     }
     if (!named && (reused || current.connectionUse().skipped() > 0)) {
-      // It may be the response to this send or a late one to an earlier send. If it were skipped, a
-      // second response to this send would be taken for the first.
-      unrelatedResponses.skipped(pool.engine(), current, response.status(), traits);
-      failure = "response names no request";
-      close();
+      readNameless(response, traits);
       return;
     }
     responseStarted = true;
@@ -255,6 +252,22 @@
             response.status().code(), HopByHopHeaders.copyWithout(response.headers()), traits));
   }
 
+  /**
+   * Reads a response that may belong to this send or to an earlier one. Only a success without a
+   * signature cannot be the engine's response to this send. If another one were skipped, a second
+   * response to this send would be taken for the first.
+   */
+  private void readNameless(HttpResponse response, ResponseTraits traits) {
+    boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+    if (success && !traits.signed()) {
+      skip(response, traits);
+      return;
+    }
+    unrelatedResponses.skipped(pool.engine(), current, response.status(), traits);
+    failure = "response names no request";
+    close();
+  }
+
   private void skip(HttpResponse response, ResponseTraits traits) {
     skipping = true;
     reusable = false;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestLateResponses.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestLateResponses.java
@@ -60,16 +60,42 @@
    */
   @ParameterizedTest
   @CsvSource({
-    "UNSAFE, ''",
-    "SAFE, ''",
-    "STREAMING, ''",
-    "UNSAFE, X-Id:|",
-    "SAFE, X-Id:|",
+    "UNSAFE, 500 Failed, ''",
+    "SAFE, 500 Failed, ''",
+    "STREAMING, 500 Failed, ''",
+    "UNSAFE, 500 Failed, X-Id:|",
+    "SAFE, 503 Full, X-Id:|",
+    "UNSAFE, 200 OK, X-Signed: other|",
+    "SAFE, 204 No Content, X-Signed: other|",
   })
-  void aResponseThatNamesNoRequestIsNotFollowedByAnother(RouteKind kind, String field)
+  void aResponseThatNamesNoRequestIsNotFollowedByAnother(
+      RouteKind kind, String status, String field) throws IOException {
+    String response = secondResponse(kind, status, field);
+    assertTrue(response.startsWith("HTTP/1.1 502"), response);
+  }
+
+  /** A success without a signature is never passed on, so the own response may follow it. */
+  @ParameterizedTest
+  @CsvSource({"UNSAFE, ''", "SAFE, ''", "UNSAFE, X-Id:|"})
+  void aSuccessWithoutSignatureThatNamesNoRequestIsSkipped(RouteKind kind, String field)
+      throws IOException {
+    String response = secondResponse(kind, "200 OK", field);
+    assertTrue(response.startsWith("HTTP/1.1 200"), response);
+    assertTrue(response.endsWith("body"), response);
+  }
+
+  /**
+   * Returns what the second caller on a connection to the engine gets, if a response that names no
+   * request stands before the own one.
+   */
+  private static String secondResponse(RouteKind kind, String status, String field)
       throws IOException {
     String nameless =
-        "HTTP/1.1 500 Failed\r\n" + field.replace("|", "\r\n") + "Content-Length: 0\r\n\r\n";
+        "HTTP/1.1 "
+            + status
+            + "\r\n"
+            + field.replace("|", "\r\n")
+            + (status.startsWith("204") ? "\r\n" : "Content-Length: 0\r\n\r\n");
     String reusable = SUCCESS.replace("Content-Length", "Keep-Alive: timeout=60\r\nContent-Length");
     try (ScriptedEngine engine =
             new ScriptedEngine(
@@ -83,8 +109,8 @@
                 HeldBytesLimiter.Bounds.DEFAULT)) {
       assertTrue(call(gateway, "r0").startsWith("HTTP/1.1 200"));
       String response = call(gateway, "r1");
-      assertTrue(response.startsWith("HTTP/1.1 502"), response);
       assertEquals(1, engine.connections());
+      return response;
     }
   }
 
