A grant of tokens is recognized after several lost responses

Cause: each retry of a grant had an identifier of its own, and only that of the last one without a response was remembered. If the first call had been applied and at least two responses were lost, the row was taken for that of another node: its tokens were lost, and the rest of the budget was granted instead.

Why the fix works: retries have the identifier of the first call until the row is known, so whichever was applied is recognized, and the tokens of the row are added once. The expected version of the row lets only one of them be applied.

Failed before: TestProgramBudgets#budgetHoldsItsSecondTurnAfterLostResponses, 3 of 4 cases (1,000 tokens granted instead of 500).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/budget/ProgramAccount.java
@@ -158,7 +158,9 @@
       return;
     }
     requestPending = true;
-    BudgetRow next = new BudgetRow(row.grantedTokens() + grant, grantIds.next());
+    // Any of several calls without a response may be the one that was applied.
+    long grantId = unconfirmedRow == null ? grantIds.next() : unconfirmedRow.grantId();
+    BudgetRow next = new BudgetRow(row.grantedTokens() + grant, grantId);
     store.transact(
         Transaction.replace(address, rowVersion, next.encode()),
         outcome -> onOutcome(next, outcome));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/budget/TestProgramBudgets.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TestProgramBudgets {
   private static final String PROGRAM = "p";
@@ -165,6 +166,25 @@
     assertEquals(10_000 / 3, grantedInStore(), "the lost grant counts once");
   }
 
+  /** Guards against a grant that is not recognized after several lost responses: 402 too early. */
+  @ParameterizedTest
+  @ValueSource(ints = {500, 1_500, 2_500, 4_000})
+  void budgetHoldsItsSecondTurnAfterLostResponses(int lostMillis) {
+    long budget = 2 * TURN;
+    store.fault(Fault.LOSE_RESPONSE);
+    Reservation turn = reserve(first, budget);
+    eventLoop.advance(lostMillis);
+    store.fault(Fault.NONE);
+    eventLoop.advance(2_000);
+    assertEquals(ReservationStatus.GRANTED, turn.status());
+    assertEquals(TURN, grantedInStore());
+    turn.use(TURN);
+    turn.close();
+    Reservation next = reserve(first, budget);
+    eventLoop.advance(500);
+    assertEquals(ReservationStatus.GRANTED, next.status());
+  }
+
   @Test
   void lateCopyOfAGrantIsNotAppliedAfterTheNext() {
     store.fault(Fault.APPLY_LATE);
