--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
@@ -204,16 +204,15 @@
       if (!asked && !channel.isActive()) {
         return;
       }
-      boolean unexpected = surplus || (!asked || response != null) && !decoder.isAtBoundary();
-      if (unexpected) {
-        log.write(
-            GatewayEvent.UNEXPECTED_RESPONSE, "kind", kind, "address", address, "asked", asked);
+      boolean unsolicited = surplus || (!asked || response != null) && !decoder.isAtBoundary();
+      if (unsolicited) {
+        log.write(GatewayEvent.UNSOLICITED_DATA, "kind", kind, "address", address, "asked", asked);
       }
-      if (unexpected && (reused || !asked)) {
+      if (unsolicited && (reused || !asked)) {
         // The first of several responses may belong to an earlier request.
         fail("more than one answer");
       } else if (response != null) {
-        complete(keepAlive && !unexpected);
+        complete(keepAlive && !unsolicited);
       }
     }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPooledHttpClient.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPooledHttpClient.java
@@ -135,7 +135,7 @@
     try (ScriptedEngine server = server("a", answer("a") + lines(stray), After.KEEP)) {
       assertEquals(List.of("200 a", "200 b", "200 c"), inTurn(clientOf(server), "a", "b", "c"));
       assertEquals(2, server.connections());
-      assertEquals(List.of(GatewayEvent.UNEXPECTED_RESPONSE), events);
+      assertEquals(List.of(GatewayEvent.UNSOLICITED_DATA), events);
     }
   }
 
@@ -148,7 +148,7 @@
     try (ScriptedEngine server = server("b", answer("a") + answer("b"), After.KEEP)) {
       assertEquals(List.of("200 a", "Lost", "200 c"), inTurn(clientOf(server), "a", "b", "c"));
       assertEquals(2, server.connections());
-      assertEquals(List.of(GatewayEvent.UNEXPECTED_RESPONSE), events);
+      assertEquals(List.of(GatewayEvent.UNSOLICITED_DATA), events);
     }
   }
 
@@ -172,7 +172,7 @@
       server.awaitOpen(0);
       assertEquals(List.of("200 b"), inTurn(client, "b"));
       assertEquals(2, server.connections());
-      assertEquals(List.of(GatewayEvent.UNEXPECTED_RESPONSE), events);
+      assertEquals(List.of(GatewayEvent.UNSOLICITED_DATA), events);
     }
   }
 
@@ -188,7 +188,7 @@
       server.sendOnAll(answer("b"));
       server.awaitOpen(0);
       assertEquals(List.of("200 c"), inTurn(client, "c"));
-      assertEquals(List.of(GatewayEvent.UNEXPECTED_RESPONSE), events);
+      assertEquals(List.of(GatewayEvent.UNSOLICITED_DATA), events);
     }
   }
 
