--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -20,6 +21,11 @@
  * A connection to an engine, with at most one request at a time. It is reused only after a complete
  * response to its own request with no further bytes behind it. A response to another request is
  * skipped, and the connection is then not reused.
+ *
+ * <p>An engine may send a second response to a request later on the same connection, and a response
+ * names its request but not the send. The connection therefore carries a request with a given
+ * identifier at most once, whichever call sends it: a response with the identifier of the request
+ * in progress can only belong to this send.
  */
 final class EngineConnection extends ChannelInboundHandlerAdapter {
   private static final long DEFAULT_IDLE_MILLIS = 1_000;
@@ -33,7 +39,9 @@
 
   private final EngineConnectionPool pool;
   private final CallTranslator translator;
+  private final UnrelatedResponseLog unrelatedResponses;
   private final long number;
+  private final CarriedRequests carried = new CarriedRequests();
   private int exchanges;
   private Channel channel;
   private PendingExchange current;
@@ -74,11 +82,17 @@
   /**
    * Creates a connection that is not open yet.
    *
+   * @param unrelatedResponses the log of responses that belong to no request in progress
    * @param number its number among all connections of the transport, from 1
    */
-  EngineConnection(EngineConnectionPool pool, CallTranslator translator, long number) {
+  EngineConnection(
+      EngineConnectionPool pool,
+      CallTranslator translator,
+      UnrelatedResponseLog unrelatedResponses,
+      long number) {
     this.pool = pool;
     this.translator = translator;
+    this.unrelatedResponses = unrelatedResponses;
     this.number = number;
   }
 
@@ -102,6 +116,11 @@
     return channel.isActive() && nowNanos - idleUntilNanos < 0;
   }
 
+  /** Whether a request with the identifier may have been sent on the connection. */
+  boolean hasCarried(String requestId) {
+    return carried.contains(requestId);
+  }
+
   /** Records that the connection is closed and returns whether this is the first call. */
   boolean markClosed() {
     boolean first = !closeRecorded;
@@ -147,12 +166,12 @@
 
   void send(PendingExchange exchange) {
     current = exchange;
-    exchange.usedConnections().add(this);
+    carried.add(exchange.requestId());
     responseStarted = false;
     readingPaused = false;
     otherResponses = 0;
     otherBytes = 0;
-    exchange.attach(this, new ConnectionUse(number, ++exchanges));
+    exchange.attach(this, new ConnectionUse(number, ++exchanges, 0));
     sentNanos = System.nanoTime();
     written = channel.writeAndFlush(exchange.request());
   }
@@ -176,8 +195,7 @@
     }
     if (current == null) {
       // Bytes after a complete response belong to no request.
-      releasable = false;
-      close();
+      readUnexpected(object);
       return;
     }
     if (object instanceof HttpResponse response) {
@@ -188,7 +206,22 @@
     }
   }
 
+  private void readUnexpected(HttpObject object) {
+    if (object instanceof HttpResponse response && !closing) {
+      unrelatedResponses.unexpected(
+          pool.engine(), number, exchanges, response.status(), translator.responseTraits(response));
+    }
+    releasable = false;
+    close();
+  }
+
   private void readHead(HttpResponse response) {
+    if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+      // What follows is not decoded any more.
+      failure = "response changes the protocol";
+      close();
+      return;
+    }
     if (response.status().code() < 200) {
       informational = true;
       countOtherResponse();
@@ -197,9 +230,7 @@
     ResponseTraits traits = translator.responseTraits(response);
     boolean own = current.requestId().equals(traits.requestId());
     if (!own && (traits.requestId() != null || reused)) {
-      skipping = true;
-      reusable = false;
-      countOtherResponse();
+      skip(response, traits);
       return;
     }
     responseStarted = true;
@@ -212,6 +243,14 @@
             response.status().code(), HopByHopHeaders.copyWithout(response.headers()), traits));
   }
 
+  private void skip(HttpResponse response, ResponseTraits traits) {
+    skipping = true;
+    reusable = false;
+    current.responseSkipped();
+    unrelatedResponses.skipped(pool.engine(), current, response.status(), traits);
+    countOtherResponse();
+  }
+
   private void countOtherResponse() {
     otherResponses++;
     endBeyondLimits();
@@ -276,7 +315,12 @@
     resumeReading();
     // If the response came before the whole request was written, the rest is still to be sent and
     // the connection cannot be reused.
-    releasable = reusable && written.isDone() && channel.isActive() && !completed.cancelled();
+    releasable =
+        reusable
+            && !carried.isFull()
+            && written.isDone()
+            && channel.isActive()
+            && !completed.cancelled();
     if (!releasable) {
       close();
     }
