A response is taken only from a head that is whole, single and names the request

What callers saw: a 200 with their own identifier and signature where the engine answered 500. The first part of a second answer, cut in its head, stood before the own answer, and the two were read as one head: the status of one, the fields and the body of the other. Also: on a new connection a signed success that names no request was passed on, and a statement without a name that the request did not run was believed, so that the request was sent 26 times.

Cause: bytes behind a complete answer were noticed only once they made a whole head, and the connection was reused before. The lack of a name counted as the own name on a new connection.

A head in whose fields or reason a status line stands is broken; the part may arrive after the next request was sent. A response that names no request is treated alike on all connections: a success without a signature is skipped, any other one ends the exchange.

The engine of TestSilentConnections now names the request, as engines do.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -43,6 +43,7 @@
   private final UnrelatedResponseLog unrelatedResponses;
   private final long number;
   private final CarriedRequests carried = new CarriedRequests();
+  private final ResponseBoundaryDecoder decoder = new ResponseBoundaryDecoder();
   private int exchanges;
   private Channel channel;
   private PendingExchange current;
@@ -117,6 +118,11 @@
     return channel.isActive() && nowNanos - idleUntilNanos < 0;
   }
 
+  /** Returns the decoder of this connection, which stands before it in the pipeline. */
+  ResponseBoundaryDecoder decoder() {
+    return decoder;
+  }
+
   /** Whether a request with the identifier may have been sent on the connection. */
   boolean hasCarried(String requestId) {
     return carried.contains(requestId);
@@ -221,6 +227,11 @@
   }
 
   private void readHead(HttpResponse response) {
+    if (ResponseHeads.holdsSecondStatusLine(response)) {
+      failure = "heads of two responses in one";
+      close();
+      return;
+    }
     if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
       // What follows is not decoded any more.
       failure = "response changes the protocol";
@@ -238,7 +249,7 @@
       skip(response, traits);
       return;
     }
-    if (!named && (reused || current.connectionUse().skipped() > 0)) {
+    if (!named) {
       readNameless(response, traits);
       return;
     }
@@ -253,9 +264,10 @@
   }
 
   /**
-   * Reads a response that may belong to this send or to an earlier one. Only a success without a
-   * signature cannot be the engine's response to this send. If another one were skipped, a second
-   * response to this send would be taken for the first.
+   * Reads a response that names no request. A success without a signature is never passed on, so
+   * the response to this send may still follow. Any other one ends the exchange: if it were
+   * skipped, a second response to this send would be taken for the first, and if it were taken, a
+   * statement that another request did not run would count for this one.
    */
   private void readNameless(HttpResponse response, ResponseTraits traits) {
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -354,6 +366,12 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
+    if (current == null && !closing && !decoder.isAtBoundary()) {
+      // A part of a response would become the beginning of the next one.
+      unrelatedResponses.partial(pool.engine(), number, exchanges);
+      releasable = false;
+      close();
+    }
     if (releasable) {
       releasable = false;
       idleUntilNanos = System.nanoTime() + idleMillis * 1_000_000;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.IdentityHashMap;
@@ -134,7 +133,7 @@
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
-                    .addLast(new HttpResponseDecoder())
+                    .addLast(connection.decoder())
                     .addLast(new HttpRequestEncoder())
                     .addLast(connection);
               }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/UnrelatedResponseLog.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/UnrelatedResponseLog.java
@@ -72,4 +72,27 @@
         "signature",
         LogText.bounded(traits.signature()));
   }
+
+  /**
+   * Records bytes that are not a whole head on a connection on which no request is in progress.
+   *
+   * @param connection the number of the connection
+   * @param exchanges the number of exchanges on it so far
+   */
+  void partial(Engine engine, long connection, int exchanges) {
+    log.write(
+        GatewayEvent.RESPONSE_UNEXPECTED,
+        "engine",
+        engine.record().id(),
+        "connection",
+        connection,
+        "exchange",
+        exchanges,
+        "response_id",
+        null,
+        "status",
+        0,
+        "signature",
+        null);
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
@@ -94,6 +94,7 @@
   private Sent send(EngineTransport transport, Engine engine, String id) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("Host", "h");
+    headers.set(TestingTranslator.ID, id);
     CallRequest source =
         new CallRequest(
             "POST", "/x", "h", headers, new byte[3], TestingTranslator.attributesOf(id), 0);
@@ -103,9 +104,20 @@
     return sent;
   }
 
+  /** Returns a response that names the request with the given head. */
+  private static ScriptedEngine.Response responseNaming(String head) {
+    String id =
+        head.lines()
+            .filter(line -> line.startsWith(TestingTranslator.ID))
+            .findFirst()
+            .orElseThrow();
+    return new ScriptedEngine.Response(
+        RESPONSE.bytes().replace("Keep-Alive", id + "\r\nKeep-Alive"), RESPONSE.after());
+  }
+
   @Test
   void closesTheIdleConnectionsToAnEngineAfterOneStayedSilent() throws Exception {
-    try (ScriptedEngine server = new ScriptedEngine(RESPONSE);
+    try (ScriptedEngine server = new ScriptedEngine(TestSilentConnections::responseNaming);
         SilencingProxy proxy = new SilencingProxy(server.port())) {
       EngineDirectory directory = new EngineDirectory(1);
       directory.put(new EngineRecord("e", "s", "127.0.0.1", proxy.port(), "z", 4, false));
