--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/handover/TestHolderDirectory.java
@@ -148,7 +148,6 @@
     assertEquals(List.of(Optional.empty()), results);
   }
 
-  /** Nodes 0, 2 and 4 are in the east region, 1 and 3 in the west region. */
   /** Guards against a reply by another node than the one that was queried, and a second reply. */
   @Test
   void onlyTheFirstReplyOfTheQueriedNodeCounts() {
@@ -178,6 +177,7 @@
     return new PeerMessage.HolderReply(queryId(sent), Optional.of(addresses.get(holder)));
   }
 
+  /** Nodes 0, 2 and 4 are in the east region, 1 and 3 in the west region. */
   private void startInTwoRegions() {
     Map<String, RegionId> regions = Map.of("e", new RegionId("east"), "w", new RegionId("west"));
     startAll(i -> new Topology(i % 2 == 0 ? "e" : "w", regions));
