--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/LoggedTask.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/LoggedTask.java
@@ -1,8 +1,8 @@
 package org.baykeel.gateway.telemetry;
 
 /**
- * A task whose errors are logged. An executor would keep them in the task's future, which nobody
- * reads, and would not repeat a periodic task that failed once.
+ * A task whose errors are logged. An executor would only keep them in the task's future, and would
+ * not repeat a periodic task that failed once.
  */
 public final class LoggedTask implements Runnable {
   private final String name;
