Runs are registered at two other nodes, which follow them if their node is lost

Callers saw a closed connection, and a request under which engines end was sent to an engine more at each node that ended with its engine: eight of eight tries. Cause: a run was known only to the node that began it, until that node saw the end of its connection. If it was killed up to 30 ms before, with or 20 ms after its engine, or stood still, nobody knew of the run. Now a node registers each run, when it sends it, with two nodes of its region (rendezvous rank, two zones) and closes it there. A registrar asks the node of a run when the same request is sent again, when a claim arrives, when that node has started again, and after the run's deadline; if the node sends nothing for 20 ms, or does not know the run, the registrar follows the run in its place and tells all nodes (event 379, phase ORPHANED). One such run is enough to guard the request. A completed run ends the questions about its request. Registrations, queries and replies have a limit of bytes of their own.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -409,7 +409,7 @@
 
   @Override
   public void onStreamComplete() {
-    endAttempt("complete", EngineRun::closed);
+    endAttempt("complete", EngineRun::completed);
     quarantine.completed();
     context.streamVersions().recordComplete(call.attributes().requestId());
     owner.onStreamComplete();
@@ -504,7 +504,7 @@
       quarantine.completed();
     }
     record.responseTaken(attempt);
-    endAttempt("complete", EngineRun::closed);
+    endAttempt("complete", engineFailed ? EngineRun::closed : EngineRun::completed);
     owner.onWholeResponse(head, body);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineRunCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineRunCodec.java
@@ -7,6 +7,8 @@
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.protocol.generated.EngineRunNoticeDecoder;
 import org.baykeel.protocol.generated.EngineRunNoticeEncoder;
+import org.baykeel.protocol.generated.EngineRunQueryDecoder;
+import org.baykeel.protocol.generated.EngineRunQueryEncoder;
 import org.baykeel.protocol.generated.MessageHeaderDecoder;
 import org.baykeel.protocol.generated.MessageHeaderEncoder;
 
@@ -30,6 +32,20 @@
         .encodedLength();
   }
 
+  static int encode(
+      PeerMessage.EngineRunQuery query, UnsafeBuffer buffer, MessageHeaderEncoder header) {
+    return new EngineRunQueryEncoder()
+        .wrapAndApplyHeader(buffer, 0, header)
+        .runId(query.runId())
+        .encodedLength();
+  }
+
+  static PeerMessage decodeQuery(UnsafeBuffer received, MessageHeaderDecoder header) {
+    EngineRunQueryDecoder decoder = new EngineRunQueryDecoder();
+    decoder.wrapAndApplyHeader(received, 0, header);
+    return new PeerMessage.EngineRunQuery(decoder.runId());
+  }
+
   private static long bounded(long millis) {
     return Math.max(0, Math.min(MAX_MILLIS, millis));
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
@@ -3,11 +3,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.storage.DurableStore;
@@ -62,6 +64,7 @@
   private final GatewayLog log;
   private final Map<PeerAddress, String> zoneByPeer = new LinkedHashMap<>();
   private final Set<PeerAddress> peersInRegion = new LinkedHashSet<>();
+  private final Map<PeerAddress, Long> heardNanos = new HashMap<>();
   private long ownRowVersion = Transaction.ABSENT;
   private boolean joined;
   private boolean announced;
@@ -200,6 +203,7 @@
    * @param peer the address of the sender
    */
   public void onSender(PeerAddress peer) {
+    recordHeard(peer);
     if (!zoneByPeer.containsKey(peer)) {
       add(peer, UNKNOWN_ZONE);
       recordAnnouncement();
@@ -225,9 +229,22 @@
    * @param zone the announced zone; empty if the announcement has none
    */
   public void onAnnouncement(PeerAddress peer, String zone) {
+    recordHeard(peer);
     add(peer, zone);
   }
 
+  private void recordHeard(PeerAddress peer) {
+    if (heardNanos.size() < MAX_PEERS || heardNanos.containsKey(peer)) {
+      heardNanos.put(peer, eventLoop.nanoTime());
+    }
+  }
+
+  /** Returns when a peer last sent a message, by the event loop's clock; empty if it never did. */
+  public OptionalLong heardNanos(PeerAddress peer) {
+    Long heard = heardNanos.get(peer);
+    return heard == null ? OptionalLong.empty() : OptionalLong.of(heard);
+  }
+
   private void add(PeerAddress peer, String zone) {
     if (peer.equals(ownAddress)
         || zoneByPeer.size() >= MAX_PEERS && !zoneByPeer.containsKey(peer)) {
@@ -279,6 +296,18 @@
     store.transact(removal, outcome -> {});
   }
 
+  /** Returns the address at which this node receives datagrams. */
+  public PeerAddress ownAddress() {
+    return ownAddress;
+  }
+
+  /** Returns the zone of this node or of a peer; empty if it is not known. */
+  public String zoneOf(PeerAddress node) {
+    return node.equals(ownAddress)
+        ? topology.ownZone()
+        : zoneByPeer.getOrDefault(node, UNKNOWN_ZONE);
+  }
+
   /** Returns the known peers. */
   public Collection<PeerAddress> peers() {
     return Collections.unmodifiableSet(zoneByPeer.keySet());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -143,6 +143,14 @@
       long remainingMillis)
       implements PeerMessage {}
 
+  /**
+   * Queries what the receiver knows of a run; it replies with an {@link EngineRunNotice}, or not at
+   * all if it does not know the run.
+   *
+   * @param runId identifies the run
+   */
+  record EngineRunQuery(long runId) implements PeerMessage {}
+
   /**
    * Announces that the sender now serves a program.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -12,6 +12,7 @@
 import org.baykeel.protocol.generated.EngineEndWithdrawalDecoder;
 import org.baykeel.protocol.generated.EngineLoadNoticeDecoder;
 import org.baykeel.protocol.generated.EngineRunNoticeDecoder;
+import org.baykeel.protocol.generated.EngineRunQueryDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeDecoder;
 import org.baykeel.protocol.generated.EngineSuspicionNoticeEncoder;
 import org.baykeel.protocol.generated.HolderAnnouncementDecoder;
@@ -86,6 +87,9 @@
     if (message instanceof PeerMessage.EngineRunNotice notice) {
       return EngineRunCodec.encode(notice, buffer, header);
     }
+    if (message instanceof PeerMessage.EngineRunQuery query) {
+      return EngineRunCodec.encode(query, buffer, header);
+    }
     if (message instanceof PeerMessage.HolderAnnouncement announcement) {
       return new HolderAnnouncementEncoder()
           .wrapAndApplyHeader(buffer, 0, header)
@@ -206,6 +210,8 @@
       case RequestClearanceDecoder.TEMPLATE_ID ->
           Optional.of(EngineEndCodec.decodeClearance(received, header));
       case EngineRunNoticeDecoder.TEMPLATE_ID -> EngineRunCodec.decode(received, header);
+      case EngineRunQueryDecoder.TEMPLATE_ID ->
+          Optional.of(EngineRunCodec.decodeQuery(received, header));
       case HolderAnnouncementDecoder.TEMPLATE_ID -> {
         HolderAnnouncementDecoder decoder = new HolderAnnouncementDecoder();
         decoder.wrapAndApplyHeader(received, 0, header);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/RunPhase.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/RunPhase.java
@@ -11,7 +11,11 @@
   /** No response is awaited any more, but the engine may go on running the request. */
   UNRESOLVED(3),
   /** The engine does not run the request. */
-  CLOSED(4);
+  CLOSED(4),
+  /** As {@link #UNRESOLVED}, since the node that sent the request does not respond any more. */
+  ORPHANED(5),
+  /** The engine has run the request to its end; said to the registrars of the run only. */
+  COMPLETED(6);
 
   private final int code;
 
@@ -24,6 +28,16 @@
     return code;
   }
 
+  /** Returns whether the engine may run the request although no response is awaited. */
+  public boolean unresolved() {
+    return this == UNRESOLVED || this == ORPHANED;
+  }
+
+  /** Returns whether the engine does not run the request any more. */
+  public boolean closed() {
+    return this == CLOSED || this == COMPLETED;
+  }
+
   /** Returns the phase with a code, or empty if a later version sent it. */
   public static Optional<RunPhase> ofCode(int code) {
     for (RunPhase phase : values()) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineRun.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineRun.java
@@ -26,9 +26,12 @@
    */
   void sent(Engine engine, long deadlineNanos);
 
-  /** Records that the engine has responded in whole, or that it did not run the request. */
+  /** Records that the engine has responded with a failure, or that it did not run the request. */
   void closed();
 
+  /** Records that the engine has run the request to its end. */
+  void completed();
+
   /** Records that the attempt has ended although the engine may go on running the request. */
   void abandoned();
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/NoQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/NoQuarantine.java
@@ -24,6 +24,9 @@
         @Override
         public void closed() {}
 
+        @Override
+        public void completed() {}
+
         @Override
         public void abandoned() {}
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerBroadcast.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerBroadcast.java
@@ -62,9 +62,13 @@
     }
   }
 
-  /** Sends a message to one peer once. */
-  void sendTo(PeerAddress peer, PeerMessage message) {
-    send(peer, codec.encode(message), reservedBytes);
+  /**
+   * Sends a message to one peer once.
+   *
+   * @return whether the limit allowed it
+   */
+  boolean sendTo(PeerAddress peer, PeerMessage message) {
+    return send(peer, codec.encode(message), reservedBytes);
   }
 
   private void send(MessageSource source, long reserved) {
@@ -78,15 +82,16 @@
     }
   }
 
-  private void send(PeerAddress peer, byte[] datagram, long reserved) {
+  private boolean send(PeerAddress peer, byte[] datagram, long reserved) {
     long bytes = ByteBudget.wireBytes(datagram.length);
     long now = eventLoop.nanoTime();
     if (budget.available(now) < bytes + reserved) {
       dropped++;
-    } else {
-      budget.consume(bytes, now);
-      transport.send(peer, datagram);
+      return false;
     }
+    budget.consume(bytes, now);
+    transport.send(peer, datagram);
+    return true;
   }
 
   /** Returns how many datagrams were not sent because of the limit. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
@@ -27,6 +27,17 @@
     return new PeerRun(id, request, engine, phase, startedNanos, provableNanos, nanos);
   }
 
+  /** Returns the run once its node does not respond any more. */
+  PeerRun orphaned(long nowNanos, long newExpiresNanos) {
+    return new PeerRun(
+        id, request, engine, RunPhase.ORPHANED, startedNanos, nowNanos, newExpiresNanos);
+  }
+
+  /** Returns until when the engine was asked to run the request, by the event loop's clock. */
+  long deadlineNanos() {
+    return provableNanos - RunNotifier.OPEN_MARGIN_NANOS;
+  }
+
   /** Returns the run as a later notice tells it, provable as soon as by this one. */
   PeerRun updatedBy(PeerRun later) {
     boolean sooner = phase == later.phase && provableNanos - later.provableNanos < 0;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -54,6 +54,7 @@
     private int exposed;
     private long lastExposedNanos;
     private int claims;
+    private boolean orphaned;
     private boolean guarded;
 
     /**
@@ -135,7 +136,7 @@
     List<TrackedRun> own = ledger.of(request);
     List<PeerRun> ofPeers = ledger.peerRunsOf(request, nowNanos);
     addUnresolved(count, own, ofPeers, nowNanos);
-    count.guarded = ended || count.exposed >= GUARDED_UNRESOLVED;
+    count.guarded = ended || count.orphaned || count.exposed >= GUARDED_UNRESOLVED;
     if (count.guarded) {
       addInProgress(count, own, ofPeers, claim, nowNanos);
     }
@@ -145,13 +146,15 @@
   private static void addUnresolved(
       Count count, List<TrackedRun> own, List<PeerRun> ofPeers, long nowNanos) {
     for (TrackedRun run : own) {
-      if (run.phase() == RunPhase.UNRESOLVED) {
+      if (run.phase().unresolved()) {
+        count.orphaned |= run.orphaned();
         long proofNanos = expectedProofNanos(run.startedNanos(), run.provableNanos(), nowNanos);
         count.addExposed(run.incarnation(), run.startedNanos(), proofNanos);
       }
     }
     for (PeerRun run : ofPeers) {
-      if (run.phase() == RunPhase.UNRESOLVED) {
+      if (run.phase().unresolved()) {
+        count.orphaned |= run.phase() == RunPhase.ORPHANED;
         long proofNanos = expectedProofNanos(run.startedNanos(), run.provableNanos(), nowNanos);
         count.addExposed(run.engine(), run.startedNanos(), proofNanos);
       }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -117,7 +117,13 @@
     this.placement = new SuspectPlacement(history, topology);
     this.eventLoop = eventLoop;
     this.log = log;
-    this.detector = new EngineEndDetector(livenessCheck, eventLoop, log, this::onObserved);
+    this.detector =
+        new EngineEndDetector(
+            livenessCheck,
+            eventLoop,
+            log,
+            (engine, endedNanos, requests) ->
+                onObserved(EngineIncarnation.of(engine.record()), endedNanos, requests));
     this.notifier = new EngineEndNotifier(peers, transport, codec, eventLoop);
     this.runNotifier = new RunNotifier(peers, transport, codec, eventLoop);
     this.runs =
@@ -130,6 +136,8 @@
             detector,
             livenessCheck,
             runNotifier,
+            peers,
+            engines,
             eventLoop,
             log,
             new RunListener());
@@ -166,7 +174,8 @@
   /** Adopts what the unresolved runs of this node show. */
   private final class RunListener implements RunTracker.Listener {
     @Override
-    public void engineEnded(Engine engine, long endedNanos, List<RequestFingerprint> requests) {
+    public void engineEnded(
+        EngineIncarnation engine, long endedNanos, List<RequestFingerprint> requests) {
       onObserved(engine, endedNanos, requests);
     }
 
@@ -269,11 +278,11 @@
     detector.connectionLost(engine, request, liveness -> decided.run());
   }
 
-  private void onObserved(Engine engine, long endedNanos, List<RequestFingerprint> requests) {
-    EngineIncarnation incarnation = EngineIncarnation.of(engine.record());
-    add(incarnation, endedNanos, requests, Source.OBSERVED);
-    notifier.sendEnd(incarnation, endedNanos, requests);
-    table.addOwn(incarnation, endedNanos, requests);
+  private void onObserved(
+      EngineIncarnation engine, long endedNanos, List<RequestFingerprint> requests) {
+    add(engine, endedNanos, requests, Source.OBSERVED);
+    notifier.sendEnd(engine, endedNanos, requests);
+    table.addOwn(engine, endedNanos, requests);
   }
 
   private void add(
@@ -281,7 +290,11 @@
     long now = eventLoop.nanoTime();
     List<RequestFingerprint> all = new ArrayList<>(requests);
     all.addAll(runs.requestsOfPeers(engine));
-    if (!history.add(engine, endedNanos, all, now)) {
+    boolean changed = history.add(engine, endedNanos, all, now);
+    if (history.find(engine) != null) {
+      runs.forgetRunsOfPeers(engine);
+    }
+    if (!changed) {
       return;
     }
     log.write(
@@ -422,7 +435,9 @@
     } else if (message instanceof PeerMessage.RequestClearance clearance) {
       clearance.requests().forEach(this::clear);
     } else if (message instanceof PeerMessage.EngineRunNotice notice) {
-      runs.onNotice(notice, eventLoop.nanoTime());
+      runs.onNotice(sender, notice);
+    } else if (message instanceof PeerMessage.EngineRunQuery query) {
+      runs.onQuery(sender, query);
     } else if (message instanceof PeerMessage.NodeAnnouncement) {
       runs.onPeerStarted(sender);
       sendEndsTo(sender);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
@@ -64,7 +64,7 @@
 
   /** Records that a run that was sent is unresolved from now on. */
   void addUnresolved(TrackedRun run) {
-    run.phase(RunPhase.UNRESOLVED);
+    run.markUnresolved();
     if (unresolved.add(run)) {
       count(run.head(), 1);
     }
@@ -119,6 +119,18 @@
     }
   }
 
+  /** Returns the run of this node, or one that it follows, with an identifier; null if none has. */
+  TrackedRun find(long id) {
+    for (Set<TrackedRun> runs : ownByEngine.values()) {
+      for (TrackedRun run : runs) {
+        if (run.id() == id) {
+          return run;
+        }
+      }
+    }
+    return null;
+  }
+
   /** Returns the unresolved runs. */
   List<TrackedRun> unresolved() {
     return List.copyOf(unresolved);
@@ -141,7 +153,7 @@
     if (previous != null) {
       count(previous.request().head(), -1);
     }
-    if (run.phase() != RunPhase.CLOSED) {
+    if (!run.phase().closed()) {
       peerRuns.put(run.id(), previous == null ? run : previous.updatedBy(run));
       count(run.request().head(), 1);
     }
@@ -150,7 +162,13 @@
     }
   }
 
-  private void removePeerRun(long id) {
+  /** Returns the run of a peer with an identifier, or null if no notice of it holds. */
+  PeerRun findPeerRun(long id, long nowNanos) {
+    PeerRun run = peerRuns.get(id);
+    return run == null || nowNanos - run.expiresNanos() > 0 ? null : run;
+  }
+
+  void removePeerRun(long id) {
     PeerRun removed = peerRuns.remove(id);
     if (removed != null) {
       count(removed.request().head(), -1);
@@ -202,7 +220,7 @@
       return;
     }
     for (PeerRun run : peerRunsAt(EngineIncarnation.of(engine.record()), nowNanos)) {
-      if (run.phase() == RunPhase.UNRESOLVED && sentNanos - run.provableNanos() >= 0) {
+      if (run.phase().unresolved() && sentNanos - run.provableNanos() >= 0) {
         removePeerRun(run.id());
       }
     }
@@ -213,17 +231,14 @@
   /**
    * Removes the unresolved runs of a request, and those of peers.
    *
-   * @return whether there were any
+   * @return whether there were any that are not just in progress
    */
   boolean clear(RequestFingerprint request) {
     List<TrackedRun> own = unresolved.stream().filter(run -> run.isOf(request)).toList();
     own.forEach(this::remove);
-    List<Long> ofPeers =
-        peerRuns.values().stream()
-            .filter(run -> run.request().equals(request))
-            .map(PeerRun::id)
-            .toList();
-    ofPeers.forEach(this::removePeerRun);
-    return !own.isEmpty() || !ofPeers.isEmpty();
+    List<PeerRun> ofPeers =
+        peerRuns.values().stream().filter(run -> run.request().equals(request)).toList();
+    ofPeers.forEach(run -> removePeerRun(run.id()));
+    return !own.isEmpty() || ofPeers.stream().anyMatch(run -> run.phase() != RunPhase.OPEN);
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLog.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLog.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.quarantine;
 
 import java.util.Locale;
+import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
@@ -17,7 +18,9 @@
     /** Its attempt ended: a deadline, a silence, a caller that left. */
     ATTEMPT,
     /** Its connection was lost. */
-    CONNECTION_LOST
+    CONNECTION_LOST,
+    /** The node that began it does not respond any more. */
+    NODE_LOST
   }
 
   /** Why a run counts no longer. */
@@ -30,6 +33,8 @@
     END,
     /** The engine left by plan. */
     PLAN,
+    /** The node that began it, and seemed to be lost, has closed it. */
+    HOLDER,
     /** Nothing was found out in time. */
     EXPIRY
   }
@@ -52,6 +57,19 @@
         (run.provableNanos() - eventLoop.nanoTime()) / NANOS_PER_MILLI);
   }
 
+  void orphaned(PeerRun run, PeerAddress holder) {
+    log.write(
+        GatewayEvent.RUN_ORPHANED,
+        "engine",
+        run.engine().id(),
+        "work",
+        run.request(),
+        "node",
+        holder,
+        "ms",
+        (eventLoop.nanoTime() - run.startedNanos()) / NANOS_PER_MILLI);
+  }
+
   void resolved(TrackedRun run, Resolution resolution) {
     log.write(
         GatewayEvent.RUN_RESOLVED,
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.function.Function;
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.peer.PeerAddress;
+import org.baykeel.gateway.peer.PeerDirectory;
 import org.baykeel.gateway.peer.PeerMessage;
 import org.baykeel.gateway.peer.QueryIds;
 import org.baykeel.gateway.peer.RunPhase;
@@ -57,7 +59,7 @@
      * @param endedNanos when it ended, by the event loop's clock
      * @param requests the requests of this node that it may have been running
      */
-    void engineEnded(Engine engine, long endedNanos, List<RequestFingerprint> requests);
+    void engineEnded(EngineIncarnation engine, long endedNanos, List<RequestFingerprint> requests);
 
     /** Called when there is a further, or a lasting, reason to guard a request. */
     void exposureGrew(RequestFingerprint request);
@@ -73,6 +75,8 @@
   private final EngineEndDetector detector;
   private final EngineProver prover;
   private final RunNotifier notifier;
+  private final RegisteredRuns registered;
+  private final EngineDirectory engines;
   private final EventLoop eventLoop;
   private final RunLog log;
   private final Listener listener;
@@ -95,6 +99,8 @@
       EngineEndDetector detector,
       EngineLivenessCheck livenessCheck,
       RunNotifier notifier,
+      PeerDirectory peers,
+      EngineDirectory engines,
       EventLoop eventLoop,
       GatewayLog log,
       Listener listener) {
@@ -105,6 +111,16 @@
     this.detector = detector;
     this.prover = new EngineProver(livenessCheck, eventLoop, new ProofListener());
     this.notifier = notifier;
+    PeerResponsiveness responsiveness = new PeerResponsiveness(peers, eventLoop);
+    this.registered =
+        new RegisteredRuns(
+            ledger,
+            new RunRegistrars(peers, responsiveness),
+            responsiveness,
+            notifier,
+            eventLoop,
+            this::onOrphaned);
+    this.engines = engines;
     this.eventLoop = eventLoop;
     this.log = new RunLog(eventLoop, log);
     this.listener = listener;
@@ -153,6 +169,7 @@
       claimWait = new ClaimWait(now);
       ledger.addClaim(run);
       notifier.send(run);
+      registered.onOwnRun(run.request());
       return Verdict.UNDECIDED;
     }
 
@@ -182,14 +199,32 @@
       if (claimWait != null) {
         claimWait = null;
         notifier.send(run);
+      } else {
+        registered.register(run);
+        registered.onOwnRun(run.request());
       }
     }
 
     @Override
     public void closed() {
-      if (ledger.remove(run) && run.announced()) {
+      close(RunPhase.CLOSED);
+    }
+
+    @Override
+    public void completed() {
+      close(RunPhase.COMPLETED);
+    }
+
+    private void close(RunPhase phase) {
+      if (!ledger.remove(run)) {
+        return;
+      }
+      if (run.announced()) {
         notifier.send(run);
       }
+      if (run.registered()) {
+        registered.close(run, phase);
+      }
     }
 
     @Override
@@ -223,7 +258,7 @@
   /** The end may be known from a peer that did not run the request. */
   private void addTo(EngineEnd end, TrackedRun run) {
     if (!end.ran(run.request())) {
-      listener.engineEnded(run.engine(), end.endedNanos(), List.of(run.request()));
+      listener.engineEnded(run.incarnation(), end.endedNanos(), List.of(run.request()));
     }
   }
 
@@ -239,11 +274,16 @@
       ledger.remove(run);
       return;
     }
-    long ceasesNanos = Math.min(run.deadlineNanos(), now + MAX_UNRESOLVED_NANOS);
-    run.provableFrom(Math.max(ceasesNanos, now) + AFTER_DEADLINE_NANOS, false);
+    run.provableFrom(provableNanos(run, now), false);
     addUnresolved(run, RunLog.Doubt.ATTEMPT, PROOF_MILLIS);
   }
 
+  /** Returns from when a response proves that an engine does not run a request any more. */
+  private static long provableNanos(TrackedRun run, long nowNanos) {
+    long ceasesNanos = Math.min(run.deadlineNanos(), nowNanos + MAX_UNRESOLVED_NANOS);
+    return Math.max(ceasesNanos, nowNanos) + AFTER_DEADLINE_NANOS;
+  }
+
   private void onConnectionLost(TrackedRun run, long lostNanos) {
     run.provableFrom(lostNanos, true);
     addUnresolved(run, RunLog.Doubt.CONNECTION_LOST, LOST_PROOF_MILLIS);
@@ -273,7 +313,7 @@
   /** Peers count the run until they know the end, which another datagram tells. */
   private void end(TrackedRun run, long foundNanos) {
     remove(run, RunLog.Resolution.END);
-    listener.engineEnded(run.engine(), run.endedNanos(foundNanos), List.of(run.request()));
+    listener.engineEnded(run.incarnation(), run.endedNanos(foundNanos), List.of(run.request()));
   }
 
   /** Records that an engine responded to a request that was sent at a time. */
@@ -376,6 +416,13 @@
     return ledger.peerRunsAt(engine, eventLoop.nanoTime()).stream().map(PeerRun::request).toList();
   }
 
+  /** Forgets the runs of peers at an engine that ended: they are part of its end. */
+  void forgetRunsOfPeers(EngineIncarnation engine) {
+    for (PeerRun run : ledger.peerRunsAt(engine, eventLoop.nanoTime())) {
+      ledger.removePeerRun(run.id());
+    }
+  }
+
   /**
    * Handles that the entry of an engine is gone: if the engine responds, it leaves by plan; if not,
    * it vanished and may have ended under its runs.
@@ -392,6 +439,62 @@
     }
   }
 
+  // Runs of nodes that do not respond any more.
+
+  /** Follows a run of another node in its place. */
+  private void onOrphaned(PeerRun run, PeerAddress holder) {
+    long now = eventLoop.nanoTime();
+    log.orphaned(run, holder);
+    ledger.removePeerRun(run.id());
+    EngineEnd end = history.find(run.engine());
+    Engine engine = engines.find(run.engine().id());
+    if (end != null) {
+      listener.engineEnded(run.engine(), end.endedNanos(), List.of(run.request()));
+    } else if (engine == null) {
+      PeerRun kept = run.orphaned(now, now + RequestExposure.HOLD_NANOS);
+      ledger.put(kept, now);
+      notifier.send(kept);
+      listener.exposureGrew(run.request());
+    } else if (!EngineIncarnation.of(engine.record()).equals(run.engine())) {
+      listener.engineEnded(run.engine(), now, List.of(run.request()));
+    } else {
+      follow(TrackedRun.orphaned(run, engine), now);
+    }
+  }
+
+  private void follow(TrackedRun run, long nowNanos) {
+    ledger.addSent(run);
+    run.provableFrom(provableNanos(run, nowNanos), false);
+    addUnresolved(run, RunLog.Doubt.NODE_LOST, 0);
+    // The engine may have ended at the same time as the node.
+    prover.askAt(run.engine(), nowNanos);
+  }
+
+  /** Handles what the node that began a run tells of it although it seemed to be lost. */
+  private void onHolderReturned(TrackedRun run, PeerMessage.EngineRunNotice notice) {
+    if (notice.phase().closed()) {
+      resolve(run, RunLog.Resolution.HOLDER);
+    }
+  }
+
+  /**
+   * Handles the query of a peer that has a notice of a run from this node. Nobody follows the runs
+   * of an earlier incarnation, whatever is known of them.
+   */
+  void onQuery(PeerAddress sender, PeerMessage.EngineRunQuery query) {
+    TrackedRun own = ledger.find(query.runId());
+    PeerRun ofPeer = ledger.findPeerRun(query.runId(), eventLoop.nanoTime());
+    if (own != null) {
+      notifier.register(sender, own);
+    } else if (isOfThisIncarnation(query.runId())) {
+      notifier.sendPhase(sender, query.runId(), RunPhase.CLOSED);
+    } else if (ofPeer != null && !isOfThisNode(query.runId())) {
+      notifier.reply(sender, ofPeer);
+    } else {
+      notifier.sendPhase(sender, query.runId(), RunPhase.ORPHANED);
+    }
+  }
+
   // Runs of peers, and guarded requests.
 
   /** Notifies peers of the runs in progress of a request that is guarded from now on. */
@@ -408,16 +511,40 @@
     return ledger.unresolved().stream().anyMatch(run -> run.isOf(request));
   }
 
+  /** Handles a notice of a peer. */
+  void onNotice(PeerAddress sender, PeerMessage.EngineRunNotice notice) {
+    TrackedRun followed = ledger.find(notice.runId());
+    if (followed != null) {
+      if (followed.orphaned()) {
+        onHolderReturned(followed, notice);
+      }
+      return;
+    }
+    if (notice.phase() == RunPhase.ORPHANED && notice.request().equals(RunNotifier.UNNAMED)) {
+      registered.onNotFollowed(sender, notice.runId());
+      return;
+    }
+    if (notice.phase() == RunPhase.COMPLETED) {
+      registered.onCompleted(notice.runId());
+    }
+    boolean guarded = exposure.guarded(notice.request(), eventLoop.nanoTime());
+    PeerRun run = onNotice(notice, eventLoop.nanoTime());
+    if (run != null) {
+      registered.onNotice(sender, run, guarded);
+    }
+  }
+
   /**
    * Handles a notice of a run of another node, or of an earlier incarnation of this one.
    *
    * @param writtenNanos when the notice was written, by the event loop's clock
+   * @return the run, or null if the notice is ignored
    */
-  void onNotice(PeerMessage.EngineRunNotice notice, long writtenNanos) {
+  PeerRun onNotice(PeerMessage.EngineRunNotice notice, long writtenNanos) {
     long now = eventLoop.nanoTime();
     long startedNanos = writtenNanos - notice.ageMillis() * NANOS_PER_MILLI;
     long provableNanos = writtenNanos + notice.remainingMillis() * NANOS_PER_MILLI;
-    boolean unresolved = notice.phase() == RunPhase.UNRESOLVED;
+    boolean unresolved = notice.phase().unresolved();
     PeerRun run =
         new PeerRun(
             notice.runId(),
@@ -427,18 +554,20 @@
             startedNanos,
             provableNanos,
             unresolved ? provableNanos + RequestExposure.HOLD_NANOS : provableNanos);
-    boolean own = isOfThisNode(notice.runId()) && notice.runId() - firstId >= 0;
-    if (own || history.completedAfter(notice.request(), startedNanos)) {
-      return;
+    if (isOfThisIncarnation(notice.runId())
+        || history.completedAfter(notice.request(), startedNanos)) {
+      return null;
     }
     ledger.put(run, now);
     if (unresolved) {
       listener.exposureGrew(notice.request());
     }
+    return run;
   }
 
   /** Notifies a peer that has started of the runs that were announced before. */
   void onPeerStarted(PeerAddress peer) {
+    registered.onPeerStarted(peer);
     ledger.announced().forEach(run -> notifier.sendTo(peer, run));
     long now = eventLoop.nanoTime();
     ledger.peerRuns(now).stream()
@@ -447,6 +576,10 @@
         .forEach(run -> notifier.sendTo(peer, run));
   }
 
+  private boolean isOfThisIncarnation(long runId) {
+    return isOfThisNode(runId) && runId - firstId >= 0;
+  }
+
   private boolean isOfThisNode(long runId) {
     return (runId & NODE_MASK) == nodeBits;
   }
@@ -459,7 +592,7 @@
     List<TrackedRun> unresolved = ledger.unresolved();
     List<PeerMessage.EngineRunNotice> notices = new ArrayList<>();
     for (PeerRun run : ledger.peerRuns(eventLoop.nanoTime())) {
-      if (isOfThisNode(run.id()) && run.phase() == RunPhase.UNRESOLVED) {
+      if (isOfThisNode(run.id()) && run.phase().unresolved()) {
         notices.add(notifier.notice(run));
       }
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/TrackedRun.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/TrackedRun.java
@@ -19,6 +19,8 @@
   private long provableNanos;
   private boolean connectionLost;
   private boolean announced;
+  private boolean registered;
+  private boolean orphaned;
   private boolean vanished;
   private boolean leftByPlan;
 
@@ -35,7 +37,18 @@
     this.startedNanos = nowNanos;
   }
 
-  /** Identifies the run among those of this node. */
+  /**
+   * Creates the run of another node that does not respond any more, which this node follows from
+   * now on.
+   */
+  static TrackedRun orphaned(PeerRun run, Engine engine) {
+    TrackedRun orphaned = new TrackedRun(run.id(), run.request(), run.startedNanos());
+    orphaned.sent(engine, run.deadlineNanos(), run.startedNanos());
+    orphaned.orphaned = true;
+    return orphaned;
+  }
+
+  /** Identifies the run among those of all nodes. */
   long id() {
     return id;
   }
@@ -129,6 +142,25 @@
     announced = true;
   }
 
+  /** Whether the run was announced to its registrars only. */
+  boolean registered() {
+    return registered;
+  }
+
+  void markRegistered() {
+    registered = true;
+  }
+
+  /** Whether another node began the run. */
+  boolean orphaned() {
+    return orphaned;
+  }
+
+  /** Records that no response is awaited any more. */
+  void markUnresolved() {
+    phase = orphaned ? RunPhase.ORPHANED : RunPhase.UNRESOLVED;
+  }
+
   /** Whether the engine's entry is gone and it gave no answer since. */
   boolean vanished() {
     return vanished;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/StableHash.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/scheduling/StableHash.java
@@ -25,6 +25,15 @@
     return mix(add(hash, second));
   }
 
+  /** Returns the hash of a text and a number, for rendezvous hashing. */
+  public static int of(String text, long number) {
+    int hash = add(OFFSET_BASIS, text);
+    for (int shift = 0; shift < Long.SIZE; shift += Byte.SIZE) {
+      hash = (hash ^ (int) (number >>> shift) & 0xFF) * PRIME;
+    }
+    return mix(hash);
+  }
+
   private static int add(int hash, String text) {
     int sum = hash;
     for (int i = 0; i < text.length(); i++) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -59,6 +59,7 @@
   TASK_FAILED(376),
   UNSOLICITED_DATA(377),
   RESPONSE_DISCARDED(378),
+  RUN_ORPHANED(379),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingQuarantine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingQuarantine.java
@@ -100,6 +100,9 @@
     @Override
     public void closed() {}
 
+    @Override
+    public void completed() {}
+
     @Override
     public void abandoned() {}
 
