Nodes that missed the same changes continue no stream at an older version

Cause: a peer's reply that it knows only one version was evidence without its age, and those that did not reply counted for nothing. Now a peer says whether the store has confirmed what it has seen since the query arrived; such a proof decides, if nobody knows otherwise. Without any proof all known peers must reply and agree. A node whose own copy is confirmed asks the registrars for 25 ms whether they know several versions.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/StreamVersionEvidence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/StreamVersionEvidence.java
@@ -9,8 +9,18 @@
   NONE(0),
   /** The node has a record of the stream. */
   RECORD(1),
-  /** The service had no other version since before the stream can have begun. */
-  ONLY_VERSION(2);
+  /**
+   * The node has seen no other version of the service since before the stream can have begun, but
+   * it may have missed the latest changes.
+   */
+  ONLY_VERSION(2),
+  /** The node has seen engines of several versions of the service. */
+  SEVERAL_VERSIONS(3),
+  /**
+   * The service had no other version since before the stream can have begun: the store has
+   * confirmed what the node has seen after the query arrived.
+   */
+  PROVEN_ONLY_VERSION(4);
 
   private final int code;
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/RegistrarQueries.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/RegistrarQueries.java
@@ -20,7 +20,10 @@
 /** Queries the registrars of streams. */
 final class RegistrarQueries {
   /** The time limit of a query, to which the longest measured round trip is added. */
-  private static final long TIMEOUT_MILLIS = 100;
+  static final long TIMEOUT_MILLIS = 100;
+
+  /** The most peers of which each is queried. */
+  private static final int MAX_QUERIED = 64;
 
   /** The request of a query that is not about a certain stream; no stream has it. */
   private static final String NO_STREAM = "";
@@ -34,18 +37,24 @@
   private final QueryIds queryIds;
 
   /**
-   * The replies of a stream's registrars.
+   * The replies of a stream's registrars, or of all peers.
    *
-   * @param recorded the version that a registrar has recorded for the stream
-   * @param onlyVersions the versions that registrars know as the only ones of the service
-   * @param withoutEvidence whether a registrar knows that the service had several versions, or does
-   *     not know which ones it had
+   * @param recorded the version that one of them has recorded for the stream
+   * @param onlyVersions the versions that they know as the only ones of the service, proven or not
+   * @param proven whether the store confirmed that to one of them
+   * @param withoutEvidence whether one of them does not know which versions the service had, or
+   *     knows several
+   * @param severalVersions whether one of them knows several versions
+   * @param complete whether all of them replied
    */
   record Answers(
       Optional<SoftwareVersion> recorded,
       Set<SoftwareVersion> onlyVersions,
-      boolean withoutEvidence) {
-    static final Answers NONE = new Answers(Optional.empty(), Set.of(), false);
+      boolean proven,
+      boolean withoutEvidence,
+      boolean severalVersions,
+      boolean complete) {
+    static final Answers NONE = new Answers(Optional.empty(), Set.of(), false, false, false, false);
   }
 
   /** A query that waits for replies. */
@@ -53,7 +62,9 @@
     private final Consumer<Answers> callback;
     private final Set<PeerAddress> unanswered;
     private final Set<SoftwareVersion> onlyVersions = new HashSet<>();
+    private boolean proven;
     private boolean withoutEvidence;
+    private boolean severalVersions;
 
     Query(Consumer<Answers> callback, Set<PeerAddress> unanswered) {
       this.callback = callback;
@@ -61,7 +72,8 @@
     }
 
     Answers answers(Optional<SoftwareVersion> recorded) {
-      return new Answers(recorded, onlyVersions, withoutEvidence);
+      return new Answers(
+          recorded, onlyVersions, proven, withoutEvidence, severalVersions, unanswered.isEmpty());
     }
   }
 
@@ -84,25 +96,44 @@
    *
    * @param requestId the request whose response brought its first event
    * @param service the service that is to continue it
+   * @param limitMillis the longest wait for replies, to which a round trip is added
    * @param callback runs exactly once: with the first record, when all have replied, or after a
    *     time limit
    */
-  void ofStream(String requestId, String service, Consumer<Answers> callback) {
-    send(registrars.of(requestId), requestId, service, callback);
+  void ofStream(String requestId, String service, long limitMillis, Consumer<Answers> callback) {
+    send(registrars.of(requestId), requestId, service, limitMillis, callback);
   }
 
   /**
    * Queries some peers for the only version of a service.
    *
    * @param key selects the peers
+   * @param limitMillis as for {@link #ofStream}
+   * @param callback as for {@link #ofStream}
+   */
+  void ofService(String key, String service, long limitMillis, Consumer<Answers> callback) {
+    send(registrars.of(key), NO_STREAM, service, limitMillis, callback);
+  }
+
+  /**
+   * Queries all peers, if they are known and not too many.
+   *
+   * @param requestId as for {@link #ofStream}; null for a query that is not about a certain stream
    * @param callback as for {@link #ofStream}
    */
-  void ofService(String key, String service, Consumer<Answers> callback) {
-    send(registrars.of(key), NO_STREAM, service, callback);
+  void ofAllPeers(String requestId, String service, Consumer<Answers> callback) {
+    List<PeerAddress> all = registrars.allPeers();
+    List<PeerAddress> receivers = all.size() <= MAX_QUERIED ? all : List.of();
+    String stream = requestId == null ? NO_STREAM : requestId;
+    send(receivers, stream, service, TIMEOUT_MILLIS, callback);
   }
 
   private void send(
-      List<PeerAddress> receivers, String requestId, String service, Consumer<Answers> callback) {
+      List<PeerAddress> receivers,
+      String requestId,
+      String service,
+      long limitMillis,
+      Consumer<Answers> callback) {
     if (receivers.isEmpty()
         || !StreamVersionCodec.fits(requestId)
         || !StreamVersionCodec.fits(service)) {
@@ -117,7 +148,7 @@
       transport.send(receiver, datagram);
       roundTripMillis = Math.max(roundTripMillis, latency.roundTripMillis(receiver));
     }
-    eventLoop.schedule(TIMEOUT_MILLIS + roundTripMillis, () -> complete(queryId, Optional.empty()));
+    eventLoop.schedule(limitMillis + roundTripMillis, () -> complete(queryId, Optional.empty()));
   }
 
   /** Handles a reply; one that is late or was not asked for is ignored. */
@@ -129,6 +160,14 @@
     switch (reply.evidence()) {
       case RECORD -> complete(reply.queryId(), Optional.of(reply.version()));
       case ONLY_VERSION -> query.onlyVersions.add(reply.version());
+      case PROVEN_ONLY_VERSION -> {
+        query.onlyVersions.add(reply.version());
+        query.proven = true;
+      }
+      case SEVERAL_VERSIONS -> {
+        query.withoutEvidence = true;
+        query.severalVersions = true;
+      }
       case NONE -> query.withoutEvidence = true;
     }
     if (query.unanswered.isEmpty()) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamRegistrars.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamRegistrars.java
@@ -36,6 +36,11 @@
         .toList();
   }
 
+  /** Returns all peers, or none until they have been read. */
+  List<PeerAddress> allPeers() {
+    return peers.peersIfLoaded().map(List::copyOf).orElse(List.of());
+  }
+
   private static int rank(PeerAddress peer, String requestId) {
     return StableHash.of(peer.toString(), requestId);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionDirectory.java
@@ -36,14 +36,21 @@
  * its version to the stream's registrars, and the node at which it is resumed queries them. It also
  * writes the versions of its streams to the store, for the loss of all nodes.
  *
- * <p>Invariant: a version is found only if a record of the stream gives it, or if the engines that
- * this node or its peers have seen since before the stream can have begun had no other. Lost
- * messages and restarts lead to unknown versions, never to wrong ones.
+ * <p>Invariant: a version is found only if a record of the stream gives it, or if engines had no
+ * other since before the stream can have begun, as far as this node or a peer has seen, and either
+ * the store has confirmed that since or all peers have seen the same. Nodes that miss the same
+ * changes, lost messages and restarts lead to unknown versions, never to wrong ones.
  */
 public final class StreamVersionDirectory implements StreamVersions, PeerMessageListener {
   /** How long the store may take to confirm that this node knows all engines. */
   private static final long FRESHNESS_TIMEOUT_MILLIS = 150;
 
+  /** The same for a query of a peer, which awaits the reply for a limited time. */
+  private static final long REPLY_PROOF_MILLIS = 60;
+
+  /** How long records of peers are awaited that speak against what the store has confirmed. */
+  private static final long CONTRADICTION_MILLIS = 25;
+
   /**
    * The requests that may follow one another until a stream is complete: the one that starts it and
    * those that resume it, each of which takes as long as its route allows.
@@ -201,21 +208,49 @@
     Optional<SoftwareVersion> only = onlyVersion(stream.service());
     // A store that has just recovered may answer before it knows its latest changes.
     boolean confirmed = fresh && !storeFailedRecently.getAsBoolean();
-    if (only.isPresent() && (confirmed || registrars.noPeersExist())) {
+    if (only.isPresent() && registrars.noPeersExist()) {
       conclude(stream, VersionSource.ONLY_VERSION, only, started, answer);
+    } else if (only.isPresent() && confirmed) {
+      queryRegistrars(
+          stream,
+          CONTRADICTION_MILLIS,
+          answers -> onContradictions(answers, only, stream, started, answer));
     } else {
       queryPeers(stream, started, answer);
     }
   }
 
+  /** The store may have confirmed an old state, if it failed without this node's notice. */
+  private void onContradictions(
+      RegistrarQueries.Answers answers,
+      Optional<SoftwareVersion> only,
+      BrokenStream stream,
+      long started,
+      Consumer<Optional<SoftwareVersion>> answer) {
+    boolean contradicted =
+        answers.severalVersions()
+            || answers.onlyVersions().stream().anyMatch(version -> !version.equals(only.get()));
+    if (answers.recorded().isPresent() || contradicted) {
+      onAnswers(answers, stream, started, answer);
+    } else {
+      conclude(stream, VersionSource.ONLY_VERSION, only, started, answer);
+    }
+  }
+
   private void queryPeers(
       BrokenStream stream, long started, Consumer<Optional<SoftwareVersion>> answer) {
-    Consumer<RegistrarQueries.Answers> onAnswers =
-        answers -> onAnswers(answers, stream, started, answer);
+    queryRegistrars(
+        stream,
+        RegistrarQueries.TIMEOUT_MILLIS,
+        answers -> onAnswers(answers, stream, started, answer));
+  }
+
+  private void queryRegistrars(
+      BrokenStream stream, long limitMillis, Consumer<RegistrarQueries.Answers> onAnswers) {
     if (stream.firstRequestId() != null) {
-      queries.ofStream(stream.firstRequestId(), stream.service(), onAnswers);
+      queries.ofStream(stream.firstRequestId(), stream.service(), limitMillis, onAnswers);
     } else {
-      queries.ofService(stream.requestId(), stream.service(), onAnswers);
+      queries.ofService(stream.requestId(), stream.service(), limitMillis, onAnswers);
     }
   }
 
@@ -224,17 +259,55 @@
       BrokenStream stream,
       long started,
       Consumer<Optional<SoftwareVersion>> answer) {
+    Optional<SoftwareVersion> agreed = agreedVersion(answers, stream.service());
     if (answers.recorded().isPresent()) {
       conclude(stream, VersionSource.PEER_RECORD, answers.recorded(), started, answer);
-      return;
+    } else if (agreed.isPresent() && answers.proven()) {
+      conclude(stream, VersionSource.ONLY_VERSION_OF_PEERS, agreed, started, answer);
+    } else if (agreed.isPresent()) {
+      queries.ofAllPeers(
+          stream.firstRequestId(),
+          stream.service(),
+          all -> onAnswersOfAll(all, stream, started, answer));
+    } else {
+      concludeWithoutPeers(stream, started, answer);
     }
+  }
+
+  /** Returns the only version that all who replied, and this node, have seen. */
+  private Optional<SoftwareVersion> agreedVersion(
+      RegistrarQueries.Answers answers, String service) {
     Set<SoftwareVersion> candidates = new HashSet<>(answers.onlyVersions());
-    candidates.addAll(serviceVersions.seen(stream.service(), windowNanos(), eventLoop.nanoTime()));
+    candidates.addAll(serviceVersions.seen(service, windowNanos(), eventLoop.nanoTime()));
     boolean agreed = !answers.onlyVersions().isEmpty() && !answers.withoutEvidence();
-    if (agreed && candidates.size() == 1) {
-      Optional<SoftwareVersion> only = Optional.of(candidates.iterator().next());
-      conclude(stream, VersionSource.ONLY_VERSION_OF_PEERS, only, started, answer);
-    } else if (stream.firstRequestId() == null) {
+    return agreed && candidates.size() == 1
+        ? Optional.of(candidates.iterator().next())
+        : Optional.empty();
+  }
+
+  /**
+   * While the store confirms nothing to anybody, what all peers have seen counts. Those that reply
+   * do not suffice: they may have missed the same changes.
+   */
+  private void onAnswersOfAll(
+      RegistrarQueries.Answers answers,
+      BrokenStream stream,
+      long started,
+      Consumer<Optional<SoftwareVersion>> answer) {
+    Optional<SoftwareVersion> agreed = agreedVersion(answers, stream.service());
+    boolean certain = answers.proven() || answers.complete();
+    if (answers.recorded().isPresent()) {
+      conclude(stream, VersionSource.PEER_RECORD, answers.recorded(), started, answer);
+    } else if (agreed.isPresent() && certain) {
+      conclude(stream, VersionSource.ONLY_VERSION_OF_PEERS, agreed, started, answer);
+    } else {
+      concludeWithoutPeers(stream, started, answer);
+    }
+  }
+
+  private void concludeWithoutPeers(
+      BrokenStream stream, long started, Consumer<Optional<SoftwareVersion>> answer) {
+    if (stream.firstRequestId() == null) {
       conclude(stream, VersionSource.NONE, Optional.empty(), started, answer);
     } else {
       readRows(stream, started, answer);
@@ -293,7 +366,7 @@
     if (message instanceof PeerMessage.StreamVersionNotice notice) {
       onNotice(notice);
     } else if (message instanceof PeerMessage.StreamVersionQuery query) {
-      transport.send(sender, codec.encode(reply(query)));
+      reply(sender, query);
     } else if (message instanceof PeerMessage.StreamVersionReply reply) {
       queries.onReply(sender, reply);
     }
@@ -307,14 +380,42 @@
     }
   }
 
-  private PeerMessage reply(PeerMessage.StreamVersionQuery query) {
+  private void reply(PeerAddress sender, PeerMessage.StreamVersionQuery query) {
+    boolean mayProve =
+        record(query.requestId()).isEmpty() && onlyVersion(query.service()).isPresent();
+    if (mayProve) {
+      engineEntries.await(
+          eventLoop.nanoTime(),
+          REPLY_PROOF_MILLIS,
+          fresh -> reply(sender, query, fresh && !storeFailedRecently.getAsBoolean()));
+    } else {
+      reply(sender, query, false);
+    }
+  }
+
+  private void reply(PeerAddress sender, PeerMessage.StreamVersionQuery query, boolean proven) {
     Optional<SoftwareVersion> recorded = record(query.requestId());
     Optional<SoftwareVersion> only = onlyVersion(query.service());
-    StreamVersionEvidence evidence =
-        recorded.isPresent()
-            ? StreamVersionEvidence.RECORD
-            : only.isPresent() ? StreamVersionEvidence.ONLY_VERSION : StreamVersionEvidence.NONE;
     SoftwareVersion version = recorded.or(() -> only).orElse(SoftwareVersion.UNSTATED);
-    return new PeerMessage.StreamVersionReply(query.queryId(), evidence, version);
+    StreamVersionEvidence evidence = evidence(query.service(), recorded, only, proven);
+    PeerMessage reply = new PeerMessage.StreamVersionReply(query.queryId(), evidence, version);
+    transport.send(sender, codec.encode(reply));
+  }
+
+  private StreamVersionEvidence evidence(
+      String service,
+      Optional<SoftwareVersion> recorded,
+      Optional<SoftwareVersion> only,
+      boolean proven) {
+    if (recorded.isPresent()) {
+      return StreamVersionEvidence.RECORD;
+    }
+    if (only.isPresent()) {
+      return proven
+          ? StreamVersionEvidence.PROVEN_ONLY_VERSION
+          : StreamVersionEvidence.ONLY_VERSION;
+    }
+    int seen = serviceVersions.seen(service, windowNanos(), eventLoop.nanoTime()).size();
+    return seen > 1 ? StreamVersionEvidence.SEVERAL_VERSIONS : StreamVersionEvidence.NONE;
   }
 }
