Runs in progress are kept in the store after all nodes were lost together

A request under which engines end was sent to one engine more at each loss of all nodes at the moment of an end: eight of eight tries. Cause: nodes have no disk, so what registrars know is lost with them, and rows got only runs whose attempts had ended. A node that starts now asks its peers how long they have run. If none has run for longer than itself and nodes did not leave, all were lost: for a minute, runs in progress are written at once (200 rows a second of all nodes), and for ten minutes one engine counts as ended unseen under a request that has others. A node that starts asks the nodes of the runs that it reads; requests wait for that, 21 ms at most, and runs without a reply are orphaned.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerDirectory.java
@@ -65,12 +65,15 @@
   private final Map<PeerAddress, String> zoneByPeer = new LinkedHashMap<>();
   private final Set<PeerAddress> peersInRegion = new LinkedHashSet<>();
   private final Map<PeerAddress, Long> heardNanos = new HashMap<>();
+  private final Map<String, PeerAddress> addressByName = new HashMap<>();
   private long ownRowVersion = Transaction.ABSENT;
   private boolean joined;
   private boolean announced;
   private long announcedNanos;
   private boolean loaded;
   private boolean left;
+  private boolean ownRowLeftBehind;
+  private Runnable readListener = () -> {};
 
   /**
    * Creates an empty directory.
@@ -151,6 +154,7 @@
   }
 
   private void announce() {
+    readListener.run();
     recordAnnouncement();
     byte[] announcement = announcement();
     zoneByPeer.keySet().forEach(peer -> transport.send(peer, announcement));
@@ -176,6 +180,7 @@
 
   private void addFromRow(StoredRow row) {
     if (row.removed() || row.address().key().equals(ownRow.key())) {
+      ownRowLeftBehind |= !row.removed() && ownRowVersion == Transaction.ABSENT;
       return;
     }
     try {
@@ -183,7 +188,11 @@
       int separator = text.indexOf(ZONE_SEPARATOR);
       String address = separator < 0 ? text : text.substring(0, separator);
       String zone = separator < 0 ? UNKNOWN_ZONE : text.substring(separator + 1);
-      add(PeerAddress.parse(address), zone);
+      PeerAddress peer = PeerAddress.parse(address);
+      add(peer, zone);
+      if (addressByName.size() < MAX_PEERS) {
+        addressByName.put(row.address().key(), peer);
+      }
     } catch (RuntimeException e) {
       log.write(
           GatewayEvent.FAULT,
@@ -296,6 +305,21 @@
     store.transact(removal, outcome -> {});
   }
 
+  /** Sets a listener that runs whenever the addresses of all peers have been read. */
+  public void onRead(Runnable listener) {
+    readListener = listener;
+  }
+
+  /** Returns whether the earlier incarnation of this node ended without leaving, as when killed. */
+  public boolean ownRowLeftBehind() {
+    return ownRowLeftBehind;
+  }
+
+  /** Returns the address of the node with a name, or empty if its row has not been read. */
+  public Optional<PeerAddress> addressOf(String nodeName) {
+    return Optional.ofNullable(addressByName.get(nodeName));
+  }
+
   /** Returns the address at which this node receives datagrams. */
   public PeerAddress ownAddress() {
     return ownAddress;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
@@ -56,9 +56,10 @@
     /**
      * Called for each run that was read.
      *
+     * @param nodeName the node whose row has it
      * @param writtenNanos when the row was written, by the event loop's clock
      */
-    void runRead(PeerMessage.EngineRunNotice run, long writtenNanos);
+    void runRead(String nodeName, PeerMessage.EngineRunNotice run, long writtenNanos);
   }
 
   /** An end that this node observed. */
@@ -230,7 +231,10 @@
       for (byte[] datagram : notices.parts()) {
         codec
             .decode(datagram)
-            .ifPresent(message -> adopt(message, notices.storeMillis(), ofEarlierIncarnation));
+            .ifPresent(
+                message ->
+                    adopt(
+                        row.address().key(), message, notices.storeMillis(), ofEarlierIncarnation));
       }
     } catch (RuntimeException e) {
       log.write(
@@ -244,11 +248,12 @@
     }
   }
 
-  private void adopt(PeerMessage message, long writtenStoreMillis, boolean ofEarlierIncarnation) {
+  private void adopt(
+      String nodeName, PeerMessage message, long writtenStoreMillis, boolean ofEarlierIncarnation) {
     if (message instanceof PeerMessage.EngineEndNotice notice) {
       adopt(notice, writtenStoreMillis, ofEarlierIncarnation);
     } else if (message instanceof PeerMessage.EngineRunNotice run) {
-      listener.runRead(run, clock.earliestNanos(writtenStoreMillis));
+      listener.runRead(nodeName, run, clock.earliestNanos(writtenStoreMillis));
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.RunPhase;
 import org.baykeel.gateway.program.RequestFingerprint;
@@ -31,6 +32,7 @@
   private static final long OVERDUE_NANOS = 500_000_000L;
 
   private static final long SWEEP_MILLIS = 500;
+  private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** A holder is not asked again about a run within this time. */
   private static final long PAUSE_NANOS = 100_000_000L;
@@ -46,6 +48,7 @@
   private final Listener listener;
   private final Map<Long, Registration> registrations = new HashMap<>();
   private boolean sweepScheduled;
+  private long repliesAwaitedUntilNanos;
 
   /** Receives the runs whose nodes do not respond any more. */
   @FunctionalInterface
@@ -140,6 +143,7 @@
     this.notifier = notifier;
     this.eventLoop = eventLoop;
     this.listener = listener;
+    this.repliesAwaitedUntilNanos = eventLoop.nanoTime();
   }
 
   // Runs of this node.
@@ -224,6 +228,28 @@
     }
   }
 
+  /**
+   * Handles that the store has a run in progress, when this node starts.
+   *
+   * @param holder the node that began it; empty if it is an earlier incarnation of this one, or one
+   *     whose address is not known
+   */
+  void onStored(PeerRun run, Optional<PeerAddress> holder) {
+    if (holder.isEmpty()) {
+      listener.runOrphaned(run, registrars.self());
+      return;
+    }
+    registrations.put(run.id(), new Registration(holder.get(), 0));
+    registrations.get(run.id()).ask(run);
+    repliesAwaitedUntilNanos = eventLoop.nanoTime() + (REPLY_MILLIS + 1) * NANOS_PER_MILLI;
+    scheduleSweep();
+  }
+
+  /** Returns whether replies about runs that the store has are awaited. */
+  boolean awaitsReplies() {
+    return eventLoop.nanoTime() - repliesAwaitedUntilNanos < 0;
+  }
+
   /** Handles that this node is about to send, or has sent, a request. */
   void onOwnRun(RequestFingerprint request) {
     askOthers(request, 0);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.peer.RunPhase;
 import org.baykeel.gateway.program.RequestFingerprint;
@@ -41,10 +42,17 @@
 
   private final EngineEndHistory history;
   private final RunLedger ledger;
+  private final IntSupplier unseenEnds;
 
-  RequestExposure(EngineEndHistory history, RunLedger ledger) {
+  /**
+   * Creates a count.
+   *
+   * @param unseenEnds returns how many engines may have ended unseen under any request
+   */
+  RequestExposure(EngineEndHistory history, RunLedger ledger, IntSupplier unseenEnds) {
     this.history = history;
     this.ledger = ledger;
+    this.unseenEnds = unseenEnds;
   }
 
   /** What counts for one request at one moment. */
@@ -56,6 +64,11 @@
     private int claims;
     private boolean orphaned;
     private boolean guarded;
+    private final int maxEngines;
+
+    Count(int maxEngines) {
+      this.maxEngines = maxEngines;
+    }
 
     /**
      * Adds an engine that ended or at which a run is unresolved.
@@ -82,19 +95,19 @@
     }
 
     private boolean exhausted(long nowNanos) {
-      boolean heldLongEnough = exposed == MAX_ENGINES && nowNanos - lastExposedNanos >= HOLD_NANOS;
-      return engines.size() + claims >= (heldLongEnough ? MAX_ENGINES + 1 : MAX_ENGINES);
+      boolean heldLongEnough = exposed == maxEngines && nowNanos - lastExposedNanos >= HOLD_NANOS;
+      return engines.size() + claims >= (heldLongEnough ? maxEngines + 1 : maxEngines);
     }
 
     private long retryNanos() {
       expiries.sort(Long::compare);
-      int remaining = expiries.size() - MAX_ENGINES;
+      int remaining = expiries.size() - maxEngines;
       if (remaining < 0) {
         return Long.MIN_VALUE;
       }
       long expiryNanos = expiries.get(remaining);
       long holdEndNanos = lastExposedNanos + HOLD_NANOS;
-      return exposed == MAX_ENGINES ? Math.min(expiryNanos, holdEndNanos) : expiryNanos;
+      return exposed == maxEngines ? Math.min(expiryNanos, holdEndNanos) : expiryNanos;
     }
   }
 
@@ -125,7 +138,7 @@
   }
 
   private Count count(RequestFingerprint request, TrackedRun claim, long nowNanos) {
-    Count count = new Count();
+    Count count = new Count(MAX_ENGINES - unseenEnds.getAsInt());
     for (EngineEnd end : history.endsUnder(request)) {
       long expiresNanos = end.endedNanos() + EngineEndHistory.LIFETIME_NANOS;
       if (nowNanos - expiresNanos <= 0) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import org.baykeel.gateway.directory.Engine;
@@ -16,6 +17,7 @@
 import org.baykeel.gateway.peer.PeerMessageCodec;
 import org.baykeel.gateway.peer.PeerMessageListener;
 import org.baykeel.gateway.peer.PeerTransport;
+import org.baykeel.gateway.peer.RunPhase;
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.storage.DurableStore;
@@ -57,6 +59,9 @@
   private static final long WRITE_MILLIS_OF_NODE = 20;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  /** All nodes together write at most 200 rows a second with runs in progress. */
+  private static final long KEEP_NANOS_OF_NODE = 5_000_000L;
+
   /** The most ends that are passed on to a peer that has started. */
   private static final int MAX_PASSED_ON = 32;
 
@@ -74,11 +79,14 @@
   private final RunNotifier runNotifier;
   private final EngineEndTable table;
   private final RunLedger ledger = new RunLedger();
-  private final RequestExposure exposure = new RequestExposure(history, ledger);
+  private final EarlierLoss earlierLoss;
+  private final RequestExposure exposure;
   private final RunTracker runs;
   private final List<Runnable> listeners = new ArrayList<>();
   private final Set<RequestFingerprint> reported = new HashSet<>();
   private final Set<Integer> suspectHeads = new HashSet<>();
+  private final String nodeName;
+  private long keptNanos;
   private long awaitEvidenceUntilNanos;
   private boolean awaitsEvidence;
 
@@ -112,6 +120,7 @@
       StoreClock storeClock,
       EventLoop eventLoop,
       GatewayLog log) {
+    this.nodeName = nodeName;
     this.engines = engines;
     this.peers = peers;
     this.placement = new SuspectPlacement(history, topology);
@@ -126,6 +135,9 @@
                 onObserved(EngineIncarnation.of(engine.record()), endedNanos, requests));
     this.notifier = new EngineEndNotifier(peers, transport, codec, eventLoop);
     this.runNotifier = new RunNotifier(peers, transport, codec, eventLoop);
+    this.earlierLoss = new EarlierLoss(peers, runNotifier, eventLoop, log);
+    this.exposure = new RequestExposure(history, ledger, earlierLoss::unseenEnds);
+    this.keptNanos = eventLoop.nanoTime();
     this.runs =
         new RunTracker(
             nodeName,
@@ -153,7 +165,7 @@
             codec,
             eventLoop,
             log,
-            runs::noticesToKeep,
+            () -> runs.noticesToKeep(earlierLoss.mayRepeat()),
             new TableListener());
   }
 
@@ -166,8 +178,13 @@
     }
 
     @Override
-    public void runRead(PeerMessage.EngineRunNotice run, long writtenNanos) {
-      runs.onNotice(run, writtenNanos);
+    public void runRead(String node, PeerMessage.EngineRunNotice run, long writtenNanos) {
+      if (run.phase() != RunPhase.OPEN) {
+        runs.onNotice(run, writtenNanos);
+      } else if (!table.loaded()) {
+        boolean own = node.equals(nodeName);
+        runs.onStored(run, writtenNanos, own ? Optional.empty() : peers.addressOf(node));
+      }
     }
   }
 
@@ -184,14 +201,34 @@
       guard(request);
     }
 
+    @Override
+    public void runSent() {
+      if (earlierLoss.mayRepeat()) {
+        keepRunsInProgress();
+      }
+    }
+
     @Override
     public void runResolved() {
       table.changedWithin(unguardedWriteMillis());
     }
   }
 
+  /** Writes the runs in progress at once, or as soon as all nodes together may. */
+  private void keepRunsInProgress() {
+    long now = eventLoop.nanoTime();
+    if (keptNanos - now > 0) {
+      // A write that is scheduled will have all runs in progress.
+      return;
+    }
+    long pauseNanos = peers.peers().size() * KEEP_NANOS_OF_NODE;
+    keptNanos = Math.max(keptNanos + pauseNanos, now);
+    table.changedWithin((keptNanos - now) / NANOS_PER_MILLI);
+  }
+
   /** Reads the evidence that the store has. */
   public void start() {
+    peers.onRead(earlierLoss::start);
     table.load();
     awaitEvidenceUntilNanos = eventLoop.nanoTime() + MAX_LOAD_NANOS;
     awaitsEvidence = true;
@@ -203,7 +240,7 @@
    */
   private boolean awaitsEvidence() {
     awaitsEvidence &=
-        (!table.loaded() || peers.awaitsAnswers())
+        (!table.loaded() || peers.awaitsAnswers() || runs.awaitsReplies())
             && eventLoop.nanoTime() - awaitEvidenceUntilNanos < 0;
     return awaitsEvidence;
   }
@@ -435,7 +472,11 @@
     } else if (message instanceof PeerMessage.RequestClearance clearance) {
       clearance.requests().forEach(this::clear);
     } else if (message instanceof PeerMessage.EngineRunNotice notice) {
-      runs.onNotice(sender, notice);
+      if (notice.runId() == EarlierLoss.NO_RUN) {
+        earlierLoss.onReply(notice.ageMillis());
+      } else {
+        runs.onNotice(sender, notice);
+      }
     } else if (message instanceof PeerMessage.EngineRunQuery query) {
       runs.onQuery(sender, query);
     } else if (message instanceof PeerMessage.NodeAnnouncement) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
@@ -136,6 +136,14 @@
     return List.copyOf(unresolved);
   }
 
+  /** Returns the runs whose responses are awaited. */
+  List<TrackedRun> inProgress() {
+    List<TrackedRun> inProgress = new ArrayList<>();
+    ownByEngine.values().forEach(inProgress::addAll);
+    inProgress.removeIf(run -> run.phase() != RunPhase.OPEN);
+    return inProgress;
+  }
+
   /** Returns the runs of which peers were notified. */
   List<TrackedRun> announced() {
     List<TrackedRun> announced = new ArrayList<>();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunNotifier.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunNotifier.java
@@ -32,6 +32,7 @@
   static final RequestFingerprint UNNAMED = new RequestFingerprint(0);
 
   private final EventLoop eventLoop;
+  private final long startedNanos;
   private final PeerBroadcast broadcast;
 
   /**
@@ -43,6 +44,7 @@
   RunNotifier(
       PeerDirectory peers, PeerTransport transport, PeerMessageCodec codec, EventLoop eventLoop) {
     this.eventLoop = eventLoop;
+    this.startedNanos = eventLoop.nanoTime();
     this.broadcast =
         new PeerBroadcast(
             peers, transport, codec, eventLoop, BYTES_PER_SECOND, BURST_BYTES, REPEAT_MILLIS);
@@ -92,13 +94,19 @@
   }
 
   /**
-   * Tells a peer why this node does not follow a run.
+   * Tells a peer why this node does not follow a run, and how long this node has run.
    *
    * @param phase whether the run is closed, or was never followed by this incarnation
    */
   void sendPhase(PeerAddress peer, long runId, RunPhase phase) {
     direct.sendTo(
-        peer, new PeerMessage.EngineRunNotice(runId, UNNAMED, EngineIncarnation.NONE, phase, 0, 0));
+        peer,
+        new PeerMessage.EngineRunNotice(
+            runId, UNNAMED, EngineIncarnation.NONE, phase, uptimeMillis(), 0));
+  }
+
+  private long uptimeMillis() {
+    return (eventLoop.nanoTime() - startedNanos) / NANOS_PER_MILLI;
   }
 
   /** Returns the notice of a run of another node, or of an earlier incarnation of this one. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunRegistrars.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunRegistrars.java
@@ -27,6 +27,11 @@
     this.responsiveness = responsiveness;
   }
 
+  /** Returns the address of this node. */
+  PeerAddress self() {
+    return peers.ownAddress();
+  }
+
   /** Returns the registrars of a run of this node. */
   List<PeerAddress> of(RequestFingerprint request) {
     PeerAddress first = highest(request, null, "");
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Function;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
@@ -64,6 +65,9 @@
     /** Called when there is a further, or a lasting, reason to guard a request. */
     void exposureGrew(RequestFingerprint request);
 
+    /** Called when a run of this node was sent. */
+    void runSent();
+
     /** Called when a run that may be kept in the store counts no longer. */
     void runResolved();
   }
@@ -203,6 +207,7 @@
         registered.register(run);
         registered.onOwnRun(run.request());
       }
+      listener.runSent();
     }
 
     @Override
@@ -477,6 +482,24 @@
     }
   }
 
+  /**
+   * Handles a run in progress that the store has, when this node starts.
+   *
+   * @param holder the node whose row has it; empty for a row of this node
+   */
+  void onStored(
+      PeerMessage.EngineRunNotice notice, long writtenNanos, Optional<PeerAddress> holder) {
+    PeerRun run = onNotice(notice, writtenNanos);
+    if (run != null) {
+      registered.onStored(run, holder);
+    }
+  }
+
+  /** Returns whether replies about runs that the store has are awaited. */
+  boolean awaitsReplies() {
+    return registered.awaitsReplies();
+  }
+
   /**
    * Handles the query of a peer that has a notice of a run from this node. Nobody follows the runs
    * of an earlier incarnation, whatever is known of them.
@@ -587,8 +610,10 @@
   /**
    * Returns notices of the latest unresolved runs of this node and of its earlier incarnations,
    * which are kept in the store.
+   *
+   * @param inProgress whether the runs in progress are kept as well
    */
-  List<PeerMessage.EngineRunNotice> noticesToKeep() {
+  List<PeerMessage.EngineRunNotice> noticesToKeep(boolean inProgress) {
     List<TrackedRun> unresolved = ledger.unresolved();
     List<PeerMessage.EngineRunNotice> notices = new ArrayList<>();
     for (PeerRun run : ledger.peerRuns(eventLoop.nanoTime())) {
@@ -596,6 +621,9 @@
         notices.add(notifier.notice(run));
       }
     }
+    if (inProgress) {
+      ledger.inProgress().forEach(run -> notices.add(notifier.notice(run)));
+    }
     unresolved.forEach(run -> notices.add(notifier.notice(run)));
     return notices.subList(Math.max(0, notices.size() - MAX_KEPT), notices.size());
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -60,6 +60,7 @@
   UNSOLICITED_DATA(377),
   RESPONSE_DISCARDED(378),
   RUN_ORPHANED(379),
+  EARLIER_LOSS(380),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/QuarantineNodes.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/QuarantineNodes.java
@@ -36,6 +36,9 @@
   /** A node has read the rows and heard its peers within this time, in milliseconds. */
   private static final long START_MILLIS = 40;
 
+  /** The nodes have run for so long when a test begins, in milliseconds. */
+  private static final long UPTIME_MILLIS = 10_000;
+
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final TestingStore store = new TestingStore(eventLoop);
   private final TestingPeerNetwork network = new TestingPeerNetwork(eventLoop);
@@ -56,7 +59,7 @@
     for (int i = 0; i < nodeCount; i++) {
       nodes.add(new Node(i));
     }
-    eventLoop.advance(2_000);
+    eventLoop.advance(UPTIME_MILLIS);
   }
 
   TestingEventLoop eventLoop() {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfLostNodes.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfLostNodes.java
@@ -160,6 +160,34 @@
     check(nodes, zones, pauseMillis, loss);
   }
 
+  /** All nodes are lost as the engine ends, again and again; the store is there. */
+  @ParameterizedTest(name = "{0} nodes, engines end after {1} ms")
+  @CsvSource({"4, 30", "4, 100", "11, 70", "11, 150"})
+  void noFourthEngineEndsWhenAllNodesAreLostWithIt(int nodes, int endMillis) {
+    cluster = new QuarantineNodes(nodes, ENGINES, 3);
+    eventLoop = cluster.eventLoop();
+    random = new Random(nodes);
+    for (int i = 0; i < TRIES; i++) {
+      EngineRun run = cluster.nodes().get(i % nodes).quarantine().newRun(work());
+      if (claim(run)) {
+        int engine = ended++;
+        run.sent(
+            cluster.nodes().get(i % nodes).engine(engine),
+            eventLoop.nanoTime() + DEADLINE_MILLIS * 1_000_000);
+        eventLoop.advance(endMillis);
+        cluster.ended().add("e" + engine);
+      }
+      cluster.nodes().forEach(node -> node.process().kill());
+      eventLoop.advance(1_000);
+      for (int node = 0; node < nodes; node++) {
+        cluster.restartWithoutPause(node);
+        eventLoop.advance(between(0, 100));
+      }
+      eventLoop.advance(between(0, 200));
+    }
+    assertEquals(MAX_ENDED, ended);
+  }
+
   /** Callers send the same request to all nodes again and again. */
   @ParameterizedTest(name = "{0} datagrams lost")
   @ValueSource(doubles = {0, 0.05})
