Registered runs at an engine that ended reach all nodes

The registrars of the run added its request to the end that they were told of, each for itself, and forgot the run; nodes that were not registrars never knew. Now a registrar that learns of an end asks the nodes of the runs registered at that engine. A node that runs tells of its runs itself; the runs of one that does not reply are orphaned, and told to all nodes with the end. Event 379 names the engine as the others do.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
@@ -245,6 +245,17 @@
     scheduleSweep();
   }
 
+  /** Returns whether a run is in progress and this node is one of its registrars. */
+  boolean contains(PeerRun run) {
+    Registration registration = registrations.get(run.id());
+    return registration != null && registration.ofRegistrar() && run.phase() == RunPhase.OPEN;
+  }
+
+  /** Asks the holder of a run that is registered here what became of it. */
+  void ask(PeerRun run) {
+    registrations.get(run.id()).ask(run);
+  }
+
   /** Returns whether replies about runs that the store has are awaited. */
   boolean awaitsReplies() {
     return eventLoop.nanoTime() - repliesAwaitedUntilNanos < 0;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -329,7 +329,7 @@
     all.addAll(runs.requestsOfPeers(engine));
     boolean changed = history.add(engine, endedNanos, all, now);
     if (history.find(engine) != null) {
-      runs.forgetRunsOfPeers(engine);
+      runs.onEndRecorded(engine);
     }
     if (!changed) {
       return;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLog.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLog.java
@@ -61,7 +61,7 @@
     log.write(
         GatewayEvent.RUN_ORPHANED,
         "engine",
-        run.engine().id(),
+        run.engine().id().value(),
         "work",
         run.request(),
         "node",
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -416,15 +416,25 @@
     }
   }
 
-  /** Returns the requests that an engine may have been running for peers. */
+  /**
+   * Returns the requests that an engine may have been running for peers, as all nodes know. What
+   * became of the runs that are registered here, their nodes are asked first.
+   */
   List<RequestFingerprint> requestsOfPeers(EngineIncarnation engine) {
-    return ledger.peerRunsAt(engine, eventLoop.nanoTime()).stream().map(PeerRun::request).toList();
+    return ledger.peerRunsAt(engine, eventLoop.nanoTime()).stream()
+        .filter(run -> !registered.contains(run))
+        .map(PeerRun::request)
+        .toList();
   }
 
-  /** Forgets the runs of peers at an engine that ended: they are part of its end. */
-  void forgetRunsOfPeers(EngineIncarnation engine) {
+  /** Handles that an engine ended, of which the runs that all nodes know are a part now. */
+  void onEndRecorded(EngineIncarnation engine) {
     for (PeerRun run : ledger.peerRunsAt(engine, eventLoop.nanoTime())) {
-      ledger.removePeerRun(run.id());
+      if (registered.contains(run)) {
+        registered.ask(run);
+      } else {
+        ledger.removePeerRun(run.id());
+      }
     }
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfLostNodes.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfLostNodes.java
@@ -86,6 +86,13 @@
     int lossMillis = Math.max(1, endMillis + between(-30, 25));
     eventLoop.schedule(endMillis, () -> cluster.ended().add("e" + engine));
     eventLoop.schedule(endMillis, () -> node.process().run(() -> run.connectionLost(() -> {})));
+    if (random.nextBoolean()) {
+      // Another node sees the end, since it has a request there.
+      QuarantineNodes.Node other = cluster.nodes().get(random.nextInt(cluster.nodes().size()));
+      RequestFingerprint neighbour = work("neighbour " + engine).build();
+      eventLoop.schedule(
+          endMillis, () -> other.process().run(() -> other.loseConnection(engine, neighbour)));
+    }
     eventLoop.schedule(lossMillis, () -> lose(number, node, loss));
     eventLoop.advance(Math.max(lossMillis, endMillis));
     return true;
