A holder that sends something but no reply is asked again

A holder that was heard after it was asked, but did not reply, was not asked again before the next send or the deadline. It may have ended after it sent that and before it read the query; then its run stayed unknown to other nodes that long. A notice of a closed run no longer counts the exposure of its request.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
@@ -13,8 +13,9 @@
 /**
  * The runs in progress that other nodes registered at this one, so that they are known although the
  * node that began them ends together with its engine. That node, the <i>holder</i>, is asked about
- * a run when the same request is sent again elsewhere, and when the run's deadline is over. If it
- * sends nothing, or replies that it does not follow the run, the run is orphaned.
+ * a run when the same request is sent again, when its engine has ended, when the holder itself has
+ * started again, and when the run's deadline is over. If it sends nothing, or replies that it does
+ * not follow the run, the run is orphaned.
  *
  * <p>Nothing is asked while runs end before the same request is sent again.
  */
@@ -37,6 +38,9 @@
   /** A holder is not asked again about a run within this time. */
   private static final long PAUSE_NANOS = 100_000_000L;
 
+  /** How often a holder that sends something, but no reply, is asked in a row. */
+  private static final int MAX_ROUNDS = 3;
+
   /** The most runs of a request about which their holders are asked at once. */
   private static final int MAX_ASKED = 4;
 
@@ -67,6 +71,7 @@
     private final int rank;
     private boolean asked;
     private int questions;
+    private int rounds;
     private long askedNanos;
 
     Registration(PeerAddress holder, int rank) {
@@ -116,13 +121,23 @@
       if (run == null || run.phase() != RunPhase.OPEN || !awaitsReply(question)) {
         return;
       }
-      if (responsiveness.heardSince(holder, askedNanos)) {
-        asked = false;
-      } else {
+      if (!responsiveness.heardSince(holder, askedNanos)) {
         orphan(run);
+        return;
+      }
+      // The holder may have ended after it sent that, and before it read the query.
+      asked = false;
+      rounds++;
+      if (rounds < MAX_ROUNDS) {
+        ask(run);
       }
     }
 
+    private void replied() {
+      asked = false;
+      rounds = 0;
+    }
+
     private void orphan(PeerRun run) {
       if (registrations.remove(run.id(), this)) {
         listener.runOrphaned(run, holder);
@@ -181,7 +196,7 @@
     if (run.phase() != RunPhase.OPEN) {
       registrations.remove(run.id());
     } else if (registrations.containsKey(run.id())) {
-      registrations.get(run.id()).asked = false;
+      registrations.get(run.id()).replied();
     } else {
       int rank = guarded ? registrars.rankOfSelf(run.request(), sender) : 0;
       registrations.put(run.id(), new Registration(sender, rank));
@@ -286,7 +301,7 @@
     }
   }
 
-  /** A node that claims a send need not know the runs that were registered here only. */
+  /** Tells a node that claims a send of the runs that it need not know. */
   private void tellRegistered(PeerAddress claimer, RequestFingerprint request) {
     for (PeerRun run : ledger.peerRunsOf(request, eventLoop.nanoTime())) {
       Registration registration = registrations.get(run.id());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -511,8 +511,8 @@
   }
 
   /**
-   * Handles the query of a peer that has a notice of a run from this node. Nobody follows the runs
-   * of an earlier incarnation, whatever is known of them.
+   * Handles the query of a peer that has a notice of a run from this node. This incarnation does
+   * not follow the runs of an earlier one, whatever it knows of them.
    */
   void onQuery(PeerAddress sender, PeerMessage.EngineRunQuery query) {
     TrackedRun own = ledger.find(query.runId());
@@ -560,7 +560,8 @@
     if (notice.phase() == RunPhase.COMPLETED) {
       registered.onCompleted(notice.runId());
     }
-    boolean guarded = exposure.guarded(notice.request(), eventLoop.nanoTime());
+    boolean guarded =
+        notice.phase() == RunPhase.OPEN && exposure.guarded(notice.request(), eventLoop.nanoTime());
     PeerRun run = onNotice(notice, eventLoop.nanoTime());
     if (run != null) {
       registered.onNotice(sender, run, guarded);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/StreamVersionDirectory.java
@@ -48,7 +48,7 @@
   /** The same for a query of a peer, which awaits the reply for a limited time. */
   private static final long REPLY_PROOF_MILLIS = 60;
 
-  /** How long records of peers are awaited that speak against what the store has confirmed. */
+  /** How long replies of peers are awaited that contradict what the store has confirmed. */
   private static final long CONTRADICTION_MILLIS = 25;
 
   /**
