--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
@@ -21,10 +21,16 @@
  */
 final class RegisteredRuns {
   /** The query is repeated after these times, since datagrams may be lost. */
-  private static final long[] REPEAT_MILLIS = {5, 10, 15};
+  private static final long[] REPEAT_MILLIS = {4, 8, 12};
 
   /** A holder in the same region replies within this time. */
-  private static final long REPLY_MILLIS = 20;
+  private static final long REPLY_MILLIS = 16;
+
+  /**
+   * The event loop reads what arrived until then within this time, even if it lagged: timers that
+   * are due run before datagrams are read.
+   */
+  private static final long READ_MILLIS = 4;
 
   /**
    * A holder tells within this time after the deadline what became of a run. Of the nodes that know
@@ -103,7 +109,8 @@
       for (long millis : REPEAT_MILLIS) {
         eventLoop.schedule(millis, () -> askAgain(run, question));
       }
-      eventLoop.schedule(REPLY_MILLIS, () -> conclude(run.id(), question));
+      eventLoop.schedule(
+          REPLY_MILLIS, () -> eventLoop.schedule(READ_MILLIS, () -> conclude(run.id(), question)));
     }
 
     private boolean awaitsReply(int question) {
@@ -256,7 +263,8 @@
     }
     registrations.put(run.id(), new Registration(holder.get(), 0));
     registrations.get(run.id()).ask(run);
-    repliesAwaitedUntilNanos = eventLoop.nanoTime() + (REPLY_MILLIS + 1) * NANOS_PER_MILLI;
+    repliesAwaitedUntilNanos =
+        eventLoop.nanoTime() + (REPLY_MILLIS + READ_MILLIS + 1) * NANOS_PER_MILLI;
     scheduleSweep();
   }
 
