--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineRunCodec.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/peer/TestEngineRunCodec.java
@@ -38,6 +38,17 @@
     assertEquals(Optional.of(notice), codec.decode(codec.encode(notice)));
   }
 
+  /** The lengths are those of docs/CAPACITY.md. */
+  @Test
+  void noticeOfAClosedRunAndQueryAreShort() {
+    byte[] closed = codec.encode(notice(EngineIncarnation.NONE, RunPhase.COMPLETED, 0));
+    assertEquals(43, closed.length);
+    PeerMessage query = new PeerMessage.EngineRunQuery(-3);
+    byte[] datagram = codec.encode(query);
+    assertEquals(Optional.of(query), codec.decode(datagram));
+    assertEquals(16, datagram.length);
+  }
+
   @Test
   void longestEngineIdentifierFitsIntoOneDatagram() {
     EngineIncarnation longest = new EngineIncarnation(new EngineId("e".repeat(256)), 0);
