Tries that follow one another at once are tested too

While the design was tried, a schedule in which three nodes were lost within 30 ms, each some ms after its send, ended four engines, and the rows of TestRunsOfLostNodes got callers that return after 15 ms and engines that end after 5 ms.

--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfLostNodes.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfLostNodes.java
@@ -47,6 +47,8 @@
   private TestingEventLoop eventLoop;
   private Random random;
   private int ended;
+  private int minPauseMillis = MIN_PAUSE_MILLIS;
+  private int minEndMillis = MIN_END_MILLIS;
 
   private static RequestFingerprint.Builder work() {
     return work("a");
@@ -82,7 +84,7 @@
     }
     int engine = ended++;
     run.sent(node.engine(engine), eventLoop.nanoTime() + DEADLINE_MILLIS * 1_000_000);
-    int endMillis = between(MIN_END_MILLIS, MAX_END_MILLIS);
+    int endMillis = between(minEndMillis, MAX_END_MILLIS);
     int lossMillis = Math.max(1, endMillis + between(-30, 25));
     eventLoop.schedule(endMillis, () -> cluster.ended().add("e" + engine));
     eventLoop.schedule(endMillis, () -> node.process().run(() -> run.connectionLost(() -> {})));
@@ -140,7 +142,7 @@
       ended = 0;
       for (int i = 0; i < TRIES; i++) {
         send(runningNode(), loss);
-        eventLoop.advance(between(MIN_PAUSE_MILLIS, pauseMillis));
+        eventLoop.advance(between(minPauseMillis, pauseMillis));
       }
       if (ended > MAX_ENDED) {
         violations.add("seed " + seed + ": " + ended + " engines");
@@ -167,6 +169,16 @@
     check(nodes, zones, pauseMillis, loss);
   }
 
+  /** Three nodes may be lost within the time in which a registrar awaits the first reply. */
+  @Test
+  void noFourthEngineEndsWhenTriesFollowOneAnotherAtOnce() {
+    minPauseMillis = 1;
+    minEndMillis = 1;
+    check(11, 1, 20, Loss.RESTARTED);
+    check(12, 2, 20, Loss.DARK);
+    check(11, 4, 10, Loss.DARK);
+  }
+
   /** All nodes are lost as the engine ends, again and again; the store is there. */
   @ParameterizedTest(name = "{0} nodes, engines end after {1} ms")
   @CsvSource({"4, 30", "4, 100", "11, 70", "11, 150"})
