--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineEndCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/EngineEndCodec.java
@@ -30,7 +30,7 @@
         new EngineEndNoticeEncoder()
             .wrapAndApplyHeader(buffer, 0, header)
             .startMillis(notice.engine().startMillis())
-            .ageMillis(Math.max(0, Math.min(MAX_MILLIS, notice.ageMillis())));
+            .ageMillis(bounded(notice.ageMillis()));
     EngineEndNoticeEncoder.RequestsEncoder requests =
         encoder.requestsCount(notice.requests().size());
     for (RequestFingerprint request : notice.requests()) {
@@ -46,6 +46,7 @@
     return new EngineEndWithdrawalEncoder()
         .wrapAndApplyHeader(buffer, 0, header)
         .startMillis(withdrawal.engine().startMillis())
+        .ageMillis(bounded(withdrawal.ageMillis()))
         .engineId(withdrawal.engine().id().value())
         .encodedLength();
   }
@@ -53,7 +54,9 @@
   static int encode(
       PeerMessage.RequestClearance clearance, UnsafeBuffer buffer, MessageHeaderEncoder header) {
     RequestClearanceEncoder encoder =
-        new RequestClearanceEncoder().wrapAndApplyHeader(buffer, 0, header);
+        new RequestClearanceEncoder()
+            .wrapAndApplyHeader(buffer, 0, header)
+            .ageMillis(bounded(clearance.ageMillis()));
     RequestClearanceEncoder.RequestsEncoder requests =
         encoder.requestsCount(clearance.requests().size());
     for (RequestFingerprint request : clearance.requests()) {
@@ -81,19 +84,28 @@
     EngineEndWithdrawalDecoder decoder = new EngineEndWithdrawalDecoder();
     decoder.wrapAndApplyHeader(received, 0, header);
     long startMillis = decoder.startMillis();
+    long ageMillis = decoder.ageMillis();
     EngineId id = new EngineId(decoder.engineId());
-    return new PeerMessage.EngineEndWithdrawal(new EngineIncarnation(id, startMillis));
+    return new PeerMessage.EngineEndWithdrawal(
+        new EngineIncarnation(id, startMillis),
+        ageMillis == EngineEndWithdrawalDecoder.ageMillisNullValue() ? 0 : ageMillis);
   }
 
   static PeerMessage decodeClearance(UnsafeBuffer received, MessageHeaderDecoder header) {
     RequestClearanceDecoder decoder = new RequestClearanceDecoder();
     decoder.wrapAndApplyHeader(received, 0, header);
+    long ageMillis = decoder.ageMillis();
     List<RequestFingerprint> requests = new ArrayList<>();
     for (RequestClearanceDecoder.RequestsDecoder request : decoder.requests()) {
       requireRoom(requests, received);
       requests.add(new RequestFingerprint(request.fingerprint()));
     }
-    return new PeerMessage.RequestClearance(requests);
+    return new PeerMessage.RequestClearance(
+        requests, ageMillis == RequestClearanceDecoder.ageMillisNullValue() ? 0 : ageMillis);
+  }
+
+  private static long bounded(long millis) {
+    return Math.max(0, Math.min(MAX_MILLIS, millis));
   }
 
   /** Elements that a message gives the length 0 would otherwise not be bounded by its length. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -110,15 +110,19 @@
    * Reports that an engine that was reported as ended has responded to the sender.
    *
    * @param engine the engine
+   * @param ageMillis the time since it responded when the message was sent, in milliseconds
    */
-  record EngineEndWithdrawal(EngineIncarnation engine) implements PeerMessage {}
+  record EngineEndWithdrawal(EngineIncarnation engine, long ageMillis) implements PeerMessage {}
 
   /**
    * Reports that requests that were running at engines that ended have completed at others.
    *
    * @param requests the requests, at most {@link EngineEndCodec#MAX_REQUESTS}
+   * @param ageMillis the time since the first of them completed when the message was sent, in
+   *     milliseconds
    */
-  record RequestClearance(List<RequestFingerprint> requests) implements PeerMessage {
+  record RequestClearance(List<RequestFingerprint> requests, long ageMillis)
+      implements PeerMessage {
     public RequestClearance {
       requests = List.copyOf(requests);
     }
@@ -151,6 +155,22 @@
    */
   record EngineRunQuery(long runId) implements PeerMessage {}
 
+  /**
+   * Asks for a {@link ReachabilityReply}, so that the sender knows that datagrams pass both ways.
+   *
+   * @param probeId chosen by the sender; the reply repeats it
+   * @param evidenceDigest equal at nodes that know the same ends and unresolved runs
+   */
+  record ReachabilityProbe(long probeId, long evidenceDigest) implements PeerMessage {}
+
+  /**
+   * Replies to a {@link ReachabilityProbe}.
+   *
+   * @param probeId the identifier of the probe
+   * @param evidenceDigest the digest of the node that replies
+   */
+  record ReachabilityReply(long probeId, long evidenceDigest) implements PeerMessage {}
+
   /**
    * Announces that the sender now serves a program.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -29,6 +29,8 @@
 import org.baykeel.protocol.generated.MessageHeaderEncoder;
 import org.baykeel.protocol.generated.NodeAnnouncementDecoder;
 import org.baykeel.protocol.generated.NodeAnnouncementEncoder;
+import org.baykeel.protocol.generated.ReachabilityProbeDecoder;
+import org.baykeel.protocol.generated.ReachabilityReplyDecoder;
 import org.baykeel.protocol.generated.RequestClearanceDecoder;
 import org.baykeel.protocol.generated.StreamVersionNoticeDecoder;
 import org.baykeel.protocol.generated.StreamVersionQueryDecoder;
@@ -90,6 +92,12 @@
     if (message instanceof PeerMessage.EngineRunQuery query) {
       return EngineRunCodec.encode(query, buffer, header);
     }
+    if (message instanceof PeerMessage.ReachabilityProbe probe) {
+      return ReachabilityCodec.encode(probe, buffer, header);
+    }
+    if (message instanceof PeerMessage.ReachabilityReply reply) {
+      return ReachabilityCodec.encode(reply, buffer, header);
+    }
     if (message instanceof PeerMessage.HolderAnnouncement announcement) {
       return new HolderAnnouncementEncoder()
           .wrapAndApplyHeader(buffer, 0, header)
@@ -212,6 +220,10 @@
       case EngineRunNoticeDecoder.TEMPLATE_ID -> EngineRunCodec.decode(received, header);
       case EngineRunQueryDecoder.TEMPLATE_ID ->
           Optional.of(EngineRunCodec.decodeQuery(received, header));
+      case ReachabilityProbeDecoder.TEMPLATE_ID ->
+          Optional.of(ReachabilityCodec.decodeProbe(received, header));
+      case ReachabilityReplyDecoder.TEMPLATE_ID ->
+          Optional.of(ReachabilityCodec.decodeReply(received, header));
       case HolderAnnouncementDecoder.TEMPLATE_ID -> {
         HolderAnnouncementDecoder decoder = new HolderAnnouncementDecoder();
         decoder.wrapAndApplyHeader(received, 0, header);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndHistory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndHistory.java
@@ -1,6 +1,8 @@
 package org.baykeel.gateway.quarantine;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -27,6 +29,7 @@
   private final Withdrawals<RequestFingerprint> completedRequests = new Withdrawals<>();
   private BlameAssessment assessment = new BlameAssessment(List.of());
   private boolean assessed = true;
+  private long changes;
 
   /** Returns whether no end is recorded. */
   boolean isEmpty() {
@@ -54,10 +57,37 @@
     List<RequestFingerprint> suspected =
         requests.stream().filter(request -> !completedRequests.cover(request, endedNanos)).toList();
     boolean changed = end.add(suspected) || added;
-    assessed &= !changed;
+    if (changed) {
+      onChange();
+    }
     return changed;
   }
 
+  private void onChange() {
+    assessed = false;
+    changes++;
+  }
+
+  /** Returns a number that differs after each change. */
+  long changes() {
+    return changes;
+  }
+
+  /** Returns the recorded ends. */
+  Collection<EngineEnd> ends() {
+    return Collections.unmodifiableCollection(ends.values());
+  }
+
+  /** Returns the latest requests that completed, up to a number. */
+  List<Withdrawals.Withdrawal<RequestFingerprint>> completed(int count, long nowNanos) {
+    return completedRequests.latest(count, nowNanos - LIFETIME_NANOS);
+  }
+
+  /** Returns the latest engines whose ends were withdrawn, up to a number. */
+  List<Withdrawals.Withdrawal<EngineIncarnation>> running(int count, long nowNanos) {
+    return runningEngines.latest(count, nowNanos - LIFETIME_NANOS);
+  }
+
   private void removeOldestBeyondLimit() {
     if (ends.size() > MAX_ENDS) {
       ends.remove(sorted().get(0).engine());
@@ -67,27 +97,35 @@
   /**
    * Removes the end of an engine that has not ended.
    *
+   * @param respondedNanos when it responded, by the event loop's clock
    * @return whether it was recorded
    */
-  boolean withdraw(EngineIncarnation engine, long nowNanos) {
-    runningEngines.record(engine, nowNanos);
-    boolean withdrawn = ends.remove(engine) != null;
-    assessed &= !withdrawn;
+  boolean withdraw(EngineIncarnation engine, long respondedNanos) {
+    runningEngines.record(engine, respondedNanos);
+    EngineEnd end = ends.get(engine);
+    boolean withdrawn = end != null && runningEngines.cover(engine, end.endedNanos());
+    if (withdrawn) {
+      ends.remove(engine);
+      onChange();
+    }
     return withdrawn;
   }
 
   /**
    * Withdraws the suspicion of a request.
    *
+   * @param completedNanos when it completed, by the event loop's clock
    * @return whether it was suspected
    */
-  boolean clear(RequestFingerprint request, long nowNanos) {
-    completedRequests.record(request, nowNanos);
+  boolean clear(RequestFingerprint request, long completedNanos) {
+    completedRequests.record(request, completedNanos);
     boolean cleared = false;
     for (EngineEnd end : ends.values()) {
-      cleared |= end.clear(request);
+      cleared |= completedRequests.cover(request, end.endedNanos()) && end.clear(request);
+    }
+    if (cleared) {
+      onChange();
     }
-    assessed &= !cleared;
     return cleared;
   }
 
@@ -132,7 +170,9 @@
 
   private void evict(long nowNanos) {
     boolean evicted = ends.values().removeIf(end -> nowNanos - end.endedNanos() > LIFETIME_NANOS);
-    assessed &= !evicted;
+    if (evicted) {
+      onChange();
+    }
   }
 
   private List<EngineEnd> sorted() {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndNotifier.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndNotifier.java
@@ -49,34 +49,56 @@
       int to = Math.min(requests.size(), from + EngineEndCodec.MAX_REQUESTS);
       List<RequestFingerprint> part = requests.subList(from, to);
       broadcast.sendRepeatedly(
-          () -> {
-            long ageMillis = (eventLoop.nanoTime() - endedNanos) / NANOS_PER_MILLI;
-            return new PeerMessage.EngineEndNotice(engine, ageMillis, part);
-          });
+          () -> new PeerMessage.EngineEndNotice(engine, ageMillis(endedNanos), part));
     }
   }
 
-  /** Sends the end of an engine to a peer that has started. */
+  /** Sends the end of an engine to a peer that may not know it. */
   void sendEndTo(
       PeerAddress peer, EngineIncarnation engine, long endedNanos, List<RequestFingerprint> part) {
-    long ageMillis = (eventLoop.nanoTime() - endedNanos) / NANOS_PER_MILLI;
-    broadcast.sendTo(peer, new PeerMessage.EngineEndNotice(engine, ageMillis, part));
+    broadcast.sendTo(peer, new PeerMessage.EngineEndNotice(engine, ageMillis(endedNanos), part));
   }
 
-  /** Sends that an engine has not ended. */
+  /** Sends that an engine responded just now, so that it has not ended. */
   void sendWithdrawal(EngineIncarnation engine) {
-    broadcast.sendRepeatedly(() -> new PeerMessage.EngineEndWithdrawal(engine));
+    long respondedNanos = eventLoop.nanoTime();
+    broadcast.sendRepeatedly(
+        () -> new PeerMessage.EngineEndWithdrawal(engine, ageMillis(respondedNanos)));
   }
 
-  /** Sends that a request completed, together with others that complete soon. */
+  /**
+   * Sends to a peer that an engine has not ended.
+   *
+   * @param respondedNanos when it responded, by the event loop's clock
+   */
+  void sendWithdrawalTo(PeerAddress peer, EngineIncarnation engine, long respondedNanos) {
+    broadcast.sendTo(peer, new PeerMessage.EngineEndWithdrawal(engine, ageMillis(respondedNanos)));
+  }
+
+  /**
+   * Sends to a peer that a request completed.
+   *
+   * @param completedNanos when it completed, by the event loop's clock
+   */
+  void sendClearanceTo(PeerAddress peer, RequestFingerprint request, long completedNanos) {
+    broadcast.sendTo(
+        peer, new PeerMessage.RequestClearance(List.of(request), ageMillis(completedNanos)));
+  }
+
+  private long ageMillis(long nanos) {
+    return (eventLoop.nanoTime() - nanos) / NANOS_PER_MILLI;
+  }
+
+  /** Sends that a request completed just now, together with others that complete soon. */
   void sendClearance(RequestFingerprint request) {
     if (cleared.isEmpty()) {
-      eventLoop.schedule(CLEARANCE_DELAY_MILLIS, this::sendClearances);
+      long completedNanos = eventLoop.nanoTime();
+      eventLoop.schedule(CLEARANCE_DELAY_MILLIS, () -> sendClearances(completedNanos));
     }
     cleared.add(request);
   }
 
-  private void sendClearances() {
+  private void sendClearances(long completedNanos) {
     Iterator<RequestFingerprint> remaining = List.copyOf(cleared).iterator();
     cleared.clear();
     while (remaining.hasNext()) {
@@ -84,7 +106,8 @@
       while (remaining.hasNext() && part.size() < EngineEndCodec.MAX_REQUESTS) {
         part.add(remaining.next());
       }
-      broadcast.sendRepeatedly(() -> new PeerMessage.RequestClearance(part));
+      broadcast.sendRepeatedly(
+          () -> new PeerMessage.RequestClearance(part, ageMillis(completedNanos)));
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
@@ -1,11 +1,14 @@
 package org.baykeel.gateway.quarantine;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.baykeel.gateway.directory.EngineIncarnation;
 import org.baykeel.gateway.peer.EngineEndCodec;
@@ -40,6 +43,9 @@
   /** Ends within this time are written together. */
   private static final long WRITE_DELAY_MILLIS = 20;
 
+  /** Two rounds that requests await are so far apart for each node, in milliseconds. */
+  private static final long ROUND_MILLIS_OF_NODE = 1;
+
   private static final long RETRY_MILLIS = 1_000;
   private static final long LOAD_RETRY_MILLIS = 100;
   private static final long NANOS_PER_MILLI = 1_000_000;
@@ -60,6 +66,18 @@
      * @param writtenNanos when the row was written, by the event loop's clock
      */
     void runRead(String nodeName, PeerMessage.EngineRunNotice run, long writtenNanos);
+
+    /**
+     * Called for each row that was read after the start, and for each that is gone.
+     *
+     * @param inProgress the runs in progress and the claims that the row has
+     */
+    void rowRead(String nodeName, List<PeerMessage.EngineRunNotice> inProgress, long writtenNanos);
+
+    /**
+     * Called when the rows of all nodes have been read, with the times at which they were written.
+     */
+    void allRead(Map<String, Long> writtenNanosByNode);
   }
 
   /** An end that this node observed. */
@@ -74,7 +92,11 @@
   private final Supplier<List<PeerMessage.EngineRunNotice>> unresolvedRuns;
   private final Listener listener;
   private final Map<EngineIncarnation, OwnEnd> ownEnds = new LinkedHashMap<>();
+  private final SharedRounds reads;
+  private final SharedRounds confirmations;
   private boolean loaded;
+  private long writtenNanos;
+  private long keepUntilNanos;
   private EventLoop.Timer scheduledWrite;
   private long scheduledNanos;
 
@@ -84,6 +106,7 @@
    * @param nodeName the name of this node, which is the key of its row
    * @param clock converts times of the store
    * @param unresolvedRuns returns the runs of this node that its row should have
+   * @param nodes returns the number of nodes, which share the calls to the store
    */
   EngineEndTable(
       String nodeName,
@@ -93,6 +116,7 @@
       EventLoop eventLoop,
       GatewayLog log,
       Supplier<List<PeerMessage.EngineRunNotice>> unresolvedRuns,
+      IntSupplier nodes,
       Listener listener) {
     this.ownRow = new RowAddress(TABLE, "", nodeName);
     this.store = store;
@@ -102,11 +126,62 @@
     this.log = log;
     this.unresolvedRuns = unresolvedRuns;
     this.listener = listener;
+    LongSupplier pauseMillis = () -> nodes.getAsInt() * ROUND_MILLIS_OF_NODE;
+    this.reads = new SharedRounds(this::readAll, pauseMillis, eventLoop);
+    this.confirmations = new SharedRounds(this::confirm, pauseMillis, eventLoop);
+    this.keepUntilNanos = eventLoop.nanoTime();
+    this.writtenNanos = keepUntilNanos - RETRY_MILLIS * NANOS_PER_MILLI;
+  }
+
+  /** Reads the rows of all nodes once more, for requests that come from now on. */
+  SharedRounds.Round read() {
+    return reads.join();
+  }
+
+  /**
+   * Writes the row with all that this node knows now and then reads the rows of all nodes. Of two
+   * nodes that do so at the same time, at least one reads what the other wrote.
+   */
+  SharedRounds.Round confirm() {
+    return confirmations.join();
+  }
+
+  /** Writes the row now, and keeps it for a time although it has no evidence: this node runs. */
+  void showRunning(long keepNanos) {
+    keepUntilNanos = eventLoop.nanoTime() + keepNanos;
+    scheduleWrite(0);
+    eventLoop.schedule(keepNanos / NANOS_PER_MILLI + 1, this::removeNeedless);
+  }
+
+  /** Writes the row as soon as it may be written again, since peers may not receive notices. */
+  void changedUrgently() {
+    long dueNanos = writtenNanos + WRITE_DELAY_MILLIS * NANOS_PER_MILLI - eventLoop.nanoTime();
+    scheduleWrite(Math.max(0, dueNanos / NANOS_PER_MILLI));
+  }
+
+  private void confirm(Runnable finished) {
+    if (!loaded || !clock.known()) {
+      eventLoop.schedule(LOAD_RETRY_MILLIS, () -> confirm(finished));
+      return;
+    }
+    store.transact(
+        rowNow(eventLoop.nanoTime()),
+        outcome -> {
+          if (outcome instanceof TransactionOutcome.Applied) {
+            readAll(finished);
+          } else {
+            eventLoop.schedule(LOAD_RETRY_MILLIS, () -> confirm(finished));
+          }
+        });
+  }
+
+  private void readAll(Runnable finished) {
+    read(new Scan(LOAD_RETRY_MILLIS, finished), null);
   }
 
   /** Reads the rows of all nodes, with retries until the store responds. */
   void load() {
-    read(null);
+    readAll(() -> {});
   }
 
   /** Adds an end that this node observed; it is written soon. */
@@ -160,15 +235,19 @@
       return;
     }
     scheduledWrite = null;
-    long now = eventLoop.nanoTime();
-    ownEnds.values().removeIf(end -> expired(end, now));
+    store.transact(rowNow(eventLoop.nanoTime()), this::onWritten);
+  }
+
+  /** Returns the transaction that brings the row of this node up to date. */
+  private Transaction rowNow(long nowNanos) {
+    writtenNanos = nowNanos;
+    ownEnds.values().removeIf(end -> expired(end, nowNanos));
     List<PeerMessage.EngineRunNotice> runs = unresolvedRuns.get();
-    Transaction transaction =
-        ownEnds.isEmpty() && runs.isEmpty()
-            ? new Transaction(List.of(), List.of(), List.of(ownRow))
-            : new Transaction(
-                List.of(), List.of(new Transaction.Put(ownRow, encode(runs, now))), List.of());
-    store.transact(transaction, this::onWritten);
+    boolean needless = ownEnds.isEmpty() && runs.isEmpty() && nowNanos - keepUntilNanos >= 0;
+    return needless
+        ? new Transaction(List.of(), List.of(), List.of(ownRow))
+        : new Transaction(
+            List.of(), List.of(new Transaction.Put(ownRow, encode(runs, nowNanos))), List.of());
   }
 
   private static boolean expired(OwnEnd end, long nowNanos) {
@@ -179,12 +258,18 @@
     if (!(outcome instanceof TransactionOutcome.Applied)) {
       scheduleWrite(RETRY_MILLIS);
     } else if (!ownEnds.isEmpty()) {
-      read(null);
+      read(new Scan(RETRY_MILLIS, () -> {}), null);
       eventLoop.schedule(
           EngineEndHistory.LIFETIME_NANOS / NANOS_PER_MILLI + 1, this::removeExpired);
     }
   }
 
+  private void removeNeedless() {
+    if (eventLoop.nanoTime() - keepUntilNanos >= 0) {
+      scheduleWrite(WRITE_DELAY_MILLIS);
+    }
+  }
+
   private void removeExpired() {
     long now = eventLoop.nanoTime();
     if (ownEnds.values().removeIf(end -> expired(end, now))) {
@@ -207,53 +292,67 @@
     return new StampedParts(clock.earliestStoreMillis(nowNanos), notices).encode();
   }
 
-  private void read(String fromKey) {
-    store.read(new RangeRead(TABLE, "", fromKey, PAGE_ROWS), outcome -> onRead(fromKey, outcome));
+  /** One reading of the rows of all nodes. */
+  private final class Scan {
+    private final long retryMillis;
+    private final Runnable finished;
+    private final Map<String, Long> writtenNanosByNode = new HashMap<>();
+
+    Scan(long retryMillis, Runnable finished) {
+      this.retryMillis = retryMillis;
+      this.finished = finished;
+    }
+  }
+
+  private void read(Scan scan, String fromKey) {
+    store.read(
+        new RangeRead(TABLE, "", fromKey, PAGE_ROWS), outcome -> onRead(scan, fromKey, outcome));
   }
 
-  private void onRead(String fromKey, ReadOutcome outcome) {
+  private void onRead(Scan scan, String fromKey, ReadOutcome outcome) {
     if (!(outcome instanceof ReadOutcome.Rows page)) {
-      eventLoop.schedule(loaded ? RETRY_MILLIS : LOAD_RETRY_MILLIS, () -> read(fromKey));
+      eventLoop.schedule(scan.retryMillis, () -> read(scan, fromKey));
       return;
     }
-    page.rows().stream().filter(row -> !row.removed()).forEach(this::adopt);
+    page.rows().stream().filter(row -> !row.removed()).forEach(row -> adopt(scan, row));
     if (page.more()) {
-      read(page.rows().get(page.rows().size() - 1).address().key() + '\0');
-    } else {
-      loaded = true;
+      read(scan, page.rows().get(page.rows().size() - 1).address().key() + '\0');
+      return;
+    }
+    if (loaded) {
+      listener.allRead(scan.writtenNanosByNode);
     }
+    loaded = true;
+    scan.finished.run();
   }
 
-  private void adopt(StoredRow row) {
-    boolean ofEarlierIncarnation = !loaded && row.address().key().equals(ownRow.key());
+  private void adopt(Scan scan, StoredRow row) {
+    String node = row.address().key();
+    boolean ofEarlierIncarnation = !loaded && node.equals(ownRow.key());
     try {
       StampedParts notices = StampedParts.decode(row.value());
+      long rowNanos = clock.earliestNanos(notices.storeMillis());
+      List<PeerMessage.EngineRunNotice> inProgress = new ArrayList<>();
       for (byte[] datagram : notices.parts()) {
-        codec
-            .decode(datagram)
-            .ifPresent(
-                message ->
-                    adopt(
-                        row.address().key(), message, notices.storeMillis(), ofEarlierIncarnation));
+        PeerMessage message = codec.decode(datagram).orElse(null);
+        if (message instanceof PeerMessage.EngineEndNotice notice) {
+          adopt(notice, notices.storeMillis(), ofEarlierIncarnation);
+        } else if (message instanceof PeerMessage.EngineRunNotice run) {
+          boolean unresolved = run.phase().unresolved();
+          if (!loaded || unresolved) {
+            listener.runRead(node, run, rowNanos);
+          } else {
+            inProgress.add(run);
+          }
+        }
+      }
+      scan.writtenNanosByNode.put(node, rowNanos);
+      if (loaded && !node.equals(ownRow.key())) {
+        listener.rowRead(node, inProgress, rowNanos);
       }
     } catch (RuntimeException e) {
       log.write(
-          GatewayEvent.FAULT,
-          "where",
-          "engine end row",
-          "key",
-          row.address().key(),
-          "error",
-          ErrorText.of(e));
-    }
-  }
-
-  private void adopt(
-      String nodeName, PeerMessage message, long writtenStoreMillis, boolean ofEarlierIncarnation) {
-    if (message instanceof PeerMessage.EngineEndNotice notice) {
-      adopt(notice, writtenStoreMillis, ofEarlierIncarnation);
-    } else if (message instanceof PeerMessage.EngineRunNotice run) {
-      listener.runRead(nodeName, run, clock.earliestNanos(writtenStoreMillis));
+          GatewayEvent.FAULT, "where", "engine end row", "key", node, "error", ErrorText.of(e));
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -47,7 +47,7 @@
   /**
    * Creates a count.
    *
-   * @param unseenEnds returns how many engines may have ended unseen under any request
+   * @param unseenEnds returns how many engines may have ended, or may end, unseen under any request
    */
   RequestExposure(EngineEndHistory history, RunLedger ledger, IntSupplier unseenEnds) {
     this.history = history;
@@ -62,6 +62,7 @@
     private int exposed;
     private long lastExposedNanos;
     private int claims;
+    private int storedClaims;
     private boolean orphaned;
     private boolean guarded;
     private final int maxEngines;
@@ -124,6 +125,17 @@
     return count(claim.request(), claim, nowNanos).exhausted(nowNanos);
   }
 
+  /**
+   * Returns whether it depends on claims that were read from the store, and that the given claim
+   * precedes, whether the request is exhausted: their nodes may have decided before they could read
+   * it.
+   */
+  boolean contested(TrackedRun claim, long nowNanos) {
+    Count count = count(claim.request(), claim, nowNanos);
+    count.claims += count.storedClaims;
+    return count.exhausted(nowNanos);
+  }
+
   /** Returns whether a request may be sent only after a claim. */
   boolean guarded(RequestFingerprint request, long nowNanos) {
     return count(request, null, nowNanos).guarded;
@@ -138,7 +150,7 @@
   }
 
   private Count count(RequestFingerprint request, TrackedRun claim, long nowNanos) {
-    Count count = new Count(MAX_ENGINES - unseenEnds.getAsInt());
+    Count count = new Count(Math.max(1, MAX_ENGINES - unseenEnds.getAsInt()));
     for (EngineEnd end : history.endsUnder(request)) {
       long expiresNanos = end.endedNanos() + EngineEndHistory.LIFETIME_NANOS;
       if (nowNanos - expiresNanos <= 0) {
@@ -180,7 +192,7 @@
     return proofNanos - nowNanos > 0 ? proofNanos : startedNanos + EngineEndHistory.LIFETIME_NANOS;
   }
 
-  private static void addInProgress(
+  private void addInProgress(
       Count count, List<TrackedRun> own, List<PeerRun> ofPeers, TrackedRun claim, long nowNanos) {
     for (TrackedRun run : own) {
       if (run.phase() == RunPhase.OPEN) {
@@ -194,6 +206,8 @@
         count.add(run.engine(), nowNanos + OPEN_NANOS);
       } else if (run.phase() == RunPhase.CLAIMED && precedes(run.id(), claim)) {
         count.addClaim(nowNanos + OPEN_NANOS);
+      } else if (run.phase() == RunPhase.CLAIMED && ledger.isStored(run.id())) {
+        count.storedClaims++;
       }
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -4,8 +4,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntSupplier;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.EngineDirectory;
@@ -36,6 +38,8 @@
  * the engine's statement that it did not run it, nothing is sent, stored or hashed.
  */
 public final class RequestQuarantine implements Quarantine, PeerMessageListener {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   /**
    * How long a request waits whose engines all ended at once. A request that many callers send may
    * run on all engines of a failed rack, and completes elsewhere within this time.
@@ -57,7 +61,6 @@
   private static final long GUARDED_WRITE_MILLIS = 20;
   private static final long MIN_WRITE_MILLIS = 200;
   private static final long WRITE_MILLIS_OF_NODE = 20;
-  private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** All nodes together write at most 200 rows a second with runs in progress. */
   private static final long KEEP_NANOS_OF_NODE = 5_000_000L;
@@ -65,6 +68,15 @@
   /** The most ends that are passed on to a peer that has started. */
   private static final int MAX_PASSED_ON = 32;
 
+  /** How often a node that does not reach a peer shows by its row that it runs. */
+  private static final long SHOW_RUNNING_MILLIS = 5_000;
+
+  /** Nodes that run write their rows within this time, even if the store lags. */
+  private static final long KEEP_ROW_NANOS = 2 * SHOW_RUNNING_MILLIS * NANOS_PER_MILLI;
+
+  /** The caller of a run whose engine may have ended waits for so long until the row is written. */
+  private static final long MAX_SHARING_MILLIS = 200;
+
   /** The most requests or engines that a line of the log names. */
   private static final int MAX_LOGGED = 16;
 
@@ -81,6 +93,9 @@
   private final RunLedger ledger = new RunLedger();
   private final EarlierLoss earlierLoss;
   private final RequestExposure exposure;
+  private final PeerReachability reachability;
+  private final EvidenceDigest digest;
+  private final EvidenceExchange exchange;
   private final RunTracker runs;
   private final List<Runnable> listeners = new ArrayList<>();
   private final Set<RequestFingerprint> reported = new HashSet<>();
@@ -136,7 +151,29 @@
     this.notifier = new EngineEndNotifier(peers, transport, codec, eventLoop);
     this.runNotifier = new RunNotifier(peers, transport, codec, eventLoop);
     this.earlierLoss = new EarlierLoss(peers, runNotifier, eventLoop, log);
-    this.exposure = new RequestExposure(history, ledger, earlierLoss::unseenEnds);
+    this.exposure = new RequestExposure(history, ledger, this::unseenEnds);
+    this.digest = new EvidenceDigest(history, ledger);
+    this.exchange = new EvidenceExchange(eventLoop, this::sendEvidenceTo);
+    this.reachability =
+        new PeerReachability(
+            peers,
+            transport,
+            codec,
+            runNotifier,
+            eventLoop,
+            digest::value,
+            new ReachabilityListener());
+    this.table =
+        new EngineEndTable(
+            nodeName,
+            store,
+            storeClock,
+            codec,
+            eventLoop,
+            log,
+            this::runsToKeep,
+            () -> peers.peers().size(),
+            new TableListener());
     this.keptNanos = eventLoop.nanoTime();
     this.runs =
         new RunTracker(
@@ -148,6 +185,7 @@
             detector,
             livenessCheck,
             runNotifier,
+            new StoredEvidence(reachability, table, eventLoop),
             peers,
             engines,
             eventLoop,
@@ -157,16 +195,15 @@
         (engine, startBefore, startNow, source) ->
             onEndReported(new EngineIncarnation(engine, startBefore), eventLoop.nanoTime()));
     engines.onRemoval(runs::engineRemoved);
-    this.table =
-        new EngineEndTable(
-            nodeName,
-            store,
-            storeClock,
-            codec,
-            eventLoop,
-            log,
-            () -> runs.noticesToKeep(earlierLoss.mayRepeat()),
-            new TableListener());
+  }
+
+  private List<PeerMessage.EngineRunNotice> runsToKeep() {
+    return runs.noticesToKeep(earlierLoss.mayRepeat(), !reachability.fullyInTouch());
+  }
+
+  /** A group of nodes that is in touch sends a request that it does not know without a wait. */
+  private int unseenEnds() {
+    return earlierLoss.unseenEnds() + (reachability.inTouch() ? 0 : 1);
   }
 
   /** Adopts what the rows of all nodes have. */
@@ -186,6 +223,56 @@
         runs.onStored(run, writtenNanos, own ? Optional.empty() : peers.addressOf(node));
       }
     }
+
+    @Override
+    public void rowRead(
+        String node, List<PeerMessage.EngineRunNotice> inProgress, long writtenNanos) {
+      runs.onRow(node, inProgress, writtenNanos);
+    }
+
+    @Override
+    public void allRead(Map<String, Long> writtenNanosByNode) {
+      ledger.retainStored(writtenNanosByNode.keySet());
+      long sinceNanos = eventLoop.nanoTime() - PeerReachability.ABSENT_NANOS;
+      Set<PeerAddress> running = new HashSet<>();
+      writtenNanosByNode.forEach(
+          (node, writtenNanos) -> {
+            if (writtenNanos - sinceNanos >= 0) {
+              peers.addressOf(node).ifPresent(running::add);
+            }
+          });
+      reachability.recordRunning(running);
+    }
+  }
+
+  /** Adopts whether this node reaches its peers. */
+  private final class ReachabilityListener implements PeerReachability.Listener {
+    @Override
+    public void lostTouch() {
+      log.write(
+          GatewayEvent.PEERS_UNREACHABLE,
+          "probed",
+          reachability.probed(),
+          "unreachable",
+          logged(reachability.unreachable()));
+      table.showRunning(KEEP_ROW_NANOS);
+    }
+
+    @Override
+    public void regainedTouch(long awayNanos) {
+      table.read();
+      log.write(
+          GatewayEvent.PEERS_REACHABLE,
+          "away_ms",
+          awayNanos / NANOS_PER_MILLI,
+          "unreachable",
+          logged(reachability.unreachable()));
+    }
+
+    @Override
+    public void digestReceived(PeerAddress peer, long digestOfPeer, boolean returned) {
+      exchange.compare(peer, digestOfPeer, digest.value(), returned);
+    }
   }
 
   /** Adopts what the unresolved runs of this node show. */
@@ -212,6 +299,30 @@
     public void runResolved() {
       table.changedWithin(unguardedWriteMillis());
     }
+
+    @Override
+    public void guardedRunChanged() {
+      if (!reachability.fullyInTouch()) {
+        table.changedUrgently();
+      }
+    }
+
+    @Override
+    public void awaitSharing(Runnable done) {
+      if (!reachability.missesNotices()) {
+        done.run();
+        return;
+      }
+      AtomicBoolean called = new AtomicBoolean();
+      Runnable once =
+          () -> {
+            if (called.compareAndSet(false, true)) {
+              done.run();
+            }
+          };
+      table.confirm().onFinished(once);
+      eventLoop.schedule(MAX_SHARING_MILLIS, once);
+    }
   }
 
   /** Writes the runs in progress at once, or as soon as all nodes together may. */
@@ -230,10 +341,20 @@
   public void start() {
     peers.onRead(earlierLoss::start);
     table.load();
+    reachability.start();
+    eventLoop.schedule(SHOW_RUNNING_MILLIS, this::showRunning);
     awaitEvidenceUntilNanos = eventLoop.nanoTime() + MAX_LOAD_NANOS;
     awaitsEvidence = true;
   }
 
+  private void showRunning() {
+    if (!reachability.unreachable().isEmpty()) {
+      table.showRunning(KEEP_ROW_NANOS);
+      table.read();
+    }
+    eventLoop.schedule(SHOW_RUNNING_MILLIS, this::showRunning);
+  }
+
   /**
    * Whether the rows of the store or the answers of peers, which may have evidence against any
    * request, are awaited.
@@ -261,7 +382,7 @@
 
   @Override
   public boolean isSuspectHead(IntSupplier head) {
-    if (awaitsEvidence()) {
+    if (awaitsEvidence() || !reachability.inTouch()) {
       return true;
     }
     if (suspectHeads.isEmpty() && !ledger.hasHeads()) {
@@ -320,6 +441,9 @@
     add(engine, endedNanos, requests, Source.OBSERVED);
     notifier.sendEnd(engine, endedNanos, requests);
     table.addOwn(engine, endedNanos, requests);
+    if (reachability.missesNotices()) {
+      table.changedUrgently();
+    }
   }
 
   private void add(
@@ -357,7 +481,12 @@
     if (guarded) {
       runs.announceOpen(request);
     }
-    if (runs.hasUnresolved(request)) {
+    if (!runs.hasUnresolved(request)) {
+      return;
+    }
+    if (reachability.missesNotices()) {
+      table.changedUrgently();
+    } else {
       table.changedWithin(guarded ? GUARDED_WRITE_MILLIS : unguardedWriteMillis());
     }
   }
@@ -367,6 +496,20 @@
     return Math.max(MIN_WRITE_MILLIS, peers.peers().size() * WRITE_MILLIS_OF_NODE);
   }
 
+  /** Sends all evidence to a peer that does not know the same. */
+  private void sendEvidenceTo(PeerAddress peer) {
+    long now = eventLoop.nanoTime();
+    log.write(GatewayEvent.EVIDENCE_SENT, "peer", peer, "ends", history.ends().size());
+    history
+        .running(MAX_PASSED_ON, now)
+        .forEach(one -> notifier.sendWithdrawalTo(peer, one.subject(), one.nanos()));
+    history
+        .completed(MAX_PASSED_ON, now)
+        .forEach(one -> notifier.sendClearanceTo(peer, one.subject(), one.nanos()));
+    sendEndsTo(peer);
+    runs.sendRunsTo(peer);
+  }
+
   /** Sends what this node knows of ends, since the nodes that observed them may be gone. */
   private void sendEndsTo(PeerAddress peer) {
     for (EngineEnd end : history.latest(MAX_PASSED_ON)) {
@@ -426,13 +569,13 @@
     EngineEnd end = history.find(incarnation);
     if (end != null && sentNanos - end.endedNanos() > CLOCK_TOLERANCE_NANOS) {
       notifier.sendWithdrawal(incarnation);
-      withdraw(incarnation);
+      withdraw(incarnation, eventLoop.nanoTime());
     }
   }
 
-  private void withdraw(EngineIncarnation engine) {
-    table.withdraw(engine);
-    if (history.withdraw(engine, eventLoop.nanoTime())) {
+  private void withdraw(EngineIncarnation engine, long respondedNanos) {
+    if (history.withdraw(engine, respondedNanos)) {
+      table.withdraw(engine);
       log.write(GatewayEvent.ENGINE_END_WITHDRAWN, "engine", engine.id().value());
       onEvidenceChanged();
     }
@@ -440,15 +583,15 @@
 
   @Override
   public void completed(RequestFingerprint suspect) {
-    if (clear(suspect)) {
+    if (clear(suspect, eventLoop.nanoTime())) {
       notifier.sendClearance(suspect);
     }
   }
 
-  private boolean clear(RequestFingerprint request) {
+  private boolean clear(RequestFingerprint request, long completedNanos) {
     int blame = assessment().blame(request);
-    boolean wasExposed = ledger.clear(request);
-    boolean cleared = history.clear(request, eventLoop.nanoTime()) || wasExposed;
+    boolean wasExposed = ledger.clear(request, completedNanos);
+    boolean cleared = history.clear(request, completedNanos) || wasExposed;
     if (cleared) {
       log.write(GatewayEvent.REQUEST_CLEARED, "work", request, "blame", blame);
       onEvidenceChanged();
@@ -461,24 +604,34 @@
     listeners.add(listener);
   }
 
+  private long nanosAgo(long millis) {
+    return eventLoop.nanoTime() - millis * NANOS_PER_MILLI;
+  }
+
   @Override
   public void onMessage(PeerAddress sender, PeerMessage message) {
     if (message instanceof PeerMessage.EngineEndNotice notice) {
-      long endedNanos = eventLoop.nanoTime() - notice.ageMillis() * NANOS_PER_MILLI;
+      long endedNanos = nanosAgo(notice.ageMillis());
       add(notice.engine(), endedNanos, notice.requests(), Source.PEER);
       onEndReported(notice.engine(), endedNanos);
     } else if (message instanceof PeerMessage.EngineEndWithdrawal withdrawal) {
-      withdraw(withdrawal.engine());
+      withdraw(withdrawal.engine(), nanosAgo(withdrawal.ageMillis()));
     } else if (message instanceof PeerMessage.RequestClearance clearance) {
-      clearance.requests().forEach(this::clear);
+      long completedNanos = nanosAgo(clearance.ageMillis());
+      clearance.requests().forEach(request -> clear(request, completedNanos));
     } else if (message instanceof PeerMessage.EngineRunNotice notice) {
       if (notice.runId() == EarlierLoss.NO_RUN) {
         earlierLoss.onReply(notice.ageMillis());
+        reachability.onQueryReply(sender);
       } else {
         runs.onNotice(sender, notice);
       }
     } else if (message instanceof PeerMessage.EngineRunQuery query) {
       runs.onQuery(sender, query);
+    } else if (message instanceof PeerMessage.ReachabilityProbe probe) {
+      reachability.onProbe(sender, probe);
+    } else if (message instanceof PeerMessage.ReachabilityReply reply) {
+      reachability.onReply(sender, reply);
     } else if (message instanceof PeerMessage.NodeAnnouncement) {
       runs.onPeerStarted(sender);
       sendEndsTo(sender);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -27,6 +28,11 @@
   private final Set<TrackedRun> unresolved = new LinkedHashSet<>();
   private final Map<Long, PeerRun> peerRuns = new LinkedHashMap<>();
 
+  /** The runs in progress, and the claims, that the row of a node has. */
+  private final Map<String, Set<Long>> storedByNode = new HashMap<>();
+
+  private long changes;
+
   /** How many announced or unresolved runs have a certain head of their request's fingerprint. */
   private final Map<Integer, Integer> heads = new HashMap<>();
 
@@ -51,6 +57,11 @@
     }
   }
 
+  /** Returns the claims of this node. */
+  List<TrackedRun> claims() {
+    return List.copyOf(claims);
+  }
+
   void removeClaim(TrackedRun run) {
     if (claims.remove(run)) {
       count(run.head(), -1);
@@ -62,8 +73,26 @@
     ownByEngine.computeIfAbsent(run.engine(), any -> new LinkedHashSet<>()).add(run);
   }
 
+  /** Returns a number that differs after each change of the unresolved runs. */
+  long changes() {
+    return changes;
+  }
+
+  /** Returns the identifiers of the unresolved runs of this node and of peers. */
+  Set<Long> unresolvedIds() {
+    Set<Long> ids = new HashSet<>();
+    unresolved.forEach(run -> ids.add(run.id()));
+    for (PeerRun run : peerRuns.values()) {
+      if (run.phase().unresolved()) {
+        ids.add(run.id());
+      }
+    }
+    return ids;
+  }
+
   /** Records that a run that was sent is unresolved from now on. */
   void addUnresolved(TrackedRun run) {
+    changes++;
     run.markUnresolved();
     if (unresolved.add(run)) {
       count(run.head(), 1);
@@ -78,6 +107,7 @@
     run.phase(RunPhase.CLOSED);
     removeClaim(run);
     if (unresolved.remove(run)) {
+      changes++;
       count(run.head(), -1);
     }
     Set<TrackedRun> atEngine = ownByEngine.get(run.engine());
@@ -156,6 +186,7 @@
 
   /** Adds a run of a peer, or replaces what was known of it. */
   void put(PeerRun run, long nowNanos) {
+    changes++;
     removeExpired(nowNanos);
     PeerRun previous = peerRuns.remove(run.id());
     if (previous != null) {
@@ -177,6 +208,7 @@
   }
 
   void removePeerRun(long id) {
+    changes++;
     PeerRun removed = peerRuns.remove(id);
     if (removed != null) {
       count(removed.request().head(), -1);
@@ -189,6 +221,7 @@
       PeerRun run = runs.next();
       if (nowNanos - run.expiresNanos() > 0) {
         runs.remove();
+        changes++;
         count(run.request().head(), -1);
       }
     }
@@ -234,18 +267,69 @@
     }
   }
 
+  // Runs in progress that rows of the store have.
+
+  /**
+   * Replaces the runs in progress, and the claims, that the row of a node has. What notices of
+   * these runs tell is not changed.
+   */
+  void putStored(String node, List<PeerRun> runs, long nowNanos) {
+    Set<Long> before = storedByNode.getOrDefault(node, Set.of());
+    Set<Long> ids = new HashSet<>();
+    for (PeerRun run : runs) {
+      if (before.contains(run.id()) || !peerRuns.containsKey(run.id())) {
+        put(run, nowNanos);
+        ids.add(run.id());
+      }
+    }
+    before.stream().filter(id -> !ids.contains(id)).forEach(this::removePeerRun);
+    if (ids.isEmpty()) {
+      storedByNode.remove(node);
+    } else {
+      storedByNode.put(node, ids);
+    }
+  }
+
+  /** Records that there was a notice of a run, which tells more than the row of its node. */
+  void noticed(long id) {
+    if (!storedByNode.isEmpty()) {
+      storedByNode.values().forEach(ids -> ids.remove(id));
+    }
+  }
+
+  /** Forgets the runs in progress of nodes that have no row any more. */
+  void retainStored(Set<String> nodes) {
+    for (String node : List.copyOf(storedByNode.keySet())) {
+      if (!nodes.contains(node)) {
+        storedByNode.remove(node).forEach(this::removePeerRun);
+      }
+    }
+  }
+
+  /** Returns whether a run is known from a row of the store. */
+  boolean isStored(long id) {
+    return storedByNode.values().stream().anyMatch(ids -> ids.contains(id));
+  }
+
   // Requests that completed.
 
   /**
-   * Removes the unresolved runs of a request, and those of peers.
+   * Removes the unresolved runs of a request, and those of peers, that began before it completed.
    *
+   * @param completedNanos when it completed, by the event loop's clock
    * @return whether there were any that are not just in progress
    */
-  boolean clear(RequestFingerprint request) {
-    List<TrackedRun> own = unresolved.stream().filter(run -> run.isOf(request)).toList();
+  boolean clear(RequestFingerprint request, long completedNanos) {
+    List<TrackedRun> own =
+        unresolved.stream()
+            .filter(run -> run.isOf(request) && run.startedNanos() - completedNanos <= 0)
+            .toList();
     own.forEach(this::remove);
     List<PeerRun> ofPeers =
-        peerRuns.values().stream().filter(run -> run.request().equals(request)).toList();
+        peerRuns.values().stream()
+            .filter(run -> run.request().equals(request))
+            .filter(run -> run.startedNanos() - completedNanos <= 0)
+            .toList();
     ofPeers.forEach(run -> removePeerRun(run.id()));
     return !own.isEmpty() || ofPeers.stream().anyMatch(run -> run.phase() != RunPhase.OPEN);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -39,6 +39,9 @@
   /** The same after a lost connection, since the engine may have ended. */
   private static final long LOST_PROOF_MILLIS = 250;
 
+  /** A claim that depends on what other nodes decide is withdrawn after this time. */
+  private static final long MAX_UNDECIDED_NANOS = 800_000_000L;
+
   /** The longest time from a deadline until a run is resolved, in milliseconds. */
   static final long MAX_PROOF_MILLIS = AFTER_DEADLINE_NANOS / 1_000_000 + PROOF_MILLIS;
 
@@ -70,6 +73,17 @@
 
     /** Called when a run that may be kept in the store counts no longer. */
     void runResolved();
+
+    /** Called when a claim, or a run in progress of which peers were notified, has changed. */
+    void guardedRunChanged();
+
+    /**
+     * Called when what is known of the end of a run should be known to all nodes before its caller
+     * returns.
+     *
+     * @param done is called exactly once, when it is or after a short time limit
+     */
+    void awaitSharing(Runnable done);
   }
 
   private final EngineEndHistory history;
@@ -80,6 +94,7 @@
   private final EngineProver prover;
   private final RunNotifier notifier;
   private final RegisteredRuns registered;
+  private final SharedEvidence shared;
   private final EngineDirectory engines;
   private final EventLoop eventLoop;
   private final RunLog log;
@@ -93,6 +108,7 @@
    *
    * @param nodeName distinguishes the runs of nodes that started at the same time
    * @param evidence returns what the ends of engines alone say of a request
+   * @param shared the evidence of nodes whose notices may not arrive
    */
   RunTracker(
       String nodeName,
@@ -103,6 +119,7 @@
       EngineEndDetector detector,
       EngineLivenessCheck livenessCheck,
       RunNotifier notifier,
+      SharedEvidence shared,
       PeerDirectory peers,
       EngineDirectory engines,
       EventLoop eventLoop,
@@ -115,6 +132,7 @@
     this.detector = detector;
     this.prover = new EngineProver(livenessCheck, eventLoop, new ProofListener());
     this.notifier = notifier;
+    this.shared = shared;
     PeerResponsiveness responsiveness = new PeerResponsiveness(peers, eventLoop);
     this.registered =
         new RegisteredRuns(
@@ -146,6 +164,8 @@
   private final class Run implements EngineRun {
     private TrackedRun run;
     private ClaimWait claimWait;
+    private SharedEvidence.Wait evidenceWait;
+    private SharedEvidence.Wait claimConfirmation;
 
     Run(TrackedRun run) {
       this.run = run;
@@ -163,35 +183,68 @@
       if (claimWait != null) {
         return decideClaim(found, now);
       }
+      if (evidenceWait == null) {
+        evidenceWait = shared.awaitEvidence();
+      }
+      if (!evidenceWait.over()) {
+        return Verdict.UNDECIDED;
+      }
       if (exposure.exhausted(request, now)) {
         return Verdict.HELD;
       }
-      return exposure.guarded(request, now) ? beginClaim(now) : found;
+      if (!exposure.guarded(request, now)) {
+        return found;
+      }
+      return evidenceWait.failed() ? Verdict.HELD : beginClaim(now);
     }
 
     private Verdict beginClaim(long now) {
       claimWait = new ClaimWait(now);
       ledger.addClaim(run);
       notifier.send(run);
+      claimConfirmation = shared.confirmClaim();
       registered.onOwnRun(run.request());
       return Verdict.UNDECIDED;
     }
 
     private Verdict decideClaim(Verdict found, long now) {
       ClaimWait.State state = claimWait.look(now);
-      if (state == ClaimWait.State.FAILED || exposure.exhausted(run, now)) {
+      boolean failed = state == ClaimWait.State.FAILED || claimConfirmation.failed();
+      boolean exhausted = exposure.exhausted(run, now);
+      if (exhausted && !failed && shared.expectsNotices()) {
+        return awaitOthers(now);
+      }
+      if (failed || exhausted) {
         withdraw();
         return Verdict.HELD;
       }
-      return state == ClaimWait.State.OVER ? found : Verdict.UNDECIDED;
+      if (state != ClaimWait.State.OVER || !claimConfirmation.over()) {
+        return Verdict.UNDECIDED;
+      }
+      if (exposure.contested(run, now)) {
+        claimConfirmation = shared.confirmClaim();
+        return awaitOthers(now);
+      }
+      return found;
+    }
+
+    /** Notices, or the rows of nodes that send or withdraw their claims, are expected soon. */
+    private Verdict awaitOthers(long now) {
+      if (now - run.startedNanos() < MAX_UNDECIDED_NANOS) {
+        return Verdict.UNDECIDED;
+      }
+      withdraw();
+      return Verdict.HELD;
     }
 
     @Override
     public void withdraw() {
+      evidenceWait = null;
       if (claimWait != null) {
         claimWait = null;
         ledger.remove(run);
         notifier.send(run);
+        listener.guardedRunChanged();
         run = new TrackedRun(newId(), run.request(), eventLoop.nanoTime());
       }
     }
@@ -203,6 +256,7 @@
       if (claimWait != null) {
         claimWait = null;
         notifier.send(run);
+        listener.guardedRunChanged();
       } else {
         registered.register(run);
         registered.onOwnRun(run.request());
@@ -226,6 +280,7 @@
       }
       if (run.announced()) {
         notifier.send(run);
+        listener.guardedRunChanged();
       }
       if (run.registered()) {
         registered.close(run, phase);
@@ -254,7 +309,11 @@
       } else {
         onConnectionLost(run, lostNanos);
       }
-      decided.run();
+      if (liveness == EngineLiveness.RUNNING) {
+        decided.run();
+      } else {
+        listener.awaitSharing(decided);
+      }
     }
   }
 
@@ -560,6 +619,7 @@
     if (notice.phase() == RunPhase.COMPLETED) {
       registered.onCompleted(notice.runId());
     }
+    ledger.noticed(notice.runId());
     boolean guarded =
         notice.phase() == RunPhase.OPEN && exposure.guarded(notice.request(), eventLoop.nanoTime());
     PeerRun run = onNotice(notice, eventLoop.nanoTime());
@@ -575,33 +635,54 @@
    * @return the run, or null if the notice is ignored
    */
   PeerRun onNotice(PeerMessage.EngineRunNotice notice, long writtenNanos) {
-    long now = eventLoop.nanoTime();
-    long startedNanos = writtenNanos - notice.ageMillis() * NANOS_PER_MILLI;
-    long provableNanos = writtenNanos + notice.remainingMillis() * NANOS_PER_MILLI;
-    boolean unresolved = notice.phase().unresolved();
-    PeerRun run =
-        new PeerRun(
-            notice.runId(),
-            notice.request(),
-            notice.engine(),
-            notice.phase(),
-            startedNanos,
-            provableNanos,
-            unresolved ? provableNanos + RequestExposure.HOLD_NANOS : provableNanos);
-    if (isOfThisIncarnation(notice.runId())
-        || history.completedAfter(notice.request(), startedNanos)) {
+    PeerRun run = peerRun(notice, writtenNanos);
+    if (isIgnored(run)) {
       return null;
     }
-    ledger.put(run, now);
-    if (unresolved) {
-      listener.exposureGrew(notice.request());
+    ledger.put(run, eventLoop.nanoTime());
+    if (run.phase().unresolved()) {
+      listener.exposureGrew(run.request());
     }
     return run;
   }
 
-  /** Notifies a peer that has started of the runs that were announced before. */
+  /** Handles the runs in progress and the claims in the row of another node, after the start. */
+  void onRow(String node, List<PeerMessage.EngineRunNotice> inProgress, long writtenNanos) {
+    List<PeerRun> peerRuns =
+        inProgress.stream()
+            .map(notice -> peerRun(notice, writtenNanos))
+            .filter(run -> !isIgnored(run))
+            .toList();
+    ledger.putStored(node, peerRuns, eventLoop.nanoTime());
+  }
+
+  private boolean isIgnored(PeerRun run) {
+    return isOfThisIncarnation(run.id())
+        || history.completedAfter(run.request(), run.startedNanos());
+  }
+
+  private static PeerRun peerRun(PeerMessage.EngineRunNotice notice, long writtenNanos) {
+    long startedNanos = writtenNanos - notice.ageMillis() * NANOS_PER_MILLI;
+    long provableNanos = writtenNanos + notice.remainingMillis() * NANOS_PER_MILLI;
+    boolean unresolved = notice.phase().unresolved();
+    return new PeerRun(
+        notice.runId(),
+        notice.request(),
+        notice.engine(),
+        notice.phase(),
+        startedNanos,
+        provableNanos,
+        unresolved ? provableNanos + RequestExposure.HOLD_NANOS : provableNanos);
+  }
+
+  /** Handles that a peer has started: it is notified of the runs that were announced before. */
   void onPeerStarted(PeerAddress peer) {
     registered.onPeerStarted(peer);
+    sendRunsTo(peer);
+  }
+
+  /** Notifies a peer of the runs that it may not know: those announced, and those of others. */
+  void sendRunsTo(PeerAddress peer) {
     ledger.announced().forEach(run -> notifier.sendTo(peer, run));
     long now = eventLoop.nanoTime();
     ledger.peerRuns(now).stream()
@@ -623,8 +704,9 @@
    * which are kept in the store.
    *
    * @param inProgress whether the runs in progress are kept as well
+   * @param guarded whether the claims and the runs in progress of guarded requests are kept
    */
-  List<PeerMessage.EngineRunNotice> noticesToKeep(boolean inProgress) {
+  List<PeerMessage.EngineRunNotice> noticesToKeep(boolean inProgress, boolean guarded) {
     List<TrackedRun> unresolved = ledger.unresolved();
     List<PeerMessage.EngineRunNotice> notices = new ArrayList<>();
     for (PeerRun run : ledger.peerRuns(eventLoop.nanoTime())) {
@@ -632,8 +714,13 @@
         notices.add(notifier.notice(run));
       }
     }
-    if (inProgress) {
-      ledger.inProgress().forEach(run -> notices.add(notifier.notice(run)));
+    for (TrackedRun run : ledger.inProgress()) {
+      if (inProgress || guarded && run.announced()) {
+        notices.add(notifier.notice(run));
+      }
+    }
+    if (guarded) {
+      ledger.claims().forEach(run -> notices.add(notifier.notice(run)));
     }
     unresolved.forEach(run -> notices.add(notifier.notice(run)));
     return notices.subList(Math.max(0, notices.size() - MAX_KEPT), notices.size());
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Withdrawals.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/Withdrawals.java
@@ -1,6 +1,8 @@
 package org.baykeel.gateway.quarantine;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -19,10 +21,25 @@
         }
       };
 
-  /** Records that all evidence so far is withdrawn. */
-  void record(K subject, long nowNanos) {
-    withdrawnNanos.remove(subject);
-    withdrawnNanos.put(subject, nowNanos);
+  /** A withdrawal of all evidence of times up to one. */
+  record Withdrawal<K>(K subject, long nanos) {}
+
+  /** Records that all evidence of times up to the given one is withdrawn. */
+  void record(K subject, long nanos) {
+    Long before = withdrawnNanos.remove(subject);
+    withdrawnNanos.put(subject, before == null || nanos - before > 0 ? nanos : before);
+  }
+
+  /** Returns the latest withdrawals after a time, up to a number. */
+  List<Withdrawal<K>> latest(int count, long afterNanos) {
+    List<Withdrawal<K>> latest = new ArrayList<>();
+    withdrawnNanos.forEach(
+        (subject, nanos) -> {
+          if (nanos - afterNanos > 0) {
+            latest.add(new Withdrawal<>(subject, nanos));
+          }
+        });
+    return latest.subList(Math.max(0, latest.size() - count), latest.size());
   }
 
   /** Returns whether evidence of a time was withdrawn later. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -61,6 +61,9 @@
   RESPONSE_DISCARDED(378),
   RUN_ORPHANED(379),
   EARLIER_LOSS(380),
+  PEERS_UNREACHABLE(381),
+  PEERS_REACHABLE(382),
+  EVIDENCE_SENT(383),
   FAULT(399);
 
   private final int number;
