A request under which three engines are known to have ended is not sent again while they are evidence

Callers that came back for a quarter of an hour saw a fourth engine end a minute after the third, and six in all, with all nodes in touch: a minute after three ends a request got one send more, and all was forgotten after ten minutes. The send after a minute remains only where one of the engines is not known to have ended, since an engine that hangs may never be proved to have ceased a run. Ends are evidence for 30 minutes instead of ten. The price: an innocent request under which three engines ended for other reasons, and that completes nowhere meanwhile, is held for up to 30 minutes instead of one.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EarlierLoss.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EarlierLoss.java
@@ -19,6 +19,9 @@
   /** For so long after a loss all nodes may be lost again, together with what their peers know. */
   private static final long REPEATED_NANOS = 60_000_000_000L;
 
+  /** For so long an engine counts that may have ended unseen. */
+  private static final long UNSEEN_NANOS = 600_000_000_000L;
+
   /** Peers that run reply within this time. */
   private static final long REPLY_MILLIS = 600;
 
@@ -90,6 +93,6 @@
 
   /** Returns the number of engines that may have ended unseen under a request. */
   int unseenEnds() {
-    return assumed && eventLoop.nanoTime() - startedNanos < EngineEndHistory.LIFETIME_NANOS ? 1 : 0;
+    return assumed && eventLoop.nanoTime() - startedNanos < UNSEEN_NANOS ? 1 : 0;
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndHistory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndHistory.java
@@ -18,8 +18,8 @@
  * reports are repeated and may arrive late.
  */
 final class EngineEndHistory {
-  /** How long an end is evidence against the requests that the engine was running: 10 minutes. */
-  static final long LIFETIME_NANOS = 600_000_000_000L;
+  /** How long an end is evidence against the requests that the engine was running: 30 minutes. */
+  static final long LIFETIME_NANOS = 1_800_000_000_000L;
 
   private static final int MAX_ENDS = 512;
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -15,17 +15,18 @@
  * the claims to send it.
  *
  * <p>Invariant: a request is sent only while fewer engines than {@link #MAX_ENGINES} count, so that
- * no more of them end under it, whenever they do. Ends count as long as they are evidence. A
- * request that may be innocent gets one send more, and no other beside it, once it has been held
- * for {@link #HOLD_NANOS}: a completed run clears it, a further end counts like the others.
+ * no more of them end under it, whenever they do. Ends count as long as they are evidence, whatever
+ * else may explain them. A request that is held although not all of these engines are known to have
+ * ended gets one send more, and no other beside it, after {@link #HOLD_NANOS}: an engine that does
+ * not respond may never be proved to have ceased a run.
  */
 final class RequestExposure {
   /** The number of engines that may end under a request. */
   static final int MAX_ENGINES = 3;
 
   /**
-   * How long a request is held after the last of three engines began to count: longer than callers
-   * repeat a request within its deadline.
+   * How long a request is held after the last of three engines began to count, of which not all are
+   * known to have ended: longer than callers repeat a request within its deadline.
    */
   static final long HOLD_NANOS = 60_000_000_000L;
 
@@ -60,6 +61,7 @@
     private final Set<EngineIncarnation> engines = new HashSet<>();
     private final List<Long> expiries = new ArrayList<>();
     private int exposed;
+    private int ended;
     private long lastExposedNanos;
     private int claims;
     private int storedClaims;
@@ -95,8 +97,13 @@
       expiries.add(expiresNanos);
     }
 
+    /** Whether the request gets a further send once it was held long enough. */
+    private boolean holdEnds() {
+      return exposed == maxEngines && ended < maxEngines;
+    }
+
     private boolean exhausted(long nowNanos) {
-      boolean heldLongEnough = exposed == maxEngines && nowNanos - lastExposedNanos >= HOLD_NANOS;
+      boolean heldLongEnough = holdEnds() && nowNanos - lastExposedNanos >= HOLD_NANOS;
       return engines.size() + claims >= (heldLongEnough ? maxEngines + 1 : maxEngines);
     }
 
@@ -108,7 +115,7 @@
       }
       long expiryNanos = expiries.get(remaining);
       long holdEndNanos = lastExposedNanos + HOLD_NANOS;
-      return exposed == maxEngines ? Math.min(expiryNanos, holdEndNanos) : expiryNanos;
+      return holdEnds() ? Math.min(expiryNanos, holdEndNanos) : expiryNanos;
     }
   }
 
@@ -157,11 +164,11 @@
         count.addExposed(end.engine(), end.endedNanos(), expiresNanos);
       }
     }
-    boolean ended = count.exposed > 0;
+    count.ended = count.exposed;
     List<TrackedRun> own = ledger.of(request);
     List<PeerRun> ofPeers = ledger.peerRunsOf(request, nowNanos);
     addUnresolved(count, own, ofPeers, nowNanos);
-    count.guarded = ended || count.orphaned || count.exposed >= GUARDED_UNRESOLVED;
+    count.guarded = count.ended > 0 || count.orphaned || count.exposed >= GUARDED_UNRESOLVED;
     if (count.guarded) {
       addInProgress(count, own, ofPeers, claim, nowNanos);
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRequestQuarantine.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRequestQuarantine.java
@@ -26,7 +26,7 @@
 class TestRequestQuarantine {
   private static final int NODES = 5;
   private static final int ENGINES = 10;
-  private static final long LIFETIME_MILLIS = 600_000;
+  private static final long LIFETIME_MILLIS = 1_800_000;
   private static final long PROBE_AND_REPLY_BYTES = 48;
   static final RequestFingerprint FATAL = new RequestFingerprint(0x1111_2222_3333_4444L);
   private static final RequestFingerprint OTHER = new RequestFingerprint(0x5555_6666_7777_8888L);
@@ -248,9 +248,12 @@
     eventLoop.advance(500);
     assertEquals(Verdict.HELD, node(0).quarantine().verdict(OTHER));
     assertEquals(Set.of(Verdict.HELD), verdicts());
-    eventLoop.advance(60_000);
-    assertEquals(Verdict.SUSPECT, node(0).quarantine().verdict(OTHER));
-    assertEquals(Set.of(Verdict.SUSPECT), verdicts());
+    eventLoop.advance(LIFETIME_MILLIS - 2_000);
+    assertEquals(Verdict.HELD, node(0).quarantine().verdict(OTHER));
+    assertEquals(Set.of(Verdict.HELD), verdicts());
+    eventLoop.advance(2_000);
+    assertEquals(Verdict.CLEAR, node(0).quarantine().verdict(OTHER));
+    assertEquals(Set.of(Verdict.CLEAR), verdicts());
   }
 
   @Test
