Runs are registered again when a registrar may be lost

A run was registered with peers that were heard within ten seconds, so with nodes that had just been killed, and it stayed known to nobody if its registrars were lost while it ran. Registrars are now chosen among the peers that reply to probes, and the runs in progress are registered again when a peer no longer replies or has started.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageCodec.java
@@ -235,15 +235,7 @@
         yield Optional.of(
             new PeerMessage.HolderQuery(decoder.queryId(), new ProgramId(decoder.program())));
       }
-      case HolderReplyDecoder.TEMPLATE_ID -> {
-        HolderReplyDecoder decoder = new HolderReplyDecoder();
-        decoder.wrapAndApplyHeader(received, 0, header);
-        long queryId = decoder.queryId();
-        String holder = decoder.holder();
-        Optional<PeerAddress> address =
-            holder.isEmpty() ? Optional.empty() : Optional.of(PeerAddress.parse(holder));
-        yield Optional.of(new PeerMessage.HolderReply(queryId, address));
-      }
+      case HolderReplyDecoder.TEMPLATE_ID -> Optional.of(decodeHolderReply(received, header));
       case LimitTokenRequestDecoder.TEMPLATE_ID -> {
         LimitTokenRequestDecoder decoder = new LimitTokenRequestDecoder();
         decoder.wrapAndApplyHeader(received, 0, header);
@@ -274,4 +266,13 @@
       default -> Optional.empty();
     };
   }
+
+  private static PeerMessage decodeHolderReply(UnsafeBuffer received, MessageHeaderDecoder header) {
+    HolderReplyDecoder decoder = new HolderReplyDecoder();
+    decoder.wrapAndApplyHeader(received, 0, header);
+    long queryId = decoder.queryId();
+    String holder = decoder.holder();
+    return new PeerMessage.HolderReply(
+        queryId, holder.isEmpty() ? Optional.empty() : Optional.of(PeerAddress.parse(holder)));
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerReachability.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerReachability.java
@@ -88,6 +88,9 @@
 
   /** Receives changes of the reachability of peers. */
   interface Listener {
+    /** Called when a peer that replied does so no more. */
+    void peerLost(PeerAddress peer);
+
     /** Called when this node is not in touch any more. */
     void lostTouch();
 
@@ -111,6 +114,7 @@
     private final PeerAddress peer;
     private boolean answered;
     private boolean everReplied;
+    private boolean everAnswered;
     private boolean absent;
     private int missed;
     private long probeId;
@@ -153,6 +157,7 @@
       } else if (missed >= MAX_MISSED && answered) {
         answered = false;
         silentSinceNanos = sentNanos;
+        listener.peerLost(peer);
       }
       update();
     }
@@ -162,6 +167,7 @@
       boolean returned = !answered;
       awaitsReply = false;
       answered = true;
+      everAnswered = true;
       absent = false;
       missed = 0;
       provenNanos = sentNanos;
@@ -359,6 +365,12 @@
     return !inTouch() || !unreachable().isEmpty();
   }
 
+  /** Returns whether a peer is probed and does not reply. */
+  boolean isUnreachable(PeerAddress peer) {
+    Contact contact = contacts.get(peer);
+    return contact != null && contact.everAnswered && !contact.answered;
+  }
+
   /** Returns the probed peers that do not reply, but for those that do not run. */
   List<PeerAddress> unreachable() {
     return contacts.values().stream()
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerRun.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.quarantine;
 
 import org.baykeel.gateway.directory.EngineIncarnation;
+import org.baykeel.gateway.peer.PeerMessage;
 import org.baykeel.gateway.peer.RunPhase;
 import org.baykeel.gateway.program.RequestFingerprint;
 
@@ -23,6 +24,26 @@
     long provableNanos,
     long expiresNanos) {
 
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /**
+   * Returns the run that a notice tells of.
+   *
+   * @param writtenNanos when the notice was written, by the event loop's clock
+   */
+  static PeerRun of(PeerMessage.EngineRunNotice notice, long writtenNanos) {
+    long provableNanos = writtenNanos + notice.remainingMillis() * NANOS_PER_MILLI;
+    long extraNanos = notice.phase().unresolved() ? RequestExposure.HOLD_NANOS : 0;
+    return new PeerRun(
+        notice.runId(),
+        notice.request(),
+        notice.engine(),
+        notice.phase(),
+        writtenNanos - notice.ageMillis() * NANOS_PER_MILLI,
+        provableNanos,
+        provableNanos + extraNanos);
+  }
+
   PeerRun expiringAt(long nanos) {
     return new PeerRun(id, request, engine, phase, startedNanos, provableNanos, nanos);
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RegisteredRuns.java
@@ -181,6 +181,18 @@
     }
   }
 
+  /**
+   * Registers the runs in progress of this node once more, since a peer that may be one of their
+   * registrars is lost or has started again.
+   */
+  void registerAgain() {
+    for (TrackedRun run : ledger.inProgress()) {
+      if (run.registered()) {
+        register(run);
+      }
+    }
+  }
+
   /**
    * Tells the registrars of a run that it is closed.
    *
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -247,6 +247,11 @@
 
   /** Adopts whether this node reaches its peers. */
   private final class ReachabilityListener implements PeerReachability.Listener {
+    @Override
+    public void peerLost(PeerAddress peer) {
+      runs.onPeerLost();
+    }
+
     @Override
     public void lostTouch() {
       log.write(
@@ -481,7 +486,7 @@
     if (guarded) {
       runs.announceOpen(request);
     }
-    if (!runs.hasUnresolved(request)) {
+    if (!ledger.hasUnresolved(request)) {
       return;
     }
     if (reachability.missesNotices()) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
@@ -166,6 +166,11 @@
     return List.copyOf(unresolved);
   }
 
+  /** Returns whether a run of a request is unresolved at this node. */
+  boolean hasUnresolved(RequestFingerprint request) {
+    return unresolved.stream().anyMatch(run -> run.isOf(request));
+  }
+
   /** Returns the runs whose responses are awaited. */
   List<TrackedRun> inProgress() {
     List<TrackedRun> inProgress = new ArrayList<>();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunRegistrars.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunRegistrars.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Predicate;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerDirectory;
 import org.baykeel.gateway.program.RequestFingerprint;
@@ -21,10 +22,22 @@
 
   private final PeerDirectory peers;
   private final PeerResponsiveness responsiveness;
+  private final Predicate<PeerAddress> unreachable;
 
-  RunRegistrars(PeerDirectory peers, PeerResponsiveness responsiveness) {
+  /**
+   * Creates a selection.
+   *
+   * @param unreachable whether a peer is known not to be reached
+   */
+  RunRegistrars(
+      PeerDirectory peers, PeerResponsiveness responsiveness, Predicate<PeerAddress> unreachable) {
     this.peers = peers;
     this.responsiveness = responsiveness;
+    this.unreachable = unreachable;
+  }
+
+  private boolean isCandidate(PeerAddress peer) {
+    return responsiveness.isResponsive(peer) && !unreachable.test(peer);
   }
 
   /** Returns the address of this node. */
@@ -63,7 +76,7 @@
       boolean leftOut =
           peer.equals(other)
               || !otherZone.isEmpty() && peers.zoneOf(peer).equals(otherZone)
-              || !responsiveness.isResponsive(peer);
+              || !isCandidate(peer);
       int rank = leftOut ? 0 : rank(peer, request);
       if (!leftOut && (highest == null || rank > highestRank)) {
         highest = peer;
@@ -78,7 +91,7 @@
     int own = rank(peers.ownAddress(), request);
     int rank = 0;
     for (PeerAddress peer : nearPeers()) {
-      if (!peer.equals(holder) && responsiveness.isResponsive(peer) && rank(peer, request) > own) {
+      if (!peer.equals(holder) && isCandidate(peer) && rank(peer, request) > own) {
         rank++;
       }
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunTracker.java
@@ -10,11 +10,9 @@
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerDirectory;
 import org.baykeel.gateway.peer.PeerMessage;
-import org.baykeel.gateway.peer.QueryIds;
 import org.baykeel.gateway.peer.RunPhase;
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.runtime.EventLoop;
-import org.baykeel.gateway.scheduling.StableHash;
 import org.baykeel.gateway.telemetry.GatewayLog;
 
 /**
@@ -51,8 +49,6 @@
   /** The most runs that are kept in the store. */
   private static final int MAX_KEPT = 128;
 
-  private static final int NODE_BITS = 16;
-  private static final int NODE_MASK = (1 << NODE_BITS) - 1;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** Receives what happens to engines with unresolved runs. */
@@ -99,9 +95,7 @@
   private final EventLoop eventLoop;
   private final RunLog log;
   private final Listener listener;
-  private final QueryIds runIds;
-  private final int nodeBits;
-  private final long firstId;
+  private final RunIds runIds;
 
   /**
    * Creates a tracker without runs.
@@ -137,7 +131,7 @@
     this.registered =
         new RegisteredRuns(
             ledger,
-            new RunRegistrars(peers, responsiveness),
+            new RunRegistrars(peers, responsiveness, shared::isUnreachable),
             responsiveness,
             notifier,
             eventLoop,
@@ -146,18 +140,12 @@
     this.eventLoop = eventLoop;
     this.log = new RunLog(eventLoop, log);
     this.listener = listener;
-    this.runIds = new QueryIds(eventLoop);
-    this.nodeBits = StableHash.of(nodeName) & NODE_MASK;
-    this.firstId = newId();
-  }
-
-  private long newId() {
-    return runIds.next() << NODE_BITS | nodeBits;
+    this.runIds = new RunIds(nodeName, eventLoop);
   }
 
   /** Creates a run of a request, which is not sent yet. */
   EngineRun newRun(RequestFingerprint.Builder work) {
-    return new Run(new TrackedRun(newId(), work, eventLoop.nanoTime()));
+    return new Run(new TrackedRun(runIds.next(), work, eventLoop.nanoTime()));
   }
 
   /** A run as its attempt sees it. */
@@ -245,7 +233,7 @@
         ledger.remove(run);
         notifier.send(run);
         listener.guardedRunChanged();
-        run = new TrackedRun(newId(), run.request(), eventLoop.nanoTime());
+        run = new TrackedRun(runIds.next(), run.request(), eventLoop.nanoTime());
       }
     }
 
@@ -578,9 +566,9 @@
     PeerRun ofPeer = ledger.findPeerRun(query.runId(), eventLoop.nanoTime());
     if (own != null) {
       notifier.register(sender, own);
-    } else if (isOfThisIncarnation(query.runId())) {
+    } else if (runIds.isOfThisIncarnation(query.runId())) {
       notifier.sendPhase(sender, query.runId(), RunPhase.CLOSED);
-    } else if (ofPeer != null && !isOfThisNode(query.runId())) {
+    } else if (ofPeer != null && !runIds.isOfThisNode(query.runId())) {
       notifier.reply(sender, ofPeer);
     } else {
       notifier.sendPhase(sender, query.runId(), RunPhase.ORPHANED);
@@ -598,11 +586,6 @@
     }
   }
 
-  /** Returns whether a run of a request is unresolved at this node. */
-  boolean hasUnresolved(RequestFingerprint request) {
-    return ledger.unresolved().stream().anyMatch(run -> run.isOf(request));
-  }
-
   /** Handles a notice of a peer. */
   void onNotice(PeerAddress sender, PeerMessage.EngineRunNotice notice) {
     TrackedRun followed = ledger.find(notice.runId());
@@ -635,7 +618,7 @@
    * @return the run, or null if the notice is ignored
    */
   PeerRun onNotice(PeerMessage.EngineRunNotice notice, long writtenNanos) {
-    PeerRun run = peerRun(notice, writtenNanos);
+    PeerRun run = PeerRun.of(notice, writtenNanos);
     if (isIgnored(run)) {
       return null;
     }
@@ -650,37 +633,29 @@
   void onRow(String node, List<PeerMessage.EngineRunNotice> inProgress, long writtenNanos) {
     List<PeerRun> peerRuns =
         inProgress.stream()
-            .map(notice -> peerRun(notice, writtenNanos))
+            .map(notice -> PeerRun.of(notice, writtenNanos))
             .filter(run -> !isIgnored(run))
             .toList();
     ledger.putStored(node, peerRuns, eventLoop.nanoTime());
   }
 
   private boolean isIgnored(PeerRun run) {
-    return isOfThisIncarnation(run.id())
+    return runIds.isOfThisIncarnation(run.id())
         || history.completedAfter(run.request(), run.startedNanos());
   }
 
-  private static PeerRun peerRun(PeerMessage.EngineRunNotice notice, long writtenNanos) {
-    long startedNanos = writtenNanos - notice.ageMillis() * NANOS_PER_MILLI;
-    long provableNanos = writtenNanos + notice.remainingMillis() * NANOS_PER_MILLI;
-    boolean unresolved = notice.phase().unresolved();
-    return new PeerRun(
-        notice.runId(),
-        notice.request(),
-        notice.engine(),
-        notice.phase(),
-        startedNanos,
-        provableNanos,
-        unresolved ? provableNanos + RequestExposure.HOLD_NANOS : provableNanos);
-  }
-
   /** Handles that a peer has started: it is notified of the runs that were announced before. */
   void onPeerStarted(PeerAddress peer) {
     registered.onPeerStarted(peer);
+    registered.registerAgain();
     sendRunsTo(peer);
   }
 
+  /** Handles that a peer is not reached any more. */
+  void onPeerLost() {
+    registered.registerAgain();
+  }
+
   /** Notifies a peer of the runs that it may not know: those announced, and those of others. */
   void sendRunsTo(PeerAddress peer) {
     ledger.announced().forEach(run -> notifier.sendTo(peer, run));
@@ -691,14 +666,6 @@
         .forEach(run -> notifier.sendTo(peer, run));
   }
 
-  private boolean isOfThisIncarnation(long runId) {
-    return isOfThisNode(runId) && runId - firstId >= 0;
-  }
-
-  private boolean isOfThisNode(long runId) {
-    return (runId & NODE_MASK) == nodeBits;
-  }
-
   /**
    * Returns notices of the latest unresolved runs of this node and of its earlier incarnations,
    * which are kept in the store.
@@ -710,7 +677,7 @@
     List<TrackedRun> unresolved = ledger.unresolved();
     List<PeerMessage.EngineRunNotice> notices = new ArrayList<>();
     for (PeerRun run : ledger.peerRuns(eventLoop.nanoTime())) {
-      if (isOfThisNode(run.id()) && run.phase().unresolved()) {
+      if (runIds.isOfThisNode(run.id()) && run.phase().unresolved()) {
         notices.add(notifier.notice(run));
       }
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/SharedEvidence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/SharedEvidence.java
@@ -1,5 +1,7 @@
 package org.baykeel.gateway.quarantine;
 
+import org.baykeel.gateway.peer.PeerAddress;
+
 /**
  * What other nodes know, if their notices may not arrive: it is read from the store before a
  * request is sent.
@@ -29,6 +31,9 @@
     boolean failed();
   }
 
+  /** Returns whether a peer is known not to be reached. */
+  boolean isUnreachable(PeerAddress peer);
+
   /** Awaits the evidence of all nodes as of now, if this node may have missed some. */
   Wait awaitEvidence();
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/StoredEvidence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/StoredEvidence.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.quarantine;
 
+import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.runtime.EventLoop;
 
 /**
@@ -47,6 +48,11 @@
     this.eventLoop = eventLoop;
   }
 
+  @Override
+  public boolean isUnreachable(PeerAddress peer) {
+    return reachability.isUnreachable(peer);
+  }
+
   @Override
   public Wait awaitEvidence() {
     return reachability.inTouch() ? Wait.NONE : new RoundWait(table.read(), true);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfLostNodes.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfLostNodes.java
@@ -49,6 +49,8 @@
   private int ended;
   private int minPauseMillis = MIN_PAUSE_MILLIS;
   private int minEndMillis = MIN_END_MILLIS;
+  private double lostDatagrams;
+  private int lostBeside;
 
   private static RequestFingerprint.Builder work() {
     return work("a");
@@ -96,10 +98,25 @@
           endMillis, () -> other.process().run(() -> other.loseConnection(engine, neighbour)));
     }
     eventLoop.schedule(lossMillis, () -> lose(number, node, loss));
+    loseOthers(number, lossMillis, loss);
     eventLoop.advance(Math.max(lossMillis, endMillis));
     return true;
   }
 
+  /** Loses further nodes, as when they are in one rack. */
+  private void loseOthers(int number, int lossMillis, Loss loss) {
+    int nodes = cluster.nodes().size();
+    int first = random.nextInt(nodes);
+    for (int i = 0, lost = 0; i < nodes && lost < lostBeside; i++) {
+      int other = (first + i) % nodes;
+      QuarantineNodes.Node node = cluster.nodes().get(other);
+      if (other != number && node.process().running()) {
+        lost++;
+        eventLoop.schedule(lossMillis, () -> lose(other, node, loss));
+      }
+    }
+  }
+
   private void lose(int number, QuarantineNodes.Node node, Loss loss) {
     switch (loss) {
       case RESTARTED -> {
@@ -139,6 +156,7 @@
       cluster = new QuarantineNodes(nodes, ENGINES, zones);
       eventLoop = cluster.eventLoop();
       random = new Random(seed);
+      cluster.network().lose(lostDatagrams, random);
       ended = 0;
       for (int i = 0; i < TRIES; i++) {
         send(runningNode(), loss);
@@ -169,6 +187,32 @@
     check(nodes, zones, pauseMillis, loss);
   }
 
+  @Test
+  void noFourthEngineEndsWhenFewDatagramsAreLostToo() {
+    lostDatagrams = 0.05;
+    check(11, 3, 400, Loss.RESTARTED);
+  }
+
+  @ParameterizedTest(name = "{0} datagrams lost")
+  @ValueSource(doubles = {0.2, 0.5})
+  void noFourthEngineEndsWhenManyDatagramsAreLostToo(double share) {
+    lostDatagrams = share;
+    check(11, 3, 400, Loss.RESTARTED);
+  }
+
+  @Test
+  void noFourthEngineEndsWhenOneRegistrarIsLostWithTheEngine() {
+    lostBeside = 1;
+    check(11, 3, 400, Loss.RESTARTED);
+  }
+
+  @ParameterizedTest(name = "{1} further nodes of {0} are lost")
+  @CsvSource({"11, 2", "11, 3", "11, 5", "8, 3", "6, 2"})
+  void noFourthEngineEndsWhenBothRegistrarsMayBeLostWithTheEngine(int nodes, int others) {
+    lostBeside = others;
+    check(nodes, 3, 400, Loss.RESTARTED);
+  }
+
   /** Three nodes may be lost within the time in which a registrar awaits the first reply. */
   @Test
   void noFourthEngineEndsWhenTriesFollowOneAnotherAtOnce() {
