--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
@@ -20,8 +20,19 @@
 
 /** Sends and receives datagrams between nodes over UDP. */
 public final class DatagramPeerTransport implements PeerTransport {
+  private final DatagramFilter filter;
   private volatile Channel channel;
 
+  /** Creates a transport that passes all datagrams. */
+  public DatagramPeerTransport() {
+    this(DatagramFilter.ALL);
+  }
+
+  /** Creates a transport that loses the datagrams that a filter does not pass. */
+  public DatagramPeerTransport(DatagramFilter filter) {
+    this.filter = filter;
+  }
+
   /**
    * Starts to receive; may be called on the event loop. Until the address is bound, {@link #send}
    * drops datagrams.
@@ -34,7 +45,7 @@
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
-            .handler(new Handler(receiver))
+            .handler(new Handler(filter, receiver))
             .bind(new InetSocketAddress(address.host(), address.port()));
     bound.addListener(future -> adopt(bound));
     return bound;
@@ -50,7 +61,7 @@
   @Override
   public void send(PeerAddress receiver, byte[] datagram) {
     Optional<InetAddress> host = IpLiterals.parse(receiver.host());
-    if (channel != null && host.isPresent()) {
+    if (channel != null && host.isPresent() && filter.passesTo(receiver)) {
       channel.writeAndFlush(
           new DatagramPacket(
               Unpooled.wrappedBuffer(datagram),
@@ -60,19 +71,24 @@
 
   /** Passes datagrams to the receiver. */
   private static final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
+    private final DatagramFilter filter;
     private final Receiver receiver;
 
-    Handler(Receiver receiver) {
+    Handler(DatagramFilter filter, Receiver receiver) {
+      this.filter = filter;
       this.receiver = receiver;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      InetSocketAddress socket = packet.sender();
+      PeerAddress sender = new PeerAddress(socket.getAddress().getHostAddress(), socket.getPort());
+      if (!filter.passesFrom(sender)) {
+        return;
+      }
       byte[] datagram = new byte[packet.content().readableBytes()];
       packet.content().readBytes(datagram);
-      InetSocketAddress sender = packet.sender();
-      receiver.receive(
-          new PeerAddress(sender.getAddress().getHostAddress(), sender.getPort()), datagram);
+      receiver.receive(sender, datagram);
     }
 
     @Override
