--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessage.java
@@ -159,7 +159,7 @@
    * Asks for a {@link ReachabilityReply}, so that the sender knows that datagrams pass both ways.
    *
    * @param probeId chosen by the sender; the reply repeats it
-   * @param evidenceDigest equal at nodes that know the same ends and unresolved runs
+   * @param evidenceDigest equal at nodes that know the same ends
    */
   record ReachabilityProbe(long probeId, long evidenceDigest) implements PeerMessage {}
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EvidenceDigest.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EvidenceDigest.java
@@ -4,29 +4,25 @@
 import org.baykeel.gateway.scheduling.StableHash;
 
 /**
- * A digest of the ends and unresolved runs that a node knows: equal at nodes that know the same,
- * whatever the order in which they learnt it.
+ * A digest of the ends that a node knows, with the requests under which they happened: equal at
+ * nodes that know the same, whatever the order in which they learnt it. Unresolved runs are left
+ * out, since each node finds out by itself which of them are over.
  */
 final class EvidenceDigest {
   private static final long END_SEED = 0x9E3779B97F4A7C15L;
-  private static final long RUN_SEED = 0xC2B2AE3D27D4EB4FL;
 
   private final EngineEndHistory history;
-  private final RunLedger ledger;
   private long value;
   private long historyChanges = -1;
-  private long ledgerChanges = -1;
 
-  EvidenceDigest(EngineEndHistory history, RunLedger ledger) {
+  EvidenceDigest(EngineEndHistory history) {
     this.history = history;
-    this.ledger = ledger;
   }
 
   /** Returns the digest; 0 without evidence. */
   long value() {
-    if (historyChanges != history.changes() || ledgerChanges != ledger.changes()) {
+    if (historyChanges != history.changes()) {
       historyChanges = history.changes();
-      ledgerChanges = ledger.changes();
       value = compute();
     }
     return value;
@@ -40,9 +36,6 @@
         digest ^= mix(END_SEED * (engine + 1) ^ request.value());
       }
     }
-    for (long runId : ledger.unresolvedIds()) {
-      digest ^= mix(RUN_SEED ^ runId);
-    }
     return digest;
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EvidenceExchange.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EvidenceExchange.java
@@ -7,9 +7,9 @@
 import org.baykeel.gateway.runtime.EventLoop;
 
 /**
- * Decides when a peer is sent all evidence that this node has: when its digest shows that the peer
- * does not know the same. Notices are sent a few times only, so a peer that was cut off, or lost
- * them all, would not learn of them otherwise.
+ * Decides when a peer is sent all evidence that this node has: when it is reached again, and when
+ * its digest shows that it does not know the same. Notices are sent a few times only, so a peer
+ * that was cut off, or lost them all, would not learn of them otherwise.
  */
 final class EvidenceExchange {
   /** Notices that are on their way arrive within this time. */
@@ -52,16 +52,20 @@
    * @param returned whether the peer could not be reached before
    */
   void compare(PeerAddress peer, long digest, long ownDigest, boolean returned) {
-    if (digest == ownDigest) {
+    if (digest == ownDigest || returned) {
       differences.remove(peer);
-      return;
     }
-    long now = eventLoop.nanoTime();
     if (returned) {
-      differences.remove(peer);
+      // Its digest does not tell whether it knows the unresolved runs.
+      sender.accept(peer);
+      return;
     }
+    if (digest == ownDigest) {
+      return;
+    }
+    long now = eventLoop.nanoTime();
     Difference difference = differences.computeIfAbsent(peer, any -> new Difference(now));
-    boolean onTheWay = !returned && now - difference.sinceNanos < ARRIVAL_NANOS;
+    boolean onTheWay = now - difference.sinceNanos < ARRIVAL_NANOS;
     if (onTheWay || now - difference.notBeforeNanos < 0) {
       return;
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestExposure.java
@@ -15,18 +15,18 @@
  * the claims to send it.
  *
  * <p>Invariant: a request is sent only while fewer engines than {@link #MAX_ENGINES} count, so that
- * no more of them end under it, whenever they do. Ends count as long as they are evidence, whatever
- * else may explain them. A request that is held although not all of these engines are known to have
- * ended gets one send more, and no other beside it, after {@link #HOLD_NANOS}: an engine that does
- * not respond may never be proved to have ceased a run.
+ * no more of them end under it, whenever they do. Ends count as long as they are evidence. A
+ * request that may be innocent gets one send more, and no other beside it, once it has been held
+ * for {@link #HOLD_NANOS}: a completed run clears it, a further end counts like the others. A node
+ * that may have missed ends does not send it then, unless fewer engines are known to have ended.
  */
 final class RequestExposure {
   /** The number of engines that may end under a request. */
   static final int MAX_ENGINES = 3;
 
   /**
-   * How long a request is held after the last of three engines began to count, of which not all are
-   * known to have ended: longer than callers repeat a request within its deadline.
+   * How long a request is held after the last of three engines began to count: longer than callers
+   * repeat a request within its deadline.
    */
   static final long HOLD_NANOS = 60_000_000_000L;
 
@@ -99,7 +99,8 @@
 
     /** Whether the request gets a further send once it was held long enough. */
     private boolean holdEnds() {
-      return exposed == maxEngines && ended < maxEngines;
+      boolean missedNone = maxEngines == MAX_ENGINES;
+      return exposed == maxEngines && (missedNone || ended < maxEngines);
     }
 
     private boolean exhausted(long nowNanos) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -152,7 +152,7 @@
     this.runNotifier = new RunNotifier(peers, transport, codec, eventLoop);
     this.earlierLoss = new EarlierLoss(peers, runNotifier, eventLoop, log);
     this.exposure = new RequestExposure(history, ledger, this::unseenEnds);
-    this.digest = new EvidenceDigest(history, ledger);
+    this.digest = new EvidenceDigest(history);
     this.exchange = new EvidenceExchange(eventLoop, this::sendEvidenceTo);
     this.reachability =
         new PeerReachability(
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
@@ -31,8 +31,6 @@
   /** The runs in progress, and the claims, that the row of a node has. */
   private final Map<String, Set<Long>> storedByNode = new HashMap<>();
 
-  private long changes;
-
   /** How many announced or unresolved runs have a certain head of their request's fingerprint. */
   private final Map<Integer, Integer> heads = new HashMap<>();
 
@@ -73,26 +71,8 @@
     ownByEngine.computeIfAbsent(run.engine(), any -> new LinkedHashSet<>()).add(run);
   }
 
-  /** Returns a number that differs after each change of the unresolved runs. */
-  long changes() {
-    return changes;
-  }
-
-  /** Returns the identifiers of the unresolved runs of this node and of peers. */
-  Set<Long> unresolvedIds() {
-    Set<Long> ids = new HashSet<>();
-    unresolved.forEach(run -> ids.add(run.id()));
-    for (PeerRun run : peerRuns.values()) {
-      if (run.phase().unresolved()) {
-        ids.add(run.id());
-      }
-    }
-    return ids;
-  }
-
   /** Records that a run that was sent is unresolved from now on. */
   void addUnresolved(TrackedRun run) {
-    changes++;
     run.markUnresolved();
     if (unresolved.add(run)) {
       count(run.head(), 1);
@@ -107,7 +87,6 @@
     run.phase(RunPhase.CLOSED);
     removeClaim(run);
     if (unresolved.remove(run)) {
-      changes++;
       count(run.head(), -1);
     }
     Set<TrackedRun> atEngine = ownByEngine.get(run.engine());
@@ -191,7 +170,6 @@
 
   /** Adds a run of a peer, or replaces what was known of it. */
   void put(PeerRun run, long nowNanos) {
-    changes++;
     removeExpired(nowNanos);
     PeerRun previous = peerRuns.remove(run.id());
     if (previous != null) {
@@ -213,7 +191,6 @@
   }
 
   void removePeerRun(long id) {
-    changes++;
     PeerRun removed = peerRuns.remove(id);
     if (removed != null) {
       count(removed.request().head(), -1);
@@ -226,7 +203,6 @@
       PeerRun run = runs.next();
       if (nowNanos - run.expiresNanos() > 0) {
         runs.remove();
-        changes++;
         count(run.request().head(), -1);
       }
     }
