--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfCutNodes.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/quarantine/TestRunsOfCutNodes.java
@@ -311,6 +311,21 @@
     assertEquals(0, cluster.nodes().get(0).quarantine().suspects());
   }
 
+  /** Guards against an end that stays at a node that missed its withdrawal. */
+  @Test
+  void withdrawalReachesNodeThatWasCutOff() {
+    start(1);
+    tryAt(1);
+    cutOff(1, Cut.BOTH_WAYS, true);
+    QuarantineNodes.Node node = cluster.nodes().get(2);
+    node.quarantine().responded(node.engine(0), eventLoop.nanoTime());
+    eventLoop.advance(20_000);
+    assertTrue(cluster.nodes().get(0).quarantine().suspects() > 0);
+    cutOff(1, Cut.BOTH_WAYS, false);
+    eventLoop.advance(1_000);
+    assertEquals(0, cluster.nodes().get(0).quarantine().suspects());
+  }
+
   /** Guards against a late clearance that clears the ends after it. */
   @Test
   void lateClearanceClearsNoLaterEnd() {
