--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerReachability.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/PeerReachability.java
@@ -73,11 +73,11 @@
   private int knownPeers;
   private int next;
   private boolean started;
-  private Contactability state = Contactability.STARTING;
+  private State state = State.STARTING;
   private long stateSinceNanos;
 
   /** Whether most of the probed peers are reached. */
-  private enum Contactability {
+  private enum State {
     /** This has not been found out since the start. */
     STARTING,
     IN_TOUCH,
@@ -307,25 +307,25 @@
     long now = eventLoop.nanoTime();
     boolean most = reachesMost(now);
     if (!most) {
-      if (state == Contactability.IN_TOUCH || state == Contactability.RETURNING) {
-        boolean lost = state == Contactability.IN_TOUCH;
-        enter(Contactability.OUT_OF_TOUCH, now);
+      if (state == State.IN_TOUCH || state == State.RETURNING) {
+        boolean lost = state == State.IN_TOUCH;
+        enter(State.OUT_OF_TOUCH, now);
         if (lost) {
           listener.lostTouch();
         }
       }
-    } else if (state == Contactability.STARTING) {
-      enter(Contactability.IN_TOUCH, now);
-    } else if (state == Contactability.OUT_OF_TOUCH) {
+    } else if (state == State.STARTING) {
+      enter(State.IN_TOUCH, now);
+    } else if (state == State.OUT_OF_TOUCH) {
       long awayNanos = now - stateSinceNanos;
-      enter(Contactability.RETURNING, now);
+      enter(State.RETURNING, now);
       listener.regainedTouch(awayNanos);
-    } else if (state == Contactability.RETURNING && now - stateSinceNanos >= SETTLE_NANOS) {
-      enter(Contactability.IN_TOUCH, now);
+    } else if (state == State.RETURNING && now - stateSinceNanos >= SETTLE_NANOS) {
+      enter(State.IN_TOUCH, now);
     }
   }
 
-  private void enter(Contactability entered, long nowNanos) {
+  private void enter(State entered, long nowNanos) {
     state = entered;
     stateSinceNanos = nowNanos;
   }
@@ -342,13 +342,13 @@
       return true;
     }
     update();
-    return state == Contactability.IN_TOUCH;
+    return state == State.IN_TOUCH;
   }
 
   /** Returns whether this node is not in touch, but may be again soon. */
   boolean mayReturnSoon() {
     boolean justLost = eventLoop.nanoTime() - stateSinceNanos < LAG_NANOS;
-    return !inTouch() && (state == Contactability.RETURNING || justLost);
+    return !inTouch() && (state == State.RETURNING || justLost);
   }
 
   /** Returns whether all peers are probed and reply, but for those that do not run. */
