--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EngineEndTable.java
@@ -31,9 +31,9 @@
 
 /**
  * Keeps the ends that this node observed, and its unresolved runs, in a row of its own in the
- * store, and reads the rows of all nodes on start and after each write. So evidence outlives the
- * nodes, and a node that does not receive the notices of its peers learns it when it observes an
- * end itself.
+ * store, and reads the rows of all nodes on start, after each write, and when requests of a node
+ * that may miss the notices of its peers await them. So evidence outlives the nodes, and reaches
+ * those that datagrams do not reach.
  */
 final class EngineEndTable {
   private static final String TABLE = "engine-end";
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RequestQuarantine.java
@@ -34,8 +34,9 @@
  * Used only from the event loop.
  *
  * <p>Invariants: a request is found fatal only if at least three engines ended while they ran it,
- * and no completed run of it is known; while each run of a request ends with a whole response or
- * the engine's statement that it did not run it, nothing is sent, stored or hashed.
+ * and no completed run of it is known; while all nodes reach each other, and each run of a request
+ * ends with a whole response or the engine's statement that it did not run it, nothing is stored,
+ * and nothing is sent to all peers: only registrations of runs and probes.
  */
 public final class RequestQuarantine implements Quarantine, PeerMessageListener {
   private static final long NANOS_PER_MILLI = 1_000_000;
