Requests are limited by the memory that they cost

Callers saw time-outs, and then a node that had ended with status 0 or that answered nobody: requests within the limits of bytes made it run out of memory. Heads of very many short fields cost about 70 times their bytes as decoded fields, trailers were decoded and kept, folded lines were joined in the square of their length, pipelined requests were decoded as far as a read went, and bodies had no limit in sum.

RequestBytesLimiter counts heads by fields, bodies by parts, undecoded bytes and the receive buffers of paused connections before the memory is taken, and gives incomplete requests up with 503, the largest and slowest first; small requests have a reserve. Lines of rejected requests are bounded, rejections are counted by cause.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ResponseBody.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/buffering/BodyBuffer.java
@@ -1,10 +1,10 @@
-package org.baykeel.gateway.call;
+package org.baykeel.gateway.buffering;
 
 import java.util.ArrayList;
 import java.util.List;
 
-/** The body of a response, which is collected in blocks and joined only once it is complete. */
-final class ResponseBody {
+/** A body that is collected in blocks and joined only once it is complete. */
+public final class BodyBuffer {
   private static final int MIN_BLOCK_BYTES = 1_024;
   private static final int MAX_BLOCK_BYTES = 65_536;
 
@@ -17,7 +17,8 @@
   private int length;
   private long countedBytes;
 
-  void add(byte[] part) {
+  /** Adds bytes at the end; they are copied. */
+  public void add(byte[] part) {
     int copied = Math.min(part.length, block.length - blockLength);
     System.arraycopy(part, 0, block, blockLength, copied);
     blockLength += copied;
@@ -40,12 +41,17 @@
   }
 
   /** Returns the bytes that count towards limits: the length and an overhead for each part. */
-  long countedBytes() {
+  public long countedBytes() {
     return countedBytes;
   }
 
+  /** Returns the number of bytes added so far. */
+  public int length() {
+    return length;
+  }
+
   /** Returns all bytes and releases the blocks. */
-  byte[] take() {
+  public byte[] take() {
     byte[] joined = new byte[length];
     int at = 0;
     for (byte[] full : fullBlocks) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.baykeel.gateway.admission.ProgramAdmission;
+import org.baykeel.gateway.buffering.BodyBuffer;
 import org.baykeel.gateway.buffering.ResponseBytesLimiter;
 import org.baykeel.gateway.buffering.ResponseSource;
 import org.baykeel.gateway.directory.Engine;
@@ -81,7 +82,7 @@
   private EngineTransport.Exchange exchange;
   private ResponseHead head;
   private final ResponseBytesLimiter.Response heldBytes;
-  private ResponseBody body;
+  private BodyBuffer body;
   private long lastEventNanos;
   private int events;
   private boolean wasPaused;
@@ -191,7 +192,7 @@
     } else if (head.success() && traits.eventStream()) {
       owner.onStreamHead(head);
     } else {
-      body = new ResponseBody();
+      body = new BodyBuffer();
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -20,18 +20,16 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import org.baykeel.core.error.BaykeelException;
 import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.buffering.BodyBuffer;
 import org.baykeel.gateway.buffering.CallerFlow;
+import org.baykeel.gateway.buffering.RequestBytesLimiter;
 import org.baykeel.gateway.call.CallAttributes;
 import org.baykeel.gateway.call.CallCoordinator;
 import org.baykeel.gateway.call.CallRequest;
@@ -43,15 +41,15 @@
 import org.baykeel.gateway.configuration.RequestLimits;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
+import org.baykeel.gateway.telemetry.GatewayMetrics.RequestRejection;
 
 /** A caller's connection: reads one request at a time and writes its response. */
 final class IngressConnection extends ChannelInboundHandlerAdapter implements CallResponder {
-  private static final int MAX_QUEUED_OBJECTS = 32;
-
   /** Size of the parts of a long response; each is counted as delivered on its own. */
   private static final int PART_BYTES = 1 << 16;
 
-  private static final int REQUEST_HEADER_FIELDS_TOO_LARGE = 431;
+  /** The time after which a caller may return that was refused for lack of memory. */
+  private static final long MEMORY_RETRY_MILLIS = 1_000;
 
   private final IngressServer server;
   private final CallCoordinator coordinator;
@@ -59,11 +57,12 @@
   private final GatewayState state;
   private final GatewayLog log;
   private final CallerFlow flow;
-  private final ArrayDeque<HttpObject> queued = new ArrayDeque<>();
+  private final RequestBytesLimiter.Request memory;
+  private final RequestFramer framer;
   private ChannelHandlerContext context;
   private HttpRequest head;
   private CallAttributes attributes;
-  private ByteArrayOutputStream body;
+  private BodyBuffer body;
   private ClientCall call;
   private boolean responding;
   private boolean keepAlive = true;
@@ -72,6 +71,7 @@
   private long lastActivityNanos = acceptedNanos;
   private long requestNanos = acceptedNanos;
   private int requests;
+
   private Activity activityAtClose = Activity.NONE;
 
   /** What keeps a connection open when idle connections are closed. */
@@ -98,6 +98,14 @@
     this.state = state;
     this.log = log;
     this.flow = server.held().open(this::closeSlowCaller);
+    this.memory = server.requests().open(this::onMemoryLimit);
+    this.framer =
+        new RequestFramer(server.maxHeadBytes(), memory, IngressServer.RECEIVE_BUFFER_BYTES);
+  }
+
+  /** Returns the framer of this connection, which stands before the decoder in the pipeline. */
+  RequestFramer framer() {
+    return framer;
   }
 
   @Override
@@ -133,7 +141,10 @@
     if (call != null) {
       call.endForStop();
     } else if (head != null && !responding && !discarding) {
-      refuseAndClose(ErrorKind.STOPPING, "node stops before the request was received");
+      refuseAndClose(
+          RequestRejection.STOPPING,
+          ErrorKind.STOPPING,
+          "node stops before the request was received");
     }
   }
 
@@ -188,34 +199,25 @@
   @Override
   public void channelRead(ChannelHandlerContext handlerContext, Object message) {
     lastActivityNanos = System.nanoTime();
-    if (discarding || !(message instanceof HttpObject object)) {
-      ReferenceCountUtil.release(message);
-      return;
-    }
-    if (responding) {
-      queued.add(object);
-      if (queued.size() > MAX_QUEUED_OBJECTS) {
-        context.channel().config().setAutoRead(false);
+    try {
+      if (!discarding && message instanceof HttpObject object) {
+        read(object);
       }
-      return;
+    } finally {
+      ReferenceCountUtil.release(message);
     }
-    read(object);
   }
 
   private void read(HttpObject object) {
-    try {
-      if (object.decoderResult().isFailure()) {
-        refuseMalformed(object.decoderResult().cause());
-        return;
-      }
-      if (object instanceof HttpRequest request) {
-        beginRequest(request);
-      }
-      if (object instanceof HttpContent content && !discarding && head != null) {
-        addContent(content);
-      }
-    } finally {
-      ReferenceCountUtil.release(object);
+    if (object.decoderResult().isFailure()) {
+      refuseMalformed(String.valueOf(object.decoderResult().cause().getMessage()));
+      return;
+    }
+    if (object instanceof HttpRequest request) {
+      beginRequest(request);
+    }
+    if (object instanceof HttpContent content && !discarding && head != null) {
+      addContent(content);
     }
   }
 
@@ -223,23 +225,26 @@
     head = request;
     requestNanos = System.nanoTime();
     requests++;
-    body = new ByteArrayOutputStream();
+    body = new BodyBuffer();
     keepAlive = HttpUtil.isKeepAlive(request);
     attributes = null;
     if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
-      refuseAndClose(ErrorKind.INVALID_REQUEST, "expected exactly one host header");
-      return;
-    }
-    String encoding = request.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
-    if (encoding != null && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding.trim())) {
-      refuseAndClose(ErrorKind.INVALID_REQUEST, "unsupported transfer encoding");
+      refuseAndClose(
+          RequestRejection.MALFORMED,
+          ErrorKind.INVALID_REQUEST,
+          "expected exactly one host header");
       return;
     }
-    if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
-      refuseAndClose(ErrorKind.TOO_LARGE, "request body exceeds the limit");
+    long length = HttpUtil.getContentLength(request, 0L);
+    if (length > server.limits().maxBodyBytes()) {
+      refuseBody();
       return;
     }
     if (HttpUtil.is100ContinueExpected(request)) {
+      if (!server.requests().hasRoomFor(length)) {
+        refuseForMemory();
+        return;
+      }
       context.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
@@ -247,13 +252,20 @@
 
   private void addContent(HttpContent content) {
     int length = content.content().readableBytes();
-    if (body.size() + length > server.limits().maxBodyBytes()) {
-      refuseAndClose(ErrorKind.TOO_LARGE, "request body exceeds the limit");
+    if (body.length() + length > server.limits().maxBodyBytes()) {
+      refuseBody();
       return;
     }
-    byte[] bytes = new byte[length];
-    content.content().readBytes(bytes);
-    body.writeBytes(bytes);
+    if (length > 0) {
+      memory.holdBody(body.countedBytes() + length);
+      if (discarding) {
+        // The request was given up for lack of memory.
+        return;
+      }
+      byte[] bytes = new byte[length];
+      content.content().readBytes(bytes);
+      body.add(bytes);
+    }
     if (content instanceof LastHttpContent) {
       startCall();
     }
@@ -264,17 +276,18 @@
     try {
       attributes = translator.attributes(request.headers());
     } catch (BaykeelException e) {
-      refuseAndClose(e.kind(), e.getMessage());
+      refuseAndClose(RequestRejection.MALFORMED, e.kind(), e.getMessage());
       return;
     }
     responding = true;
+    memory.complete();
     CallRequest callRequest =
         new CallRequest(
             request.method().name(),
             request.uri(),
             request.headers().get(HttpHeaderNames.HOST),
             request.headers(),
-            body.toByteArray(),
+            body.take(),
             attributes,
             System.nanoTime());
     body = null;
@@ -285,15 +298,62 @@
     }
   }
 
-  private void refuseMalformed(Throwable cause) {
+  private void refuseMalformed(MalformedMessageException cause) {
+    switch (cause.kind()) {
+      case HEAD_TOO_LARGE -> refuseHead();
+      case FRAMING_TOO_LARGE ->
+          refuseAndClose(
+              RequestRejection.CHUNKS_TOO_SMALL, ErrorKind.TOO_LARGE, cause.getMessage());
+      default -> refuseMalformed(cause.getMessage());
+    }
+  }
+
+  private void refuseMalformed(String detail) {
     head = null;
-    if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
-      discarding = true;
-      log.write(GatewayEvent.BAD_REQUEST, "status", REQUEST_HEADER_FIELDS_TOO_LARGE);
-      writeEmpty(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
-      return;
+    refuseAndClose(RequestRejection.MALFORMED, ErrorKind.INVALID_REQUEST, detail);
+  }
+
+  private void refuseHead() {
+    HttpResponseStatus status = HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+    server
+        .rejections()
+        .rejected(RequestRejection.HEAD_TOO_LARGE, status.code(), "head exceeds the limit");
+    head = null;
+    stopReading();
+    writeEmpty(status);
+  }
+
+  private void refuseBody() {
+    refuseAndClose(
+        RequestRejection.BODY_TOO_LARGE, ErrorKind.TOO_LARGE, "request body exceeds the limit");
+  }
+
+  /** Drops what was received of the request, and all that follows. */
+  private void stopReading() {
+    discarding = true;
+    body = null;
+    framer.stop();
+    memory.close();
+  }
+
+  /**
+   * Gives the request up, which was not received completely, or the requests behind the one in
+   * progress.
+   */
+  private void onMemoryLimit() {
+    if (responding) {
+      server.rejections().rejected(RequestRejection.NO_MEMORY, 0, "requests behind another one");
+      keepAlive = false;
+      framer.stop();
+    } else if (!discarding) {
+      refuseForMemory();
     }
-    refuseAndClose(ErrorKind.INVALID_REQUEST, String.valueOf(cause.getMessage()));
+  }
+
+  private void refuseForMemory() {
+    refuseAndClose(
+        RequestRejection.NO_MEMORY,
+        new Refusal(ErrorKind.OVERLOADED, MEMORY_RETRY_MILLIS, "memory for requests is used up"));
   }
 
   private void writeEmpty(HttpResponseStatus status) {
@@ -304,11 +364,15 @@
     LingeringClose.begin(context.channel());
   }
 
-  private void refuseAndClose(ErrorKind kind, String detail) {
-    log.write(GatewayEvent.BAD_REQUEST, "status", kind.httpStatus(), "detail", detail);
-    discarding = true;
+  private void refuseAndClose(RequestRejection cause, ErrorKind kind, String detail) {
+    refuseAndClose(cause, Refusal.of(kind, detail));
+  }
+
+  private void refuseAndClose(RequestRejection cause, Refusal refusal) {
+    server.rejections().rejected(cause, refusal.kind().httpStatus(), refusal.detail());
     keepAlive = false;
-    refuse(Refusal.of(kind, detail));
+    stopReading();
+    refuse(refusal);
     LingeringClose.begin(context.channel());
   }
 
@@ -415,6 +479,7 @@
     call = null;
     head = null;
     lastActivityNanos = System.nanoTime();
+    memory.end();
     if (discarding) {
       // The request was refused before it was read completely; the refusing method closes the
       // connection.
@@ -422,27 +487,21 @@
     }
     // Whether the connection may stay open was decided at the head of a stream; a stop can have
     // begun since.
-    boolean closesNow = server.closing() && queued.isEmpty();
+    boolean closesNow = server.closing() && framer.pendingBytes() == 0;
     if (!keep || closesNow) {
       discarding = true;
       context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       return;
     }
     context.flush();
-    while (!responding && !queued.isEmpty()) {
-      read(queued.poll());
-    }
-    if (!responding && !context.channel().config().isAutoRead()) {
-      context.channel().config().setAutoRead(true);
-    }
+    framer.next();
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext handlerContext) {
     server.closed(this);
     flow.close();
-    queued.forEach(ReferenceCountUtil::release);
-    queued.clear();
+    memory.close();
     ClientCall abandoned = call;
     call = null;
     responding = false;
@@ -453,6 +512,12 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+    if (cause instanceof MalformedMessageException malformed) {
+      if (!discarding) {
+        refuseMalformed(malformed);
+      }
+      return;
+    }
     if (!(cause instanceof java.io.IOException)) {
       log.write(GatewayEvent.FAULT, "where", "caller connection", "error", cause.toString());
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -16,31 +17,39 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.baykeel.gateway.buffering.HeldBytesLimiter;
+import org.baykeel.gateway.buffering.RequestBytesLimiter;
 import org.baykeel.gateway.call.CallCoordinator;
 import org.baykeel.gateway.call.GatewayState;
 import org.baykeel.gateway.call.GracefulStop;
 import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.configuration.RequestLimits;
+import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.telemetry.GatewayLog;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.telemetry.LoggedTask;
 
 /** Accepts the connections of callers and closes those that are idle or stalled for too long. */
 public final class IngressServer implements GracefulStop.CallerConnections {
   private static final long SWEEP_MILLIS = 500;
+
+  /**
+   * The receive buffer of a caller's connection. The operating system counts what it holds towards
+   * the memory of the machine.
+   */
+  static final int RECEIVE_BUFFER_BYTES = 256 << 10;
+
   private static final int BACKLOG = 1_024;
   private static final int MAX_CHUNK_BYTES = 65_536;
   private static final int MAX_CUT_LINES = 32;
 
-  /**
-   * The bytes added to the configured limit in the decoder, which limits the request line and the
-   * header fields separately, whereas the configured limit is for both together.
-   */
+  /** The bytes added to the configured limit, which does not count line ends. */
   private static final int EXTRA_HEADER_BYTES = 512;
 
   private final CallCoordinator coordinator;
   private final CallTranslator translator;
   private final GatewayState state;
-  private final HeldBytesLimiter held;
+  private final CallerLimits callerLimits;
+  private final RejectionLog rejections;
   private final GatewayLog log;
   private final Set<IngressConnection> connections = new LinkedHashSet<>();
   private Channel listener;
@@ -49,18 +58,23 @@
   /**
    * Creates a server that does not listen yet.
    *
-   * @param held limits the bytes held for callers
+   * @param callerLimits limits what all callers use together
+   * @param metrics counts what is rejected
+   * @param eventLoop the clock
    */
   public IngressServer(
       CallCoordinator coordinator,
       CallTranslator translator,
       GatewayState state,
-      HeldBytesLimiter held,
+      CallerLimits callerLimits,
+      GatewayMetrics metrics,
+      EventLoop eventLoop,
       GatewayLog log) {
     this.coordinator = coordinator;
     this.translator = translator;
     this.state = state;
-    this.held = held;
+    this.callerLimits = callerLimits;
+    this.rejections = new RejectionLog(metrics, eventLoop, log);
     this.log = log;
   }
 
@@ -76,6 +90,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
@@ -97,28 +112,43 @@
   }
 
   private void accept(SocketChannel channel) {
-    int headerBytes = limits().maxHeaderBytes() + EXTRA_HEADER_BYTES;
+    int headBytes = maxHeadBytes();
     HttpDecoderConfig config =
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(headerBytes)
-            .setMaxHeaderSize(headerBytes)
-            .setMaxChunkSize(MAX_CHUNK_BYTES);
+            .setMaxInitialLineLength(headBytes)
+            .setMaxHeaderSize(headBytes)
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setValidateHeaders(false);
     IngressConnection connection = new IngressConnection(this, coordinator, translator, state, log);
     connections.add(connection);
     channel
         .pipeline()
-        .addLast(new StrictRequestDecoder(config))
+        .addLast(connection.framer())
+        .addLast(new HttpRequestDecoder(config))
         .addLast(new HttpResponseEncoder())
         .addLast(connection);
   }
 
+  /** The limit of a request line with its fields, in bytes. */
+  int maxHeadBytes() {
+    return limits().maxHeaderBytes() + EXTRA_HEADER_BYTES;
+  }
+
   RequestLimits limits() {
     GatewayConfiguration configuration = state.configuration();
     return configuration == null ? RequestLimits.DEFAULT : configuration.limits();
   }
 
   HeldBytesLimiter held() {
-    return held;
+    return callerLimits.responses();
+  }
+
+  RequestBytesLimiter requests() {
+    return callerLimits.requests();
+  }
+
+  RejectionLog rejections() {
+    return rejections;
   }
 
   /** Whether connections are closed as soon as they are idle between two requests. */
@@ -136,7 +166,8 @@
     for (IngressConnection connection : new ArrayList<>(connections)) {
       connection.closeIfStalled(now, limits);
     }
-    held.sweep();
+    held().sweep();
+    rejections.startWindow();
   }
 
   @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayEvent.java
@@ -64,6 +64,7 @@
   PEERS_UNREACHABLE(381),
   PEERS_REACHABLE(382),
   EVIDENCE_SENT(383),
+  REJECTIONS_SUPPRESSED(384),
   FAULT(399);
 
   private final int number;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -41,6 +41,7 @@
   private final Map<String, long[]> keyVerdicts = new TreeMap<>();
   private final Map<String, long[]> sendsByLocality = new TreeMap<>();
   private final Map<Integer, long[]> sendsByRank = new TreeMap<>();
+  private final Map<String, long[]> rejections = new TreeMap<>();
   private final Map<String, LongSupplier> gauges = new TreeMap<>();
   private final Map<String, long[]> programs = new TreeMap<>();
   private long engineConnections;
@@ -124,6 +125,32 @@
     }
   }
 
+  /** The causes for which a request or a connection is rejected before a call begins. */
+  public enum RequestRejection {
+    /** The request does not obey the protocol. */
+    MALFORMED,
+    /** Its request line and fields, or its trailer fields, exceed the limit. */
+    HEAD_TOO_LARGE,
+    /** Its body exceeds the limit. */
+    BODY_TOO_LARGE,
+    /** Its chunks are too small for the length of the body. */
+    CHUNKS_TOO_SMALL,
+    /** The memory for the requests of all callers is used up. */
+    NO_MEMORY,
+    /** The node stops. */
+    STOPPING;
+
+    /** Returns the name in metrics and logs. */
+    public String label() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+  }
+
+  /** Counts a request or a connection that is rejected before a call begins. */
+  public void requestRejected(RequestRejection cause) {
+    rejections.computeIfAbsent(cause.label(), key -> new long[1])[0]++;
+  }
+
   /**
    * Counts a checked key.
    *
@@ -197,6 +224,11 @@
                 "Programs that asked to begin, by what became of it",
                 "outcome",
                 programs),
+            counters(
+                "baykeel_gateway_requests_rejected",
+                "Requests and connections rejected before a call began, by cause",
+                "cause",
+                rejections),
             counters("baykeel_gateway_keys", "Keys judged, by verdict", "verdict", keyVerdicts),
             counters(
                 "baykeel_gateway_sends",
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.baykeel.gateway.buffering.HeldBytesLimiter;
+import org.baykeel.gateway.buffering.RequestBytesLimiter;
 import org.baykeel.gateway.call.CallCoordinator;
 import org.baykeel.gateway.call.GatewayContext;
 import org.baykeel.gateway.call.GatewayState;
@@ -44,6 +45,7 @@
   private final List<GatewayEvent> events = new CopyOnWriteArrayList<>();
   private final List<String> callLines = new CopyOnWriteArrayList<>();
   private final HeldBytesLimiter held;
+  private final RequestBytesLimiter requests;
   private final IngressServer ingress;
   private final int port;
 
@@ -51,6 +53,7 @@
       throws IOException {
     NettyEventLoop eventLoop = new NettyEventLoop(group.next(), (event, fields) -> {});
     held = new HeldBytesLimiter(bounds, eventLoop);
+    requests = new RequestBytesLimiter(RequestBytesLimiter.Bounds.DEFAULT, eventLoop);
     StoreHealth health = new StoreHealth();
     health.answered(System.nanoTime());
     EngineDirectory engines = new EngineDirectory(1);
@@ -81,7 +84,13 @@
     CallCoordinator coordinator = new CallCoordinator(context);
     ingress =
         new IngressServer(
-            coordinator, translator, state, held, (event, fields) -> events.add(event));
+            coordinator,
+            translator,
+            state,
+            new CallerLimits(held, requests),
+            new GatewayMetrics(),
+            eventLoop,
+            (event, fields) -> events.add(event));
     ingress.listen(group, new InetSocketAddress("127.0.0.1", port)).syncUninterruptibly();
   }
 
@@ -130,6 +139,11 @@
     return events;
   }
 
+  /** Returns the memory of all requests, in bytes. */
+  long requestBytes() throws Exception {
+    return onLoop(requests::totalBytes);
+  }
+
   /** Returns the bytes held for all callers. */
   long heldBytes() throws Exception {
     return onLoop(held::totalBytes);
--- /dev/null
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestCallerLimits.java
@@ -0,0 +1,93 @@
+package org.baykeel.gateway.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.baykeel.gateway.buffering.HeldBytesLimiter;
+import org.baykeel.gateway.configuration.RequestLimits;
+import org.baykeel.gateway.configuration.Route;
+import org.baykeel.gateway.configuration.RouteKind;
+import org.baykeel.gateway.testing.ScriptedEngine;
+import org.baykeel.gateway.testing.ScriptedEngine.After;
+import org.baykeel.gateway.testing.ScriptedEngine.Response;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the limits on callers: requests within the limits of the configuration are served. */
+class TestCallerLimits {
+  private static final int TIMEOUT_MILLIS = 20_000;
+  private static final long ROUTE_TIMEOUT_MILLIS = 10_000;
+  private static final int MAX_HEADER_BYTES = 16_384;
+  private static final int MAX_BODY_BYTES = 4 << 20;
+  private static final RequestLimits LIMITS =
+      new RequestLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, 1_000, 15_000);
+  private static final String RESPONSE =
+      "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s\r\nContent-Length: 4\r\n\r\nbody";
+  private static final String HEAD = "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n";
+  private static final String REQUEST = HEAD + "Content-Length: 0\r\n\r\n";
+
+  private ScriptedEngine engine;
+  private LoopbackGateway gateway;
+
+  private void start() throws IOException {
+    engine = new ScriptedEngine(new Response(RESPONSE, After.KEEP));
+    Route route = LoopbackGateway.route(RouteKind.UNSAFE, ROUTE_TIMEOUT_MILLIS);
+    gateway = new LoopbackGateway(engine.port(), route, LIMITS, HeldBytesLimiter.Bounds.DEFAULT);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    engine.close();
+    gateway.close();
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket("127.0.0.1", gateway.port());
+    socket.setSoTimeout(TIMEOUT_MILLIS);
+    return socket;
+  }
+
+  private static void write(Socket socket, String bytes) throws IOException {
+    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static String statusLine(Socket socket) throws IOException {
+    return new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+  }
+
+  @Test
+  void headOfTheLargestSizeInFewFieldsIsServed() throws Exception {
+    start();
+    try (Socket socket = connect()) {
+      int length = MAX_HEADER_BYTES - REQUEST.length() - "X: \r\n".length();
+      write(socket, HEAD + "X: " + "a".repeat(length) + "\r\nContent-Length: 0\r\n\r\n");
+      assertEquals("HTTP/1.1 200", statusLine(socket));
+    }
+  }
+
+  @Test
+  void headOfTheLargestSizeInShortFieldsIsServed() throws Exception {
+    start();
+    try (Socket socket = connect()) {
+      String fields = "a:\r\n".repeat((MAX_HEADER_BYTES - REQUEST.length()) / 4);
+      write(socket, HEAD + fields + "Content-Length: 0\r\n\r\n");
+      assertEquals("HTTP/1.1 200", statusLine(socket));
+    }
+  }
+
+  @Test
+  void bodyOfTheLargestSizeIsServedAndReleased() throws Exception {
+    start();
+    try (Socket socket = connect()) {
+      write(socket, HEAD + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n");
+      byte[] body = new byte[MAX_BODY_BYTES];
+      Arrays.fill(body, (byte) 'a');
+      socket.getOutputStream().write(body);
+      assertEquals("HTTP/1.1 200", statusLine(socket));
+    }
+    assertEquals(0, gateway.requestBytes());
+  }
+}
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestIngressConnection.java
@@ -100,6 +100,14 @@
     "unknown coding, POST /p/x HTTP/1.1|Host: h|X-Id: r1|Transfer-Encoding: gzip||, 400",
     "a bad chunk, POST /p/x HTTP/1.1|Host: h|X-Id: r1|Transfer-Encoding: chunked||zz|, 400",
     "not HTTP, nonsense||, 400",
+    "blank before the colon, POST /p/x HTTP/1.1|Host: h|X-Id: r1|Content-Length : 3||abc, 400",
+    "blank in a name, POST /p/x HTTP/1.1|Host: h|X-Id: r1|Content-Length x: 3||abc, 400",
+    "signed length, POST /p/x HTTP/1.1|Host: h|X-Id: r1|Content-Length: +4||abcd, 400",
+    "chunked twice, POST /p/x HTTP/1.1|Host: h|X-Id: r1|Transfer-Encoding: chunked|Transfer-Encoding: chunked||0||, 400",
+    "same length twice, POST /p/x HTTP/1.1|Host: h|X-Id: r1|Content-Length: 1|Content-Length: 1||a, 400",
+    "folded field, POST /p/x HTTP/1.1|Host: h|X-Id: r1|X: a| b||, 400",
+    "folded trailer, POST /p/x HTTP/1.1|Host: h|X-Id: r1|Transfer-Encoding: chunked||0|X: a| b||, 400",
+    "other version, POST /p/x HTTP/2.0|Host: h|X-Id: r1||, 400",
     "too long, POST /p/x HTTP/1.1|Host: h|X-Id: r1|Content-Length: 101||, 413",
   })
   void refusesAMalformedRequestAndClosesTheConnection(String name, String bytes, int status)
@@ -109,6 +117,26 @@
     assertEquals(List.of(), engine.requests());
   }
 
+  /**
+   * Guards against a line that ends with a line feed alone, which other readers do not end there.
+   */
+  @Test
+  void refusesLineFeedsWithoutCarriageReturns() throws IOException {
+    String response = exchangeToEnd("GET /p/x HTTP/1.1\nHost: h\nX-Id: r1\n\n");
+    assertTrue(response.startsWith("HTTP/1.1 400"), response);
+    assertEquals(List.of(), engine.requests());
+  }
+
+  @Test
+  void refusesTrailersBeyondTheLimit() throws IOException {
+    String response =
+        exchangeToEnd(
+            "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+                + "a:\r\n".repeat(1_000));
+    assertTrue(response.startsWith("HTTP/1.1 431"), response);
+    assertEquals(List.of(), engine.requests());
+  }
+
   @Test
   void refusesHeadersBeyondTheLimit() throws IOException {
     String longField = "X-Long: " + "a".repeat(3_000);
