A request that does not end is given up

A caller held a request, and what the node keeps of it, for ever with one byte every two seconds: closeIfStalled asked only for any byte since headerTimeoutMillis, and a head that was not complete counted as idle.

A head now has headerTimeoutMillis from its first byte, a body 10 s and a second for each KiB received. Such connections are closed without a response, which tells that the request was not read.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -48,6 +48,14 @@
   /** Size of the parts of a long response; each is counted as delivered on its own. */
   private static final int PART_BYTES = 1 << 16;
 
+  /** The time that a body may take in addition to that of its bytes. */
+  private static final long BODY_MILLIS = 10_000;
+
+  /** The lowest rate, in bytes per second, at which a body is received. */
+  private static final long MIN_BODY_RATE = 1_024;
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+
   /** The time after which a caller may return that was refused for lack of memory. */
   private static final long MEMORY_RETRY_MILLIS = 1_000;
 
@@ -72,6 +80,9 @@
   private long requestNanos = acceptedNanos;
   private int requests;
 
+  /** For how long the request in progress is being received, in sweeps of the server. */
+  private int sweepsReceiving;
+
   private Activity activityAtClose = Activity.NONE;
 
   /** What keeps a connection open when idle connections are closed. */
@@ -184,14 +195,43 @@
     context.close();
   }
 
+  /**
+   * Closes the connection if it is idle, or its request incomplete, for too long. Called regularly;
+   * the time of a request is counted in calls, so that a pause of the process is not charged to the
+   * caller.
+   */
   void closeIfStalled(long now, RequestLimits limits) {
     if (responding) {
       return;
     }
     long idleMillis = (now - lastActivityNanos) / 1_000_000;
-    if (idleMillis > (head != null ? limits.headerTimeoutMillis() : limits.idleTimeoutMillis())) {
-      context.close();
+    if (discarding || head == null && !framer.isInHead()) {
+      sweepsReceiving = 0;
+      if (idleMillis > limits.idleTimeoutMillis()) {
+        context.close();
+      }
+      return;
     }
+    sweepsReceiving++;
+    long receivingMillis = sweepsReceiving * IngressServer.SWEEP_MILLIS;
+    if (head == null && receivingMillis > limits.headerTimeoutMillis()) {
+      closeSlow(RequestRejection.HEAD_TOO_SLOW);
+    } else if (head != null
+        && (idleMillis > limits.headerTimeoutMillis() || receivingMillis > bodyMillis())) {
+      closeSlow(RequestRejection.BODY_TOO_SLOW);
+    }
+  }
+
+  /** The time that the body may have taken so far. */
+  private long bodyMillis() {
+    return BODY_MILLIS + body.length() * MILLIS_PER_SECOND / MIN_BODY_RATE;
+  }
+
+  private void closeSlow(RequestRejection cause) {
+    server.rejections().rejected(cause, 0, "request was not received in time");
+    discarding = true;
+    framer.stop();
+    context.close();
   }
 
   // Reading of requests.
@@ -478,6 +518,7 @@
     responding = false;
     call = null;
     head = null;
+    sweepsReceiving = 0;
     lastActivityNanos = System.nanoTime();
     memory.end();
     if (discarding) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -30,7 +30,8 @@
 
 /** Accepts the connections of callers and closes those that are idle or stalled for too long. */
 public final class IngressServer implements GracefulStop.CallerConnections {
-  private static final long SWEEP_MILLIS = 500;
+  /** The time between two sweeps of the connections. */
+  static final long SWEEP_MILLIS = 500;
 
   /**
    * The receive buffer of a caller's connection. The operating system counts what it holds towards
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -137,6 +137,10 @@
     CHUNKS_TOO_SMALL,
     /** The memory for the requests of all callers is used up. */
     NO_MEMORY,
+    /** Its head was not complete in time. */
+    HEAD_TOO_SLOW,
+    /** Its body made no progress, or too little. */
+    BODY_TOO_SLOW,
     /** The node stops. */
     STOPPING;
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestCallerLimits.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestCallerLimits.java
@@ -1,9 +1,13 @@
 package org.baykeel.gateway.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import org.baykeel.gateway.buffering.HeldBytesLimiter;
@@ -16,7 +20,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards the limits on callers: requests within the limits of the configuration are served. */
+/**
+ * Guards the limits on callers: requests within the limits of the configuration are served, and
+ * those that do not end give way.
+ */
 class TestCallerLimits {
   private static final int TIMEOUT_MILLIS = 20_000;
   private static final long ROUTE_TIMEOUT_MILLIS = 10_000;
@@ -29,6 +36,9 @@
   private static final String HEAD = "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n";
   private static final String REQUEST = HEAD + "Content-Length: 0\r\n\r\n";
 
+  /** The time between two bytes of a slow caller, less than the time limit of a head. */
+  private static final int BYTE_MILLIS = 250;
+
   private ScriptedEngine engine;
   private LoopbackGateway gateway;
 
@@ -58,6 +68,27 @@
     return new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
   }
 
+  /** Sends bytes one by one, and returns whether the node closes the connection meanwhile. */
+  private static boolean isClosedWhileSending(Socket socket, String bytes) throws IOException {
+    OutputStream out = socket.getOutputStream();
+    InputStream in = socket.getInputStream();
+    socket.setSoTimeout(BYTE_MILLIS);
+    for (byte octet : bytes.getBytes(StandardCharsets.US_ASCII)) {
+      try {
+        out.write(octet);
+        if (in.read() < 0) {
+          return true;
+        }
+      } catch (SocketTimeoutException e) {
+        // The connection is open.
+      } catch (IOException e) {
+        // The connection was reset.
+        return true;
+      }
+    }
+    return false;
+  }
+
   @Test
   void headOfTheLargestSizeInFewFieldsIsServed() throws Exception {
     start();
@@ -90,4 +121,24 @@
     }
     assertEquals(0, gateway.requestBytes());
   }
+
+  /** Guards against a caller that holds a request for ever with a byte from time to time. */
+  @Test
+  void headThatIsSentByteByByteIsGivenUp() throws Exception {
+    start();
+    try (Socket socket = connect()) {
+      assertTrue(isClosedWhileSending(socket, REQUEST));
+    }
+    assertEquals(0, gateway.requestBytes());
+  }
+
+  @Test
+  void bodyThatIsSentByteByByteIsGivenUp() throws Exception {
+    start();
+    try (Socket socket = connect()) {
+      write(socket, HEAD + "Content-Length: 1000\r\n\r\n");
+      assertTrue(isClosedWhileSending(socket, "a".repeat(100)));
+    }
+    assertEquals(0, gateway.requestBytes());
+  }
 }
