Callers' connections leave descriptors for engines, the store and peers

An idle connection gives way to a new one; if none is idle, the new one is closed unread, so that its caller may try another node. TestCallerLimits shows both with a limit of its own.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/CallerLimits.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/CallerLimits.java
@@ -8,5 +8,7 @@
  *
  * @param responses limits the bytes of responses that callers have not read
  * @param requests limits the memory of requests
+ * @param maxConnections the most connections of callers at once
  */
-public record CallerLimits(HeldBytesLimiter responses, RequestBytesLimiter requests) {}
+public record CallerLimits(
+    HeldBytesLimiter responses, RequestBytesLimiter requests, int maxConnections) {}
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -195,6 +195,16 @@
     context.close();
   }
 
+  /** Whether nothing is received, and nothing is in progress. */
+  boolean idle() {
+    return activity() == Activity.NONE && (discarding || !framer.isInHead());
+  }
+
+  /** Closes the connection to make room for another one. */
+  void closeForAnother() {
+    context.close();
+  }
+
   /**
    * Closes the connection if it is idle, or its request incomplete, for too long. Called regularly;
    * the time of a request is counted in calls, so that a pause of the process is not charged to the
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -26,6 +26,7 @@
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.telemetry.GatewayLog;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.telemetry.GatewayMetrics.RequestRejection;
 import org.baykeel.gateway.telemetry.LoggedTask;
 
 /** Accepts the connections of callers and closes those that are idle or stalled for too long. */
@@ -113,6 +114,11 @@
   }
 
   private void accept(SocketChannel channel) {
+    if (connections.size() >= callerLimits.maxConnections() && !closeIdleConnection()) {
+      rejections.rejected(RequestRejection.TOO_MANY_CONNECTIONS, 0, "all connections are in use");
+      channel.close();
+      return;
+    }
     int headBytes = maxHeadBytes();
     HttpDecoderConfig config =
         new HttpDecoderConfig()
@@ -130,6 +136,19 @@
         .addLast(connection);
   }
 
+  /** Closes the connection that was accepted first among those that are idle, if there is one. */
+  private boolean closeIdleConnection() {
+    for (IngressConnection connection : connections) {
+      if (connection.idle()) {
+        connections.remove(connection);
+        rejections.rejected(RequestRejection.TOO_MANY_CONNECTIONS, 0, "idle connection closed");
+        connection.closeForAnother();
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** The limit of a request line with its fields, in bytes. */
   int maxHeadBytes() {
     return limits().maxHeaderBytes() + EXTRA_HEADER_BYTES;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -141,6 +141,8 @@
     HEAD_TOO_SLOW,
     /** Its body made no progress, or too little. */
     BODY_TOO_SLOW,
+    /** There are too many connections of callers. */
+    TOO_MANY_CONNECTIONS,
     /** The node stops. */
     STOPPING;
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/LoopbackGateway.java
@@ -39,6 +39,7 @@
 final class LoopbackGateway implements AutoCloseable {
   private static final long TARGET_LATENCY_MILLIS = 100;
   private static final long EVENT_GAP_MILLIS = 300;
+  private static final int MAX_CONNECTIONS = 1_000;
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -51,6 +52,21 @@
 
   LoopbackGateway(int enginePort, Route route, RequestLimits limits, HeldBytesLimiter.Bounds bounds)
       throws IOException {
+    this(enginePort, route, limits, bounds, MAX_CONNECTIONS);
+  }
+
+  /**
+   * Starts a node.
+   *
+   * @param maxConnections the most connections of callers at once
+   */
+  LoopbackGateway(
+      int enginePort,
+      Route route,
+      RequestLimits limits,
+      HeldBytesLimiter.Bounds bounds,
+      int maxConnections)
+      throws IOException {
     NettyEventLoop eventLoop = new NettyEventLoop(group.next(), (event, fields) -> {});
     held = new HeldBytesLimiter(bounds, eventLoop);
     requests = new RequestBytesLimiter(RequestBytesLimiter.Bounds.DEFAULT, eventLoop);
@@ -87,7 +103,7 @@
             coordinator,
             translator,
             state,
-            new CallerLimits(held, requests),
+            new CallerLimits(held, requests, maxConnections),
             new GatewayMetrics(),
             eventLoop,
             (event, fields) -> events.add(event));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestCallerLimits.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestCallerLimits.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -22,7 +23,7 @@
 
 /**
  * Guards the limits on callers: requests within the limits of the configuration are served, and
- * those that do not end give way.
+ * those that do not end, or too many connections, give way.
  */
 class TestCallerLimits {
   private static final int TIMEOUT_MILLIS = 20_000;
@@ -42,10 +43,16 @@
   private ScriptedEngine engine;
   private LoopbackGateway gateway;
 
-  private void start() throws IOException {
-    engine = new ScriptedEngine(new Response(RESPONSE, After.KEEP));
+  private void start(int maxConnections) throws IOException {
+    start(new ScriptedEngine(new Response(RESPONSE, After.KEEP)), maxConnections);
+  }
+
+  private void start(ScriptedEngine started, int maxConnections) throws IOException {
+    engine = started;
     Route route = LoopbackGateway.route(RouteKind.UNSAFE, ROUTE_TIMEOUT_MILLIS);
-    gateway = new LoopbackGateway(engine.port(), route, LIMITS, HeldBytesLimiter.Bounds.DEFAULT);
+    gateway =
+        new LoopbackGateway(
+            engine.port(), route, LIMITS, HeldBytesLimiter.Bounds.DEFAULT, maxConnections);
   }
 
   @AfterEach
@@ -91,7 +98,7 @@
 
   @Test
   void headOfTheLargestSizeInFewFieldsIsServed() throws Exception {
-    start();
+    start(10);
     try (Socket socket = connect()) {
       int length = MAX_HEADER_BYTES - REQUEST.length() - "X: \r\n".length();
       write(socket, HEAD + "X: " + "a".repeat(length) + "\r\nContent-Length: 0\r\n\r\n");
@@ -101,7 +108,7 @@
 
   @Test
   void headOfTheLargestSizeInShortFieldsIsServed() throws Exception {
-    start();
+    start(10);
     try (Socket socket = connect()) {
       String fields = "a:\r\n".repeat((MAX_HEADER_BYTES - REQUEST.length()) / 4);
       write(socket, HEAD + fields + "Content-Length: 0\r\n\r\n");
@@ -111,7 +118,7 @@
 
   @Test
   void bodyOfTheLargestSizeIsServedAndReleased() throws Exception {
-    start();
+    start(10);
     try (Socket socket = connect()) {
       write(socket, HEAD + "Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n");
       byte[] body = new byte[MAX_BODY_BYTES];
@@ -125,7 +132,7 @@
   /** Guards against a caller that holds a request for ever with a byte from time to time. */
   @Test
   void headThatIsSentByteByByteIsGivenUp() throws Exception {
-    start();
+    start(10);
     try (Socket socket = connect()) {
       assertTrue(isClosedWhileSending(socket, REQUEST));
     }
@@ -134,11 +141,58 @@
 
   @Test
   void bodyThatIsSentByteByByteIsGivenUp() throws Exception {
-    start();
+    start(10);
     try (Socket socket = connect()) {
       write(socket, HEAD + "Content-Length: 1000\r\n\r\n");
       assertTrue(isClosedWhileSending(socket, "a".repeat(100)));
     }
     assertEquals(0, gateway.requestBytes());
   }
+
+  @Test
+  void idleConnectionGivesWayToAnotherOne() throws Exception {
+    start(2);
+    try (Socket idle = connect();
+        Socket second = connect()) {
+      write(idle, REQUEST);
+      write(second, REQUEST);
+      assertEquals("HTTP/1.1 200", statusLine(idle));
+      assertEquals("HTTP/1.1 200", statusLine(second));
+      try (Socket third = connect()) {
+        write(third, REQUEST);
+        assertEquals("HTTP/1.1 200", statusLine(third));
+        idle.getInputStream().readAllBytes();
+        assertEquals(-1, idle.getInputStream().read());
+      }
+      write(second, REQUEST);
+    }
+  }
+
+  @Test
+  void connectionBeyondThoseInUseIsClosed() throws Exception {
+    start(new ScriptedEngine(head -> delayed(2_000)), 1);
+    try (Socket busy = connect()) {
+      write(busy, REQUEST);
+      gateway.awaitActiveCalls(1);
+      try (Socket next = connect()) {
+        assertThrows(IOException.class, () -> requireByte(next));
+      }
+      assertEquals("HTTP/1.1 200", statusLine(busy));
+    }
+  }
+
+  private static void requireByte(Socket socket) throws IOException {
+    if (socket.getInputStream().read() < 0) {
+      throw new IOException("closed");
+    }
+  }
+
+  private static Response delayed(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return new Response(RESPONSE, After.KEEP);
+  }
 }
