Heads of responses obey the grammar or are refused

Callers got as the engine's answers: statuses 0200, +200, 600, 999 and 2000, HTTP/2.0, control bytes in the reason phrase, fields whose name holds a blank (`X-Signed z` counted as the signature, `Content-Length x: 2` cut the body to two of four bytes), bodies with unknown transfer encodings. The cause is one: the leniency of the decoder was taken for the protocol. ResponseFramer puts the check that requests pass before all decoders of responses: engines, the store and load reports (PooledHttpClient), and the check whether an engine runs.

Valid answers in each framing are passed on by each kind of route.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
@@ -107,7 +107,11 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpClientCodec()).addLast(connection);
+                channel
+                    .pipeline()
+                    .addLast(new ResponseFramer())
+                    .addLast(new HttpClientCodec())
+                    .addLast(connection);
               }
             })
         .connect(engine.record().host(), engine.record().port())
@@ -207,6 +211,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      if (cause instanceof MalformedMessageException) {
+        conclude(unlessConnected(EngineLiveness.ACCEPTING));
+      }
       context.close();
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -43,7 +43,7 @@
   private final UnrelatedResponseLog unrelatedResponses;
   private final long number;
   private final CarriedRequests carried = new CarriedRequests();
-  private final ResponseBoundaryDecoder decoder = new ResponseBoundaryDecoder();
+  private final ResponseFramer framer = new ResponseFramer();
   private int exchanges;
   private Channel channel;
   private PendingExchange current;
@@ -64,6 +64,10 @@
   private boolean releasable;
 
   private boolean responseStarted;
+
+  /** Whether the end of the response is known without the end of its connection. */
+  private boolean framed;
+
   private boolean skipping;
   private boolean informational;
   private boolean reused;
@@ -118,9 +122,9 @@
     return channel.isActive() && nowNanos - idleUntilNanos < 0;
   }
 
-  /** Returns the decoder of this connection, which stands before it in the pipeline. */
-  ResponseBoundaryDecoder decoder() {
-    return decoder;
+  /** Returns the framer of this connection, which stands before the decoder in the pipeline. */
+  ResponseFramer framer() {
+    return framer;
   }
 
   /** Whether a request with the identifier may have been sent on the connection. */
@@ -254,8 +258,7 @@
       return;
     }
     responseStarted = true;
-    boolean framed =
-        HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+    framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
     reusable = reusable && framed && HttpUtil.isKeepAlive(response);
     readKeepAlive(response.headers().get("Keep-Alive"));
     current.head(
@@ -366,7 +369,7 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
-    if (current == null && !closing && !decoder.isAtBoundary()) {
+    if (current == null && !closing && !framer.isAtBoundary()) {
       // A part of a response would become the beginning of the next one.
       unrelatedResponses.partial(pool.engine(), number, exchanges);
       releasable = false;
@@ -385,6 +388,16 @@
     failCurrent(closing ? Failure.BROKEN : Failure.CONNECTION_LOST);
   }
 
+  private void onMalformed(String violation) {
+    if (current == null && !closing) {
+      unrelatedResponses.partial(pool.engine(), number, exchanges);
+    }
+    releasable = false;
+    failure = "response is not valid HTTP: " + violation;
+    failCurrent(Failure.BROKEN);
+    close();
+  }
+
   private void failCurrent(Failure kind) {
     if (current != null) {
       PendingExchange broken = current;
@@ -395,6 +408,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof MalformedMessageException) {
+      onMalformed(cause.getMessage());
+      return;
+    }
     failure = String.valueOf(cause.getMessage());
     failCurrent(cause instanceof IOException ? Failure.CONNECTION_LOST : Failure.BROKEN);
     close();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -133,7 +133,8 @@
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
-                    .addLast(connection.decoder())
+                    .addLast(connection.framer())
+                    .addLast(ResponseFramer.decoder())
                     .addLast(new HttpRequestEncoder())
                     .addLast(connection);
               }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
@@ -134,7 +134,8 @@
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
-                    .addLast(connection.decoder)
+                    .addLast(connection.framer)
+                    .addLast(ResponseFramer.decoder())
                     .addLast(new HttpRequestEncoder())
                     .addLast(new HttpObjectAggregator(maxResponseBytes))
                     .addLast(connection);
@@ -159,7 +160,7 @@
    * anything that was not asked for.
    */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
-    private final ResponseBoundaryDecoder decoder = new ResponseBoundaryDecoder();
+    private final ResponseFramer framer = new ResponseFramer();
     private Channel channel;
     private Consumer<StoreReply> pendingCallback;
     private Future<?> timeout;
@@ -204,7 +205,7 @@
       if (!asked && !channel.isActive()) {
         return;
       }
-      boolean unsolicited = surplus || (!asked || response != null) && !decoder.isAtBoundary();
+      boolean unsolicited = surplus || (!asked || response != null) && !framer.isAtBoundary();
       if (unsolicited) {
         log.write(GatewayEvent.UNSOLICITED_DATA, "kind", kind, "address", address, "asked", asked);
       }
@@ -271,6 +272,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      if (cause instanceof MalformedMessageException
+          && (pendingCallback == null || response != null)) {
+        // The end of the read decides on the response before these bytes.
+        surplus = true;
+        return;
+      }
       fail(String.valueOf(cause.getMessage()));
     }
   }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestMessageFramer.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestMessageFramer.java
@@ -239,4 +239,61 @@
     assertEquals(lines("GET /3 HTTP/1.1||"), read(channel));
     assertNull(violation);
   }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK|Content-Length: 2||ab",
+        "HTTP/1.1 200|Content-Length: 0||",
+        "HTTP/1.0 404 Not \u00e9 Found||body to the close",
+        "HTTP/1.1 204 No Content||HTTP/1.1 200 OK|Content-Length: 0||",
+        "HTTP/1.1 304 Not Modified|Content-Length: 7||HTTP/1.1 200 OK|Content-Length: 0||",
+        "HTTP/1.1 100 Continue||HTTP/1.1 200 OK|Transfer-Encoding: chunked||1|a|0||",
+      })
+  void validResponseIsPassedOnUnchanged(String text) {
+    String bytes = lines(text);
+    assertEquals(bytes, passedWhole(new ResponseFramer(), bytes));
+    assertNull(violation);
+    assertEquals(bytes, passedByteByByte(new ResponseFramer(), bytes));
+    assertNull(violation);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 0200 OK||",
+        "HTTP/1.1 +200 OK||",
+        "HTTP/1.1 20 OK||",
+        "HTTP/1.1 2000 OK||",
+        "HTTP/1.1 000 OK||",
+        "HTTP/1.1 099 OK||",
+        "HTTP/1.1 600 OK||",
+        "HTTP/1.1 999 OK||",
+        "HTTP/1.1  200 OK||",
+        "HTTP/1.1 200OK||",
+        "HTTP/2.0 200 OK||",
+        "HTTP/1.1 200 O\\0K||",
+        "HTTP/1.1||",
+        "|HTTP/1.1 200 OK||",
+        "HTTP/1.1 200 OK|X Note: y||",
+        "HTTP/1.1 200 OK|Content-Length x: 2|Content-Length: 4||abcd",
+        "HTTP/1.1 200 OK|Content-Length : 2||ab",
+        "HTTP/1.1 200 OK|Content-Length\t: 2||ab",
+        "HTTP/1.1 200 OK|Transfer-Encoding: xchunked||",
+        "HTTP/1.1 200 OK|X: a| b||",
+        "HTTP/1.1 200 OK|Transfer-Encoding: identity||",
+      })
+  void responseThatDoesNotObeyTheGrammarIsNotPassedOn(String text) {
+    assertEquals("", passedWhole(new ResponseFramer(), lines(text)));
+    assertNotNull(violation);
+    assertEquals("", passedByteByByte(new ResponseFramer(), lines(text)));
+    assertNotNull(violation);
+  }
+
+  @Test
+  void responseWithTooManyFieldsIsNotPassedOn() {
+    String bytes = lines("HTTP/1.1 200 OK|") + "a:\r\n".repeat(1_000) + "\r\n";
+    assertEquals("", passedWhole(new ResponseFramer(), bytes));
+    assertEquals(MalformedMessageException.Kind.HEAD_TOO_LARGE, violationKind());
+  }
 }
