A body without length is whole only if its end was read

A caller that uploaded 4 MB got a part of a body as a complete 200: the engine answered at once without a length, sent part of the body and reset the connection while the upload was being written. The write failed before the read did, Netty closed the channel, the decoder made that the end of the body, and completeResponse took it.

Answers without length to short and to long requests are still passed on.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -184,6 +184,7 @@
     otherBytes = 0;
     exchange.attach(this, new ConnectionUse(number, ++exchanges, 0));
     sentNanos = System.nanoTime();
+    framer.requestSent(exchange.request().content().readableBytes());
     written = channel.writeAndFlush(exchange.request());
   }
 
@@ -343,6 +344,12 @@
       current.body(bytes);
     }
     if (last && current != null) {
+      if (!framed && !(written.isDone() && written.isSuccess())) {
+        failure = "connection ended before the request was sent, in a response without a length";
+        failCurrent(Failure.CONNECTION_LOST);
+        close();
+        return;
+      }
       completeResponse();
     }
   }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestAnswersOfFailingEngines.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestAnswersOfFailingEngines.java
@@ -1,12 +1,19 @@
 package org.baykeel.gateway.http;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.stream.Stream;
 import org.baykeel.gateway.buffering.HeldBytesLimiter;
 import org.baykeel.gateway.configuration.RequestLimits;
@@ -18,19 +25,23 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Guards against answers of failing engines that callers get as the engine's: heads that obey no
- * grammar.
+ * grammar, and bodies whose end was not read.
  */
 class TestAnswersOfFailingEngines {
   private static final int TIMEOUT_MILLIS = 20_000;
   private static final long ROUTE_TIMEOUT_MILLIS = 5_000;
+  private static final int UPLOAD_BYTES = 4_000_000;
+  private static final int REPETITIONS = 10;
   private static final List<RouteKind> KINDS =
       List.of(RouteKind.SAFE, RouteKind.UNSAFE, RouteKind.STREAMING);
   private static final String SIGNED = "X-Id: r1|X-Signed: s|Content-Type: text/plain|";
 
+  private final ExecutorService executor = Executors.newCachedThreadPool();
   private LoopbackGateway gateway;
   private AutoCloseable engine;
 
@@ -45,6 +56,7 @@
 
   @AfterEach
   void stop() throws Exception {
+    executor.shutdownNow();
     gateway.close();
     engine.close();
   }
@@ -143,6 +155,126 @@
     assertTrue(received.contains("body"), received);
   }
 
+  /** How an engine ends the connection of an upload that it answers early. */
+  private enum End {
+    RESET_SOON {
+      @Override
+      void end(Socket connection) throws Exception {
+        Thread.sleep(20);
+        connection.setSoLinger(true, 0);
+      }
+    },
+    RESET_AFTER_PART_OF_UPLOAD {
+      @Override
+      void end(Socket connection) throws Exception {
+        connection.getInputStream().readNBytes(UPLOAD_BYTES / 4);
+        connection.setSoLinger(true, 0);
+      }
+    },
+    CLOSED_WITH_UNREAD_BYTES {
+      @Override
+      void end(Socket connection) {
+        // The system resets a connection that is closed with unread bytes.
+      }
+    },
+    HALF_CLOSED_AND_RESET {
+      @Override
+      void end(Socket connection) throws Exception {
+        connection.shutdownOutput();
+        Thread.sleep(20);
+        connection.setSoLinger(true, 0);
+      }
+    },
+    RESET_LATE {
+      @Override
+      void end(Socket connection) throws Exception {
+        Thread.sleep(300);
+        connection.setSoLinger(true, 0);
+      }
+    };
+
+    abstract void end(Socket connection) throws Exception;
+  }
+
+  /** Starts an engine that answers each upload after its head, and then ends the connection. */
+  private int startEarlyEngine(String bytes, End end) throws IOException {
+    ServerSocket listener = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+    engine = listener;
+    executor.execute(
+        () -> {
+          try {
+            while (true) {
+              Socket connection = listener.accept();
+              executor.execute(() -> answerEarly(connection, bytes, end));
+            }
+          } catch (IOException e) {
+            // Closed by the test.
+          }
+        });
+    return listener.getLocalPort();
+  }
+
+  private static void answerEarly(Socket accepted, String bytes, End end) {
+    try (Socket connection = accepted) {
+      readHead(connection.getInputStream());
+      connection.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+      end.end(connection);
+    } catch (Exception e) {
+      // The node has closed the connection.
+    }
+  }
+
+  private static void readHead(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int octet = in.read();
+      if (octet < 0) {
+        throw new IOException("closed in the head");
+      }
+      head.append((char) octet);
+    }
+  }
+
+  private static Stream<Arguments> ends() {
+    return KINDS.stream()
+        .flatMap(kind -> Stream.of(End.values()).map(end -> Arguments.of(kind, end)));
+  }
+
+  @ParameterizedTest(name = "{0}, {1}")
+  @MethodSource("ends")
+  void partOfAnAnswerWithoutLengthIsNotPassedOnAsWhole(RouteKind kind, End end) throws Exception {
+    startGateway(kind, startEarlyEngine(lines("HTTP/1.1 200 OK|" + SIGNED + "|part"), end));
+    List<String> whole = new ArrayList<>();
+    for (int i = 0; i < REPETITIONS; i++) {
+      String received = exchange(UPLOAD_BYTES);
+      if (isCompleteSuccess(received)) {
+        whole.add(received);
+      }
+    }
+    assertEquals(List.of(), whole);
+  }
+
+  /** An engine may answer before it has read all of a long body. */
+  @ParameterizedTest
+  @EnumSource(names = "RESET_LATE")
+  void earlyAnswerWithLengthIsPassedOn(End end) throws Exception {
+    startGateway(
+        RouteKind.UNSAFE,
+        startEarlyEngine(lines("HTTP/1.1 200 OK|" + SIGNED + "Content-Length: 4||body"), end));
+    String received = exchange(UPLOAD_BYTES);
+    assertTrue(received.startsWith("HTTP/1.1 200") && received.endsWith("body"), received);
+  }
+
+  @Test
+  void answerWithoutLengthToALongUploadIsPassedOn() throws Exception {
+    String bytes = lines("HTTP/1.1 200 OK|" + SIGNED + "|body");
+    ScriptedEngine scripted = new ScriptedEngine(new Response(bytes, After.CLOSE));
+    engine = scripted;
+    startGateway(RouteKind.UNSAFE, scripted.port());
+    String received = exchange(UPLOAD_BYTES);
+    assertTrue(isCompleteSuccess(received) && received.endsWith("body"), received);
+  }
+
   /** Guards against a success that is the part of an answer that was read before a time limit. */
   @Test
   void answerWithoutLengthWhoseConnectionStaysOpenIsNotPassedOnAsWhole() throws Exception {
