A response with a content encoding is not passed on

A signed 200 with `Content-Encoding: gzip` was passed on, although callers ask for no encoding and PROTOCOL says that such a body is not the engine's; nothing read the field. EngineConnection now ends the exchange, whatever the status. TestAnswersOfFailingEngines: on passed on by each kind of route, now 502.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -258,6 +259,12 @@
       readNameless(response, traits);
       return;
     }
+    if (response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
+      // Callers ask for no encoding, so that the body is not that of the engine.
+      failure = "response has a content encoding";
+      close();
+      return;
+    }
     responseStarted = true;
     framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
     reusable = reusable && framed && HttpUtil.isKeepAlive(response);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestAnswersOfFailingEngines.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestAnswersOfFailingEngines.java
@@ -112,6 +112,7 @@
             "HTTP/1.1 200 OK|X-Id z: r1|X-Signed z: s|Content-Length: 4||body",
             "HTTP/1.1 200 OK|" + SIGNED + "Transfer-Encoding: xchunked||4|body|0||",
             "HTTP/1.1 200 OK|" + SIGNED + "Transfer-Encoding: identity||body",
+            "HTTP/1.1 200 OK|" + SIGNED + "Content-Encoding: gzip|Content-Length: 4||body",
             "HTTP/1.1 200 OK|" + SIGNED + "Content-Length: 4| folded||body",
             "HTTP/1.1 200 OK|" + SIGNED + "Content-Length: 4|Content-Length: 4||body",
             "HTTP/1.1 200 OK|" + "a:|".repeat(1_000) + SIGNED + "Content-Length: 4||body");
