--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/DeferredThread.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/DeferredThread.java
@@ -7,6 +7,9 @@
  * An executor that runs one long task, such as an event loop, on its own thread, but not before
  * {@link #start}. Until then the thread that sets up the process is the only one, and it alone
  * loads classes, native libraries and files.
+ *
+ * <p>The task must not end. If it does, its thread fails with an {@link IllegalStateException}: an
+ * event loop that ends because of an error catches it and returns.
  */
 public final class DeferredThread implements Executor {
   private final String name;
@@ -46,6 +49,11 @@
   }
 
   private void startThread() {
-    new FastThreadLocalThread(task, name).start();
+    new FastThreadLocalThread(this::runTask, name).start();
+  }
+
+  private void runTask() {
+    task.run();
+    throw new IllegalStateException("thread " + name + " has ended");
   }
 }
