The readiness check has limits of its own

The address that the platform polls had no limit of connections, time or memory: what was sent to it took memory and descriptors of the node in the same ways as at the address for callers (read, not played there). It now passes requests through RequestFramer with 1 MiB for incomplete ones, has 64 connections, of which the first accepted gives way, and closes idle ones. TestReadinessServer holds 200 incomplete requests open, polls, and counts those left open.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ReadinessServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ReadinessServer.java
@@ -19,26 +19,50 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.baykeel.gateway.buffering.RequestBytesLimiter;
+import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
 
 /**
  * Serves the metrics at {@value #METRICS_PATH}. Any other request gets status 200 while the node is
- * ready for callers, otherwise 503.
+ * ready for callers, otherwise 503. Connections that are idle for {@value #IDLE_SECONDS} s are
+ * closed.
  */
 public final class ReadinessServer {
   private static final int MAX_REQUEST_BYTES = 16_384;
+  private static final int MAX_HEAD_BYTES = 8_192;
+
+  /** The memory for all incomplete requests. */
+  private static final long MAX_MEMORY_BYTES = 1 << 20;
+
+  /** Beyond this, the connection that was accepted first is closed. */
+  static final int MAX_CONNECTIONS = 64;
+
+  private static final int IDLE_SECONDS = 15;
 
   static final String METRICS_PATH = "/metrics";
 
   private final BooleanSupplier ready;
   private final GatewayMetrics metrics;
+  private final RequestBytesLimiter memory;
+  private final Set<SocketChannel> connections = new LinkedHashSet<>();
 
-  public ReadinessServer(BooleanSupplier ready, GatewayMetrics metrics) {
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param eventLoop the clock
+   */
+  public ReadinessServer(BooleanSupplier ready, GatewayMetrics metrics, EventLoop eventLoop) {
     this.ready = ready;
     this.metrics = metrics;
+    this.memory =
+        new RequestBytesLimiter(new RequestBytesLimiter.Bounds(MAX_MEMORY_BYTES), eventLoop);
   }
 
   /**
@@ -55,18 +79,46 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                channel
-                    .pipeline()
-                    .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
-                    .addLast(new Handler());
+                accept(channel);
               }
             })
         .bind(address);
   }
 
+  private void accept(SocketChannel channel) {
+    if (connections.size() >= MAX_CONNECTIONS) {
+      connections.iterator().next().close();
+    }
+    connections.add(channel);
+    RequestBytesLimiter.Request held = memory.open(channel::close);
+    channel
+        .closeFuture()
+        .addListener(
+            closed -> {
+              connections.remove(channel);
+              held.close();
+            });
+    RequestFramer framer =
+        new RequestFramer(MAX_HEAD_BYTES, held, IngressServer.RECEIVE_BUFFER_BYTES);
+    channel
+        .pipeline()
+        .addLast(new ReadTimeoutHandler(IDLE_SECONDS))
+        .addLast(framer)
+        .addLast(new HttpServerCodec())
+        .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+        .addLast(new Handler(framer, held));
+  }
+
   /** Serves one connection. */
   private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final RequestFramer framer;
+    private final RequestBytesLimiter.Request held;
+
+    Handler(RequestFramer framer, RequestBytesLimiter.Request held) {
+      this.framer = framer;
+      this.held = held;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
       boolean metricsRequested = request.uri().equals(METRICS_PATH);
@@ -85,7 +137,10 @@
       var future = context.writeAndFlush(response);
       if (!keep) {
         future.addListener(ChannelFutureListener.CLOSE);
+        framer.stop();
       }
+      held.end();
+      framer.next();
     }
 
     private static byte[] readiness(boolean isReady) {
