The older client of back ends takes only valid responses

baykeel-node's HttpClient read responses with the same lenient decoder: statuses 000 and 999, other versions, blanks in names and unknown transfer encodings were passed on as whole. It has ResponseFramer before its decoder now.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ResponseFramer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ResponseFramer.java
@@ -15,7 +15,7 @@
  * was read: a connection that is reset, or closed by this side, leaves it incomplete, which is
  * passed on as an exception before the decoder learns of the end.
  */
-final class ResponseFramer extends MessageFramer {
+public final class ResponseFramer extends MessageFramer {
   private static final int MAX_HEAD_BYTES = 12_288;
   private static final int MAX_FIELDS = 256;
 
@@ -33,7 +33,8 @@
 
   private boolean confirmsEnd;
 
-  ResponseFramer() {
+  /** Creates a framer for the responses of one connection. */
+  public ResponseFramer() {
     super(MessageHead.Kind.RESPONSE, MAX_HEAD_BYTES);
   }
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPooledHttpClient.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPooledHttpClient.java
@@ -210,6 +210,10 @@
     "reset without length, HTTP/1.1 200 OK||body, RESET",
     "two lengths, HTTP/1.1 200 OK|Content-Length: 1|Content-Length: 2||bb, KEEP",
     "not a response, nonsense||, KEEP",
+    "status zero, HTTP/1.1 000 OK|Content-Length: 1||b, KEEP",
+    "status out of range, HTTP/1.1 999 OK|Content-Length: 1||b, KEEP",
+    "blank in a name, HTTP/1.1 200 OK|Content-Length x: 1||b, CLOSE",
+    "other version, HTTP/2.0 200 OK|Content-Length: 1||b, KEEP",
     "interim only, HTTP/1.1 100 Continue||, KEEP",
   })
   void aCallWithoutACompleteResponseIsLostAndItsConnectionClosed(
--- a/baykeel-node/src/main/java/org/baykeel/node/transport/HttpClient.java
+++ b/baykeel-node/src/main/java/org/baykeel/node/transport/HttpClient.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.baykeel.gateway.http.ResponseFramer;
 
 /** HTTP/1.1 to outside services, on Netty's codec, with kept connections. */
 public final class HttpClient {
@@ -140,7 +141,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec());
+                    channel.pipeline().addLast(new ResponseFramer()).addLast(new HttpClientCodec());
                   }
                 })
             .connect(parse(exchange.call.address()));
