The store's client takes no part of a response for the whole

Whether the whole request was written before its response ended with the connection was asked for engines only. A call of 8 MiB to the store that was answered early without a length, and then reset, counted as answered with the part. The check now stands in ResponseFramer, for whoever tells it of its requests. The two new rows of TestPooledHttpClient get `200 part` on, now the call is lost.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -66,9 +66,6 @@
 
   private boolean responseStarted;
 
-  /** Whether the end of the response is known without the end of its connection. */
-  private boolean framed;
-
   private boolean skipping;
   private boolean informational;
   private boolean reused;
@@ -185,8 +182,9 @@
     otherBytes = 0;
     exchange.attach(this, new ConnectionUse(number, ++exchanges, 0));
     sentNanos = System.nanoTime();
-    framer.requestSent(exchange.request().content().readableBytes());
+    int bodyBytes = exchange.request().content().readableBytes();
     written = channel.writeAndFlush(exchange.request());
+    framer.requestSent(written, bodyBytes);
   }
 
   @Override
@@ -266,7 +264,8 @@
       return;
     }
     responseStarted = true;
-    framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+    boolean framed =
+        HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
     reusable = reusable && framed && HttpUtil.isKeepAlive(response);
     readKeepAlive(response.headers().get("Keep-Alive"));
     current.head(
@@ -351,12 +350,6 @@
       current.body(bytes);
     }
     if (last && current != null) {
-      if (!framed && !(written.isDone() && written.isSuccess())) {
-        failure = "connection ended before the request was sent, in a response without a length";
-        failCurrent(Failure.CONNECTION_LOST);
-        close();
-        return;
-      }
       completeResponse();
     }
   }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
@@ -181,7 +181,8 @@
           channel
               .eventLoop()
               .schedule(() -> onTimeout(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
-      channel.writeAndFlush(request);
+      int bodyBytes = request.content().readableBytes();
+      framer.requestSent(channel.writeAndFlush(request), bodyBytes);
     }
 
     @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ResponseFramer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ResponseFramer.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.http;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -31,6 +32,7 @@
   /** Servers ignore an empty line behind a request. */
   private static final byte[] EMPTY_LINE = {'\r', '\n'};
 
+  private ChannelFuture written;
   private boolean confirmsEnd;
 
   /** Creates a framer for the responses of one connection. */
@@ -39,11 +41,14 @@
   }
 
   /**
-   * Records the request whose response is read next.
+   * Records the request whose response is read next. A body that ends with the connection before
+   * the request was written is not whole.
    *
+   * @param requestWritten completes when the request was written
    * @param bytes the length of its body, in bytes
    */
-  void requestSent(int bytes) {
+  void requestSent(ChannelFuture requestWritten, int bytes) {
+    written = requestWritten;
     confirmsEnd = bytes > SHORT_REQUEST_BYTES;
   }
 
@@ -105,6 +110,10 @@
   }
 
   private void end(ChannelHandlerContext handlerContext) {
+    if (isInBodyToClose() && written != null && !written.isSuccess()) {
+      handlerContext.close();
+      return;
+    }
     // The connection must not be used again by whoever learns of the end of the response.
     handlerContext.close();
     if (isInBodyToClose()) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPooledHttpClient.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestPooledHttpClient.java
@@ -5,7 +5,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,6 +34,7 @@
 /** Sends calls to a server that responds more than once, in parts or not at all. */
 class TestPooledHttpClient {
   private static final long CALL_MILLIS = 500;
+  private static final int LONG_CALL_BYTES = 8 << 20;
   private static final Pattern TARGET = Pattern.compile("^GET /(\\S+)");
 
   private final EventLoopGroup group =
@@ -226,6 +231,43 @@
     }
   }
 
+  /** Guards against a part of a response to a long call that is taken for the whole. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void responseWithoutLengthThatEndsWhileTheCallIsWrittenIsLost(boolean halfCloses)
+      throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 4, InetAddress.getLoopbackAddress())) {
+      CompletableFuture.runAsync(() -> answerEarly(listener, halfCloses));
+      PooledHttpClient client =
+          new PooledHttpClient(
+              group,
+              new InetSocketAddress("127.0.0.1", listener.getLocalPort()),
+              (event, fields) -> events.add(event));
+      CompletableFuture<String> outcome = new CompletableFuture<>();
+      StoreCall call =
+          new StoreCall(
+              StoreCall.Method.POST, "/a", new byte[LONG_CALL_BYTES], 10 * CALL_MILLIS, false);
+      group.next().execute(() -> client.call(call, reply -> outcome.complete(outcomeOf(reply))));
+      assertEquals("Lost", outcome.get(20, TimeUnit.SECONDS));
+    }
+  }
+
+  private static void answerEarly(ServerSocket listener, boolean halfCloses) {
+    try (Socket connection = listener.accept()) {
+      connection.getInputStream().readNBytes(1_000);
+      connection
+          .getOutputStream()
+          .write(lines("HTTP/1.1 200 OK||part").getBytes(StandardCharsets.US_ASCII));
+      if (halfCloses) {
+        connection.shutdownOutput();
+      }
+      Thread.sleep(20);
+      connection.setSoLinger(true, 0);
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Guards against an interim response that is taken for the outcome of a call. */
   @Test
   void anInterimResponseIsSkipped() throws Exception {
