Callers that keep the event loop busy do not hold up all others

A connection is read four times at the most before the others are read; a request behind another one is read after other work of the loop; a connection is not kept after a head that costs more than 64 KiB; tiny chunks are refused from 16 KiB of extra framing on, both line ends counted. TestCallerLimits shows that such a connection is closed.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -276,7 +276,7 @@
     requestNanos = System.nanoTime();
     requests++;
     body = new BodyBuffer();
-    keepAlive = HttpUtil.isKeepAlive(request);
+    keepAlive = HttpUtil.isKeepAlive(request) && framer.isHeadUsual();
     attributes = null;
     if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
       refuseAndClose(
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -40,6 +41,12 @@
    */
   static final int RECEIVE_BUFFER_BYTES = 256 << 10;
 
+  /**
+   * The most reads of a connection before the others are read. More would let callers that send
+   * fast hold up all others on the event loop.
+   */
+  private static final int MAX_READS = 4;
+
   private static final int BACKLOG = 1_024;
   private static final int MAX_CHUNK_BYTES = 65_536;
   private static final int MAX_CUT_LINES = 32;
@@ -94,6 +101,9 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS))
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/MessageFramer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/MessageFramer.java
@@ -22,7 +22,7 @@
   private static final int HEXADECIMAL = 16;
 
   /** The bytes by which the framing of chunks may exceed the length of the body so far. */
-  private static final int MAX_EXTRA_FRAMING_BYTES = 1 << 15;
+  private static final int MAX_EXTRA_FRAMING_BYTES = 1 << 14;
 
   private final MessageHead.Kind kind;
   private final int maxHeadBytes;
@@ -208,7 +208,7 @@
     }
   }
 
-  /** Keeps the bytes that cannot be dealt with yet in a buffer of their size. */
+  /** Keeps the bytes that cannot be dealt with yet, in a buffer of about their size. */
   private void keepRest() {
     ByteBuf bytes = input;
     int rest = stopped ? 0 : bytes.writerIndex() - at;
@@ -216,6 +216,8 @@
     if (rest == 0) {
       pending = null;
       bytes.release();
+    } else if (bytes == pending && rest > bytes.capacity() / 2) {
+      bytes.readerIndex(at);
     } else if (bytes != pending || at > bytes.readerIndex()) {
       pending = context.alloc().heapBuffer(rest);
       pending.writeBytes(bytes, at, rest);
@@ -379,7 +381,7 @@
             && (digitsTo == lineTo || input.getByte(digitsTo) == ';'),
         MalformedMessageException.Kind.GRAMMAR,
         "chunk has no size");
-    countFraming(scanned, size);
+    countFraming(scanned + LINE_END_BYTES, size);
     at = digitsTo;
     if (digitsTo < lineTo) {
       drop(lineTo);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/RequestFramer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/RequestFramer.java
@@ -13,9 +13,13 @@
   /** Reading is paused while more bytes than this wait behind a request in progress. */
   private static final int MAX_WAITING_BYTES = 1 << 14;
 
+  /** A head that takes more memory has very many fields, and takes long to decode. */
+  private static final int MAX_USUAL_HEAD_BYTES = 64 << 10;
+
   private final RequestBytesLimiter.Request memory;
   private final int receiveBufferBytes;
   private boolean paused;
+  private boolean headUsual = true;
 
   /**
    * Creates a framer.
@@ -31,7 +35,17 @@
 
   @Override
   void onHead(MessageHead complete, int bytes) {
-    memory.holdHead(bytes + (long) FIELD_BYTES * complete.fields());
+    long cost = bytes + (long) FIELD_BYTES * complete.fields();
+    headUsual = cost <= MAX_USUAL_HEAD_BYTES;
+    memory.holdHead(cost);
+  }
+
+  /**
+   * Whether the head that was read last takes no more memory than usual heads. The connection is
+   * not kept after another one, so that a caller can't send many of them on one connection.
+   */
+  boolean isHeadUsual() {
+    return headUsual;
   }
 
   @Override
@@ -41,9 +55,7 @@
 
   @Override
   void onPending(int bytes) {
-    if (isWaiting() && bytes > MAX_WAITING_BYTES) {
-      pause(true);
-    }
+    pause(isWaiting() && bytes > MAX_WAITING_BYTES);
     memory.holdUnread(bytes + (paused ? receiveBufferBytes : 0));
   }
 
@@ -54,10 +66,16 @@
     }
   }
 
-  /** Begins to read the next request, after the response to the one before. */
+  /**
+   * Begins to read the next request, after the response to the one before. A request that was
+   * received already has to wait for other work of the event loop, so that callers that send many
+   * behind one another do not hold up all others.
+   */
   void next() {
-    pause(false);
-    memory.holdUnread(pendingBytes());
-    readNext();
+    if (pendingBytes() > 0) {
+      context().executor().execute(this::readNext);
+    } else {
+      readNext();
+    }
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestCallerLimits.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestCallerLimits.java
@@ -116,6 +116,20 @@
     }
   }
 
+  /** Guards against callers that keep the event loop busy with heads that take long to decode. */
+  @Test
+  void connectionIsNotKeptAfterAHeadOfVeryManyFields() throws Exception {
+    start(10);
+    try (Socket socket = connect()) {
+      String request = HEAD + "a:\r\n".repeat(1_000) + "Content-Length: 0\r\n\r\n";
+      write(socket, request + request);
+      String received =
+          new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      assertTrue(received.contains("connection: close"), received);
+    }
+    assertEquals(1, engine.requests().size());
+  }
+
   @Test
   void bodyOfTheLargestSizeIsServedAndReleased() throws Exception {
     start(10);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestMessageFramer.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestMessageFramer.java
@@ -233,8 +233,10 @@
     write(channel, first + second + "GET /3");
     assertEquals(first, read(channel));
     framer.next();
+    channel.runPendingTasks();
     assertEquals(second, read(channel));
     framer.next();
+    channel.runPendingTasks();
     write(channel, lines(" HTTP/1.1||"));
     assertEquals(lines("GET /3 HTTP/1.1||"), read(channel));
     assertNull(violation);
