--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/runtime/ThreadFailure.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/runtime/ThreadFailure.java
@@ -43,7 +43,7 @@
     try {
       errors.write(line);
     } catch (IOException e) {
-      // Nobody reads the errors; the exit status tells that the process failed.
+      // Standard error is closed; the exit status tells that the process has failed.
     }
   }
 }
