Metrics and a line tell what the event loop spends its time on

The processor time of a node could not be told by cause: whether it goes to callers, engines, the store, other nodes or timers, and whether its timers run late.

LoopWork counts pieces and time by kind of work, messages of other nodes by type, and the lateness of timers; TimedReads stands first in the pipelines of callers, engines, reports and the store.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpLoadReportClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/HttpLoadReportClient.java
@@ -126,7 +126,8 @@
     InetSocketAddress address = InetSocketAddress.createUnresolved(record.host(), record.port());
     PooledHttpClient client =
         new PooledHttpClient(
-            group, address, "engine", MAX_REPORT_BYTES, metrics::engineConnectionOpened, log);
+                group, address, "engine", MAX_REPORT_BYTES, metrics::engineConnectionOpened, log)
+            .measuredBy(metrics.work());
     QueriedEngine queried = new QueriedEngine(record, client);
     queriedById.put(record.id(), queried);
     return queried;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressServer.java
@@ -29,6 +29,7 @@
 import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.telemetry.GatewayMetrics.RequestRejection;
 import org.baykeel.gateway.telemetry.LoggedTask;
+import org.baykeel.gateway.telemetry.LoopWork;
 
 /** Accepts the connections of callers and closes those that are idle or stalled for too long. */
 public final class IngressServer implements GracefulStop.CallerConnections {
@@ -58,6 +59,7 @@
   private final CallTranslator translator;
   private final GatewayState state;
   private final CallerLimits callerLimits;
+  private final LoopWork work;
   private final RejectionLog rejections;
   private final GatewayLog log;
   private final Set<IngressConnection> connections = new LinkedHashSet<>();
@@ -83,6 +85,7 @@
     this.translator = translator;
     this.state = state;
     this.callerLimits = callerLimits;
+    this.work = metrics.work();
     this.rejections = new RejectionLog(metrics, eventLoop, log);
     this.log = log;
   }
@@ -140,6 +143,7 @@
     connections.add(connection);
     channel
         .pipeline()
+        .addLast(new TimedReads(work, LoopWork.Kind.CALLERS))
         .addLast(connection.framer())
         .addLast(new HttpRequestDecoder(config))
         .addLast(new HttpResponseEncoder())
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -20,6 +20,7 @@
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
 import org.baykeel.gateway.telemetry.GatewayMetrics;
+import org.baykeel.gateway.telemetry.LoopWork;
 import org.baykeel.gateway.topology.RoundTrips;
 
 /** Sends requests to engines over pooled connections, one request at a time on each. */
@@ -133,6 +134,7 @@
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
+                    .addLast(new TimedReads(metrics.work(), LoopWork.Kind.ENGINES))
                     .addLast(connection.framer())
                     .addLast(ResponseFramer.decoder())
                     .addLast(new HttpRequestEncoder())
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
@@ -29,9 +29,11 @@
 import org.baykeel.gateway.remote.StoreReply;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
+import org.baykeel.gateway.telemetry.LoopWork;
 
 /** An HTTP client for one address with pooled connections, one request at a time on each. */
 public final class PooledHttpClient implements StoreClient {
+  private static final String STORE = "store";
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
   private static final int MAX_STORE_RESPONSE_BYTES = 16 << 20;
   private static final int MAX_IDLE = 8;
@@ -44,6 +46,7 @@
   private final Runnable onConnect;
   private final GatewayLog log;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+  private LoopWork work = new LoopWork();
 
   /**
    * Creates a client of the store, with no connection yet.
@@ -52,7 +55,7 @@
    * @param address the only address that it connects to
    */
   public PooledHttpClient(EventLoopGroup group, InetSocketAddress address, GatewayLog log) {
-    this(group, address, "store", MAX_STORE_RESPONSE_BYTES, () -> {}, log);
+    this(group, address, STORE, MAX_STORE_RESPONSE_BYTES, () -> {}, log);
   }
 
   /**
@@ -77,6 +80,16 @@
     this.log = log;
   }
 
+  /** Sets the counters that measure the time of responses, and returns this client. */
+  public PooledHttpClient measuredBy(LoopWork loopWork) {
+    work = loopWork;
+    return this;
+  }
+
+  private LoopWork.Kind workKind() {
+    return kind.equals(STORE) ? LoopWork.Kind.STORE : LoopWork.Kind.REPORTS;
+  }
+
   @Override
   public void call(StoreCall call, Consumer<StoreReply> callback) {
     byte[] body = call.body();
@@ -134,6 +147,7 @@
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
+                    .addLast(new TimedReads(work, workKind()))
                     .addLast(connection.framer)
                     .addLast(ResponseFramer.decoder())
                     .addLast(new HttpRequestEncoder())
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
 import org.HdrHistogram.Histogram;
 import org.baykeel.gateway.topology.Locality;
 
@@ -44,6 +45,7 @@
   private final Map<String, long[]> rejections = new TreeMap<>();
   private final Map<String, LongSupplier> gauges = new TreeMap<>();
   private final Map<String, long[]> programs = new TreeMap<>();
+  private final LoopWork work = new LoopWork();
   private long engineConnections;
   private long engineConnectionsToReport;
   private long failedAttempts;
@@ -185,6 +187,11 @@
     gauges.put(name, value);
   }
 
+  /** Returns what the event loop spends its time on. */
+  public LoopWork work() {
+    return work;
+  }
+
   /** Counts a connection opened to an engine. */
   public void engineConnectionOpened() {
     engineConnections++;
@@ -207,6 +214,11 @@
     engineConnectionsToReport = 0;
   }
 
+  /** Logs what the event loop has spent its time on since the last such event. */
+  public void reportWork(GatewayLog log) {
+    log.write(GatewayEvent.LOOP_WORK, work.report().toArray());
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   public byte[] render() {
     CounterSnapshot calls =
@@ -246,6 +258,23 @@
                 "Sends to engines by their place in the engine's queue; 0 is the most urgent",
                 "rank",
                 sendsByRank),
+            loopWork(
+                "baykeel_gateway_loop_milliseconds",
+                "Time of the event loop by kind of work",
+                work::millis),
+            loopWork(
+                "baykeel_gateway_loop_pieces",
+                "Pieces of work of the event loop by kind",
+                work::count),
+            counters(
+                "baykeel_gateway_peer_messages",
+                "Messages of other nodes by type",
+                "type",
+                work.messages()),
+            counter(
+                "baykeel_gateway_processor_milliseconds",
+                "Processor time of the process",
+                LoopWork.processorMillis()),
             counter(
                 "baykeel_gateway_failed_attempts",
                 "Sends to engines without a whole answer",
@@ -283,6 +312,15 @@
         .build();
   }
 
+  private static CounterSnapshot loopWork(
+      String name, String help, ToLongFunction<LoopWork.Kind> reading) {
+    Map<String, long[]> byKind = new TreeMap<>();
+    for (LoopWork.Kind kind : LoopWork.Kind.values()) {
+      byKind.put(kind.label(), new long[] {reading.applyAsLong(kind)});
+    }
+    return counters(name, help, "kind", byKind);
+  }
+
   private static CounterSnapshot counter(String name, String help, long count) {
     return CounterSnapshot.builder()
         .name(name)
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestGatewayMetrics.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/telemetry/TestGatewayMetrics.java
@@ -64,4 +64,27 @@
         text.contains("baykeel_gateway_store_calls_total{purpose=\"create_budget\"} 2.0"), text);
     assertTrue(text.contains("baykeel_gateway_engine_connections_total 1.0"), text);
   }
+
+  @Test
+  void logsWorkOfTheLoopSinceLastReportAndRendersTotals() {
+    GatewayMetrics metrics = new GatewayMetrics();
+    List<String> lines = new ArrayList<>();
+    GatewayLog log = (event, fields) -> lines.add(event + " " + Arrays.toString(fields));
+    long beganNanos = System.nanoTime() - 7_000_000_000L;
+    metrics.work().done(LoopWork.Kind.PEERS, beganNanos);
+    metrics.work().done(LoopWork.Kind.PEERS, beganNanos);
+    metrics.work().received(String.class);
+    metrics.work().late(31_000_000);
+    metrics.reportWork(log);
+    metrics.reportWork(log);
+    assertTrue(lines.get(0).contains("peers_ms, 140"), lines.get(0));
+    assertTrue(lines.get(0).contains("peers_count, 2"), lines.get(0));
+    assertTrue(lines.get(0).contains("lag_ms, 31"), lines.get(0));
+    assertTrue(lines.get(1).contains("peers_count, 0"), lines.get(1));
+    assertTrue(lines.get(1).contains("lag_ms, 0"), lines.get(1));
+    String text = new String(metrics.render(), StandardCharsets.UTF_8);
+    assertTrue(text.contains("baykeel_gateway_loop_pieces_total{kind=\"peers\"} 2.0"), text);
+    assertTrue(text.contains("baykeel_gateway_peer_messages_total{type=\"String\"} 1.0"), text);
+    assertTrue(text.contains("baykeel_gateway_processor_milliseconds_total"), text);
+  }
 }
