A caller that is given up for its slowness releases its memory at once

TestCallerLimits#bodyThatIsSentByteByByteIsGivenUp failed once of three runs: 2,185 bytes were still counted after the caller had seen the close. closeSlow left the bytes counted until the channel became inactive, which is a later task of the event loop, unlike all other refusals; memory was held that much longer. It now drops what was received as they do, before the close.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -239,8 +239,7 @@
 
   private void closeSlow(RequestRejection cause) {
     server.rejections().rejected(cause, 0, "request was not received in time");
-    discarding = true;
-    framer.stop();
+    stopReading();
     context.close();
   }
 
