Events of an engine cost work in proportion to their bytes

Report of another operator: a faulty engine sends bytes without end. Here the node held up all its other requests meanwhile: over 5 s beside event fields without an empty line in chunks of their own, 3.9 s beside endless small events.

Cause: EventStreamParser copied and searched all that it kept for each part that arrived, work in the square of the event's length; each event was flushed by itself, one system call each; and a connection was read up to sixteen times, a MiB, before others.

The parser searches each byte once and moves it a constant number of times; the events of a pass of the event loop are flushed together (DeferredFlush); connections to engines, the store and peers are read twice, 32 KiB, before the others. On the code before five rows of TestEventStreamParser fail: 400,020,000 bytes of work for an event of 20,000 bytes, 3,200,160,000 for one of 160,000; now under six passes.

Found by TestPlannedStop while this was made: a connection of a node that stops was closed when the last event had been delivered, although a request had arrived behind the stream; before, that took a caller that read slowly. It is answered now.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EventStreamParser.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EventStreamParser.java
@@ -5,51 +5,105 @@
 import java.util.Arrays;
 import java.util.function.Consumer;
 
-/** Splits the bytes of an event stream into complete events; an incomplete event is buffered. */
+/**
+ * Splits the bytes of an event stream into complete events; an incomplete event is buffered.
+ *
+ * <p>Invariant: the work is linear in the number of bytes, however many parts an event arrives in.
+ * An engine chooses the sizes of its events and of their parts.
+ */
 public final class EventStreamParser {
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] EMPTY = {};
 
-  private byte[] pending = new byte[0];
+  /** A larger buffer is not kept once it is empty. */
+  private static final int MAX_KEPT_BYTES = 16_384;
+
+  /** Begins with the incomplete event. */
+  private byte[] buffer = EMPTY;
+
+  private int length;
+
+  /** The end of the bytes that were searched for the end of the event. */
+  private int searched;
+
+  private long bytesSearched;
+  private long bytesCopied;
 
   /** Adds bytes and passes on each event that they complete. */
   public void add(byte[] bytes, Consumer<StreamEvent> events) {
-    byte[] all = pending.length == 0 ? bytes : concatenate(pending, bytes);
+    append(bytes);
     int start = 0;
     int end;
-    while ((end = endOfEvent(all, start)) > 0) {
-      events.accept(parse(Arrays.copyOfRange(all, start, end)));
+    while ((end = endOfEvent(start)) > 0) {
+      bytesCopied += end - start;
+      byte[] event = Arrays.copyOfRange(buffer, start, end);
       start = end;
+      searched = end;
+      events.accept(parse(event));
+    }
+    keepFrom(start);
+  }
+
+  private void append(byte[] bytes) {
+    int needed = length + bytes.length;
+    if (needed > buffer.length) {
+      bytesCopied += length;
+      buffer = Arrays.copyOf(buffer, Math.max(needed, 2 * length));
+    }
+    bytesCopied += bytes.length;
+    System.arraycopy(bytes, 0, buffer, length, bytes.length);
+    length = needed;
+  }
+
+  /**
+   * Keeps the incomplete event, which is a part of the bytes added last if an event preceded it.
+   */
+  private void keepFrom(int start) {
+    length -= start;
+    searched = length;
+    if (length == 0 && buffer.length > MAX_KEPT_BYTES) {
+      buffer = EMPTY;
+    } else if (start > 0) {
+      bytesCopied += length;
+      System.arraycopy(buffer, start, buffer, 0, length);
     }
-    pending = start == 0 ? all : Arrays.copyOfRange(all, start, all.length);
   }
 
   /** The length of the incomplete event that is buffered, in bytes. */
   public int pendingBytes() {
-    return pending.length;
+    return length;
   }
 
   /** Whether an incomplete event is buffered. */
   public boolean midEvent() {
-    return pending.length > 0;
+    return length > 0;
   }
 
-  private static int endOfEvent(byte[] bytes, int start) {
-    for (int i = start + 1; i < bytes.length; i++) {
-      if (bytes[i] == '\n' && bytes[i - 1] == '\n') {
-        return i + 1;
-      }
-      if (i >= start + 3
-          && bytes[i] == '\n'
-          && bytes[i - 1] == '\r'
-          && bytes[i - 2] == '\n'
-          && bytes[i - 3] == '\r') {
+  /** The number of bytes that were searched or copied so far. */
+  long bytesProcessed() {
+    return bytesSearched + bytesCopied;
+  }
+
+  private int endOfEvent(int start) {
+    for (int i = Math.max(searched, start + 1); i < length; i++) {
+      if (buffer[i] == '\n' && endsBlankLine(start, i)) {
+        bytesSearched += i + 1 - searched;
         return i + 1;
       }
     }
+    bytesSearched += length - searched;
     return -1;
   }
 
+  private boolean endsBlankLine(int start, int lineFeed) {
+    return buffer[lineFeed - 1] == '\n'
+        || lineFeed >= start + 3
+            && buffer[lineFeed - 1] == '\r'
+            && buffer[lineFeed - 2] == '\n'
+            && buffer[lineFeed - 3] == '\r';
+  }
+
   private static StreamEvent parse(byte[] event) {
     long id = CallAttributes.ABSENT;
     ByteArrayOutputStream data = null;
@@ -100,10 +154,4 @@
     }
     return any ? number : CallAttributes.ABSENT;
   }
-
-  private static byte[] concatenate(byte[] first, byte[] second) {
-    byte[] all = Arrays.copyOf(first, first.length + second.length);
-    System.arraycopy(second, 0, all, first.length, second.length);
-    return all;
-  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -68,6 +68,7 @@
   private final RequestBytesLimiter.Request memory;
   private final RequestFramer framer;
   private ChannelHandlerContext context;
+  private DeferredFlush eventFlush;
   private HttpRequest head;
   private CallAttributes attributes;
   private BodyBuffer body;
@@ -122,6 +123,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext handlerContext) {
     context = handlerContext;
+    eventFlush = new DeferredFlush(handlerContext.executor(), handlerContext::flush);
   }
 
   /** Returns whether a request is in progress or the caller has not read all of a response. */
@@ -442,7 +444,7 @@
         completed -> {
           lastActivityNanos = System.nanoTime();
           flow.delivered(bytes);
-          if (server.closing() && !active()) {
+          if (server.closing() && !active() && framer.pendingBytes() == 0) {
             context.close();
           }
         });
@@ -498,7 +500,8 @@
   @Override
   public void sendEvent(byte[] bytes) {
     HttpContent content = new DefaultHttpContent(Unpooled.wrappedBuffer(bytes));
-    countUntilDelivered(context.writeAndFlush(content), bytes.length);
+    countUntilDelivered(context.write(content), bytes.length);
+    eventFlush.request();
   }
 
   @Override
@@ -512,6 +515,7 @@
     responding = false;
     call = null;
     discarding = true;
+    context.flush();
     context.close();
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/KeepAliveBootstrap.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/KeepAliveBootstrap.java
@@ -1,6 +1,7 @@
 package org.baykeel.gateway.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -21,6 +22,13 @@
   /** Unanswered probes after which the connection is closed: 3 s in all. */
   private static final int PROBES = 2;
 
+  private static final int MIN_READ_BYTES = 64;
+  private static final int FIRST_READ_BYTES = 2_048;
+  private static final int MAX_READ_BYTES = 16_384;
+
+  /** The most reads of a connection before the other connections are read. */
+  private static final int MAX_READS = 2;
+
   private KeepAliveBootstrap() {}
 
   /**
@@ -35,6 +43,10 @@
         .resolver(OffLoopResolverGroup.INSTANCE)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                .maxMessagesPerRead(MAX_READS))
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_INTERVAL_SECONDS)
