Datagrams cost no conversion of addresses, and no promise each

Cause: each datagram parsed the address of its receiver and formatted the one of its sender, and each write made a promise that nobody reads: hundreds a second and node in a large group. Change: the transport keeps converted addresses, at most 1,024 each way, since senders are not trusted.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
@@ -13,6 +13,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.baykeel.gateway.network.IpLiterals;
 import org.baykeel.gateway.peer.PeerAddress;
@@ -20,7 +22,11 @@
 
 /** Sends and receives datagrams between nodes over UDP. */
 public final class DatagramPeerTransport implements PeerTransport {
+  /** Limits the addresses that are kept in converted form, since senders are not trusted. */
+  private static final int MAX_KNOWN_ADDRESSES = 1_024;
+
   private final DatagramFilter filter;
+  private final Map<PeerAddress, InetSocketAddress> socketByPeer = new HashMap<>();
   private volatile Channel channel;
 
   /** Creates a transport that passes all datagrams. */
@@ -60,19 +66,36 @@
   /** Drops a datagram to a host name, since resolving the name would block the event loop. */
   @Override
   public void send(PeerAddress receiver, byte[] datagram) {
-    Optional<InetAddress> host = IpLiterals.parse(receiver.host());
-    if (channel != null && host.isPresent() && filter.passesTo(receiver)) {
+    InetSocketAddress socket = socketOf(receiver);
+    if (channel != null && socket != null && filter.passesTo(receiver)) {
       channel.writeAndFlush(
-          new DatagramPacket(
-              Unpooled.wrappedBuffer(datagram),
-              new InetSocketAddress(host.get(), receiver.port())));
+          new DatagramPacket(Unpooled.wrappedBuffer(datagram), socket), channel.voidPromise());
+    }
+  }
+
+  /** Returns the address of a peer as a socket takes it; null if its host is a name. */
+  private InetSocketAddress socketOf(PeerAddress peer) {
+    InetSocketAddress known = socketByPeer.get(peer);
+    if (known != null) {
+      return known;
+    }
+    Optional<InetAddress> host = IpLiterals.parse(peer.host());
+    if (host.isEmpty()) {
+      return null;
     }
+    if (socketByPeer.size() >= MAX_KNOWN_ADDRESSES) {
+      socketByPeer.clear();
+    }
+    InetSocketAddress socket = new InetSocketAddress(host.get(), peer.port());
+    socketByPeer.put(peer, socket);
+    return socket;
   }
 
   /** Passes datagrams to the receiver. */
   private static final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
     private final DatagramFilter filter;
     private final Receiver receiver;
+    private final Map<InetSocketAddress, PeerAddress> peerBySocket = new HashMap<>();
 
     Handler(DatagramFilter filter, Receiver receiver) {
       this.filter = filter;
@@ -81,8 +104,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-      InetSocketAddress socket = packet.sender();
-      PeerAddress sender = new PeerAddress(socket.getAddress().getHostAddress(), socket.getPort());
+      PeerAddress sender = peerOf(packet.sender());
       if (!filter.passesFrom(sender)) {
         return;
       }
@@ -91,6 +113,19 @@
       receiver.receive(sender, datagram);
     }
 
+    private PeerAddress peerOf(InetSocketAddress socket) {
+      PeerAddress known = peerBySocket.get(socket);
+      if (known != null) {
+        return known;
+      }
+      if (peerBySocket.size() >= MAX_KNOWN_ADDRESSES) {
+        peerBySocket.clear();
+      }
+      PeerAddress peer = new PeerAddress(socket.getAddress().getHostAddress(), socket.getPort());
+      peerBySocket.put(socket, peer);
+      return peer;
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       // A datagram that cannot be sent or read is lost, which callers of send have to expect
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerAddress.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerAddress.java
@@ -46,9 +46,10 @@
    */
   @Override
   public boolean equals(Object other) {
-    return other instanceof PeerAddress address
-        && port == address.port
-        && host.equals(address.host);
+    return this == other
+        || other instanceof PeerAddress address
+            && port == address.port
+            && host.equals(address.host);
   }
 
   @Override
