A time limit passes only once the event loop has read what arrived within it

Cause: a busy event loop finds due timers before it reads, so that its own lag looked like the silence of the store, of a peer or an engine: connections were closed, calls relayed and sent again, leases read again, engines taken for silent. That is more work for a loop that is late already. Change: time limits for what arrives over the network (calls to the store and to peers, relays, token and holder queries, proofs of freshness, silence of engines, liveness checks) conclude after another read. A store call that has ended cancels its limit. Up to 64 datagrams are read at a time, so that a reply behind others is read too.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/SilenceWatch.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/SilenceWatch.java
@@ -33,7 +33,7 @@
   void sent() {
     lastReceivedNanos = eventLoop.nanoTime();
     if (route.repeatable() && timer == null) {
-      timer = eventLoop.schedule(allowedMillis(), this::check);
+      timer = eventLoop.scheduleTimeLimit(allowedMillis(), this::check);
     }
   }
 
@@ -77,7 +77,7 @@
   }
 
   private void check() {
-    timer = eventLoop.schedule(allowedMillis(), this::check);
+    timer = eventLoop.scheduleTimeLimit(allowedMillis(), this::check);
     if (!paused && eventLoop.nanoTime() - lastReceivedNanos >= allowedMillis() * 1_000_000) {
       onSilence.run();
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/datagram/DatagramPeerTransport.java
@@ -5,7 +5,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -25,6 +27,15 @@
   /** Limits the addresses that are kept in converted form, since senders are not trusted. */
   private static final int MAX_KNOWN_ADDRESSES = 1_024;
 
+  /** No datagram of a node is longer. */
+  private static final int MAX_BYTES = 2_048;
+
+  /**
+   * The most datagrams that are read before other channels are read and timers run. A reply is not
+   * read within its time limit behind more of them.
+   */
+  private static final int MAX_READS = 64;
+
   private final DatagramFilter filter;
   private final Map<PeerAddress, InetSocketAddress> socketByPeer = new HashMap<>();
   private volatile Channel channel;
@@ -51,6 +62,9 @@
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new FixedRecvByteBufAllocator(MAX_BYTES).maxMessagesPerRead(MAX_READS))
             .handler(new Handler(filter, receiver))
             .bind(new InetSocketAddress(address.host(), address.port()));
     bound.addListener(future -> adopt(bound));
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/handover/HolderDirectory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/handover/HolderDirectory.java
@@ -139,7 +139,7 @@
     queriesByProgram.put(program, query);
     transport.send(registrar, codec.encode(new PeerMessage.HolderQuery(query.id(), program)));
     long timeoutMillis = QUERY_TIMEOUT_MILLIS + peerLatency.roundTripMillis(registrar);
-    eventLoop.schedule(timeoutMillis, () -> onTimeout(query.id(), registrar));
+    eventLoop.scheduleTimeLimit(timeoutMillis, () -> onTimeout(query.id(), registrar));
   }
 
   private static boolean fits(ProgramId program) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/ConnectingLivenessCheck.java
@@ -143,7 +143,8 @@
         return;
       }
       connected.channel().writeAndFlush(translator.identityRequest(engine));
-      schedule(
+      NettyTimeLimits.start(
+          group.next(),
           responseMillis,
           () -> {
             conclude(unlessConnected(EngineLiveness.ACCEPTING));
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PooledHttpClient.java
@@ -17,16 +17,15 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.baykeel.gateway.remote.StoreCall;
 import org.baykeel.gateway.remote.StoreClient;
 import org.baykeel.gateway.remote.StoreReply;
+import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
 import org.baykeel.gateway.telemetry.LoopWork;
@@ -177,7 +176,7 @@
     private final ResponseFramer framer = new ResponseFramer();
     private Channel channel;
     private Consumer<StoreReply> pendingCallback;
-    private Future<?> timeout;
+    private EventLoop.Timer timeout;
     private StoreReply response;
     private boolean keepAlive;
     private boolean surplus;
@@ -192,9 +191,7 @@
     void send(FullHttpRequest request, long timeoutMillis, Consumer<StoreReply> callback) {
       pendingCallback = callback;
       timeout =
-          channel
-              .eventLoop()
-              .schedule(() -> onTimeout(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
+          NettyTimeLimits.start(channel.eventLoop(), timeoutMillis, () -> onTimeout(timeoutMillis));
       int bodyBytes = request.content().readableBytes();
       framer.requestSent(channel.writeAndFlush(request), bodyBytes);
     }
@@ -250,7 +247,7 @@
       pendingCallback = null;
       response = null;
       if (timeout != null) {
-        timeout.cancel(false);
+        timeout.cancel();
       }
       return callback;
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkClient.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,12 +17,14 @@
 import org.baykeel.gateway.handover.HandoverTransport;
 import org.baykeel.gateway.history.StoredTurn;
 import org.baykeel.gateway.http.KeepAliveBootstrap;
+import org.baykeel.gateway.http.NettyTimeLimits;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerLatency;
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.remote.RelayTransport;
 import org.baykeel.gateway.remote.StoreCall;
 import org.baykeel.gateway.remote.StoreReply;
+import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.telemetry.GatewayEvent;
 import org.baykeel.gateway.telemetry.GatewayLog;
 import org.baykeel.gateway.telemetry.LoggedTask;
@@ -140,7 +141,7 @@
   }
 
   /** A request that has no response yet. */
-  private record PendingRequest(Consumer<Outcome> onOutcome, Future<?> timeout) {}
+  private record PendingRequest(Consumer<Outcome> onOutcome, EventLoop.Timer timeout) {}
 
   /** The connection to one peer, opened by the first request. */
   private final class PeerLink {
@@ -159,10 +160,8 @@
         LongFunction<LinkMessage> request, long timeoutMillis, Consumer<Outcome> onOutcome) {
       lastRequestNanos = System.nanoTime();
       long id = ++lastCorrelationId;
-      Future<?> timeout =
-          group
-              .next()
-              .schedule(() -> onTimeout(id, timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
+      EventLoop.Timer timeout =
+          NettyTimeLimits.start(group.next(), timeoutMillis, () -> onTimeout(id, timeoutMillis));
       pending.put(id, new PendingRequest(onOutcome, timeout));
       if (channel != null) {
         channel.writeAndFlush(LinkChannel.encodeFrame(request.apply(id)));
@@ -247,7 +246,7 @@
     private void complete(long id, Outcome outcome) {
       PendingRequest ended = pending.remove(id);
       if (ended != null) {
-        ended.timeout().cancel(false);
+        ended.timeout().cancel();
         ended.onOutcome().accept(outcome);
       }
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EarlierLoss.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/EarlierLoss.java
@@ -58,7 +58,7 @@
     List<PeerAddress> queried = peers.peers().stream().limit(MAX_QUERIED).toList();
     assumed = !queried.isEmpty();
     queried.forEach(peer -> notifier.query(peer, NO_RUN));
-    eventLoop.schedule(REPLY_MILLIS, () -> conclude(queried));
+    eventLoop.scheduleTimeLimit(REPLY_MILLIS, () -> conclude(queried));
   }
 
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -56,6 +56,8 @@
   /** The span over which this node's own demand is averaged. */
   private static final double DEMAND_AVERAGING_NANOS = 1e9;
 
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private final PartitionLeases leases;
   private final PeerTransport transport;
   private final PeerMessageCodec codec;
@@ -335,12 +337,17 @@
           codec.encode(
               new PeerMessage.LimitTokenRequest(
                   id, wanted, firstTurn, request.programHash(), request.tenant().id())));
-      retryIn(RETRY_MILLIS_PER_SEND * sends + peerLatency.roundTripMillis(holder));
+      long limitMillis = RETRY_MILLIS_PER_SEND * sends + peerLatency.roundTripMillis(holder);
+      retry = eventLoop.scheduleTimeLimit(atMostRemaining(limitMillis), this::proceed);
+    }
+
+    private long atMostRemaining(long millis) {
+      long remaining = Math.max(1, (endNanos - eventLoop.nanoTime()) / NANOS_PER_MILLI);
+      return Math.min(millis, remaining);
     }
 
     private void retryIn(long millis) {
-      long remaining = Math.max(1, (endNanos - eventLoop.nanoTime()) / 1_000_000);
-      retry = eventLoop.schedule(Math.min(millis, remaining), this::proceed);
+      retry = eventLoop.schedule(atMostRemaining(millis), this::proceed);
     }
 
     void onReply(PeerAddress sender, PeerMessage.LimitTokenReply reply) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/FailoverStoreClient.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/remote/FailoverStoreClient.java
@@ -159,6 +159,7 @@
     private boolean done;
     private boolean directOutstanding;
     private int outstanding;
+    private EventLoop.Timer overdue;
     private StoreReply failure = new StoreReply.NotSent("no way to the store");
 
     PendingCall(StoreCall call, Consumer<StoreReply> callback) {
@@ -180,7 +181,7 @@
       directOutstanding = true;
       outstanding++;
       direct.call(call, reply -> onDirectReply(reply, sentNanos));
-      eventLoop.schedule(call.holdMillis() + directPath.overdueMillis(), this::onOverdue);
+      limit(directPath.overdueMillis());
     }
 
     private void onDirectReply(StoreReply reply, long sentNanos) {
@@ -197,6 +198,18 @@
       onPathFailed(reply);
     }
 
+    /** Limits the time of the path that was tried last. */
+    private void limit(long overdueMillis) {
+      cancelLimit();
+      overdue = eventLoop.scheduleTimeLimit(call.holdMillis() + overdueMillis, this::onOverdue);
+    }
+
+    private void cancelLimit() {
+      if (overdue != null) {
+        overdue.cancel();
+      }
+    }
+
     private void onOverdue() {
       if (!done && triedRelays.size() < MAX_RELAYS) {
         relay();
@@ -212,8 +225,7 @@
       triedRelays.add(peer);
       outstanding++;
       relays.call(peer, call, reply -> onRelayReply(peer, reply));
-      long overdueMillis = directPath.overdueMillis() * RELAY_OVERDUE_FACTOR;
-      eventLoop.schedule(call.holdMillis() + overdueMillis, this::onOverdue);
+      limit(directPath.overdueMillis() * RELAY_OVERDUE_FACTOR);
       return true;
     }
 
@@ -246,6 +258,7 @@
     private void finish(StoreReply reply) {
       if (!done) {
         done = true;
+        cancelLimit();
         callback.accept(reply);
       }
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/RegistrarQueries.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/resumption/RegistrarQueries.java
@@ -148,7 +148,8 @@
       transport.send(receiver, datagram);
       roundTripMillis = Math.max(roundTripMillis, latency.roundTripMillis(receiver));
     }
-    eventLoop.schedule(limitMillis + roundTripMillis, () -> complete(queryId, Optional.empty()));
+    eventLoop.scheduleTimeLimit(
+        limitMillis + roundTripMillis, () -> complete(queryId, Optional.empty()));
   }
 
   /** Handles a reply; one that is late or was not asked for is ignored. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/runtime/EventLoop.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/runtime/EventLoop.java
@@ -11,6 +11,14 @@
   /** Runs a task once after a delay. */
   Timer schedule(long delayMillis, Runnable task);
 
+  /**
+   * Runs a task once after a time limit for something that arrives over the network, when the event
+   * loop has read what arrived within the limit.
+   */
+  default Timer scheduleTimeLimit(long limitMillis, Runnable onPassed) {
+    return TimeLimit.start(this::schedule, limitMillis, onPassed);
+  }
+
   /** A scheduled task. */
   interface Timer {
     /** Cancels the task; does nothing if it has run. */
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableFreshness.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/storage/TableFreshness.java
@@ -108,7 +108,8 @@
       return;
     }
     Waiter[] waiter = new Waiter[1];
-    EventLoop.Timer timeout = eventLoop.schedule(timeoutMillis, () -> onTimeout(waiter[0]));
+    EventLoop.Timer timeout =
+        eventLoop.scheduleTimeLimit(timeoutMillis, () -> onTimeout(waiter[0]));
     waiter[0] = new Waiter(sinceNanos, answer, timeout);
     waiters.add(waiter[0]);
     check();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/datagram/TestDatagramPeerTransport.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/datagram/TestDatagramPeerTransport.java
@@ -8,12 +8,15 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.baykeel.gateway.http.NettyTimeLimits;
 import org.baykeel.gateway.peer.PeerAddress;
 import org.baykeel.gateway.peer.PeerTransport;
 import org.junit.jupiter.api.AfterEach;
@@ -22,6 +25,9 @@
 class TestDatagramPeerTransport {
   private static final String LOOPBACK = "127.0.0.1";
   private static final int TIMEOUT_SECONDS = 20;
+  private static final int BACKLOG = 50;
+  private static final long LIMIT_MILLIS = 100;
+  private static final long BUSY_MILLIS = 500;
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -43,6 +49,40 @@
     return transport.listen(group, address, receiver).awaitUninterruptibly().isSuccess();
   }
 
+  /** Guards against replies that are not read within their time limit behind other datagrams. */
+  @Test
+  void whatArrivedWhileTheEventLoopWasBusyIsReadBeforeTimeLimitsPass() throws Exception {
+    PeerAddress receiverAddress = freeAddress();
+    AtomicInteger received = new AtomicInteger();
+    CompletableFuture<Integer> receivedInTime = new CompletableFuture<>();
+    assertTrue(
+        listens(
+            new DatagramPeerTransport(),
+            receiverAddress,
+            (from, datagram) -> {
+              if (received.incrementAndGet() == 1) {
+                NettyTimeLimits.start(
+                    group.next(), LIMIT_MILLIS, () -> receivedInTime.complete(received.get()));
+                beBusy();
+              }
+            }));
+    try (DatagramSocket socket = new DatagramSocket()) {
+      InetSocketAddress receiver = new InetSocketAddress(LOOPBACK, receiverAddress.port());
+      for (int i = 0; i < BACKLOG; i++) {
+        socket.send(new DatagramPacket(new byte[] {1}, 1, receiver));
+      }
+    }
+    assertEquals(BACKLOG, receivedInTime.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  private static void beBusy() {
+    try {
+      Thread.sleep(BUSY_MILLIS);
+    } catch (InterruptedException interrupted) {
+      throw new IllegalStateException(interrupted);
+    }
+  }
+
   @Test
   void deliversADatagramWithItsSender() throws Exception {
     PeerAddress senderAddress = freeAddress();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
@@ -54,6 +54,9 @@
           "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok",
           ScriptedEngine.After.KEEP);
   private static final long SILENT_MILLIS = 700;
+  private static final long RESPONSE_MILLIS = 150;
+  private static final long LIMIT_MILLIS = 400;
+  private static final long BUSY_MILLIS = 1_000;
   private static final GrantTransfer TRANSFER = new GrantTransfer(500, 2_000, 17, 99);
 
   private final EventLoopGroup group =
@@ -175,6 +178,54 @@
     }
   }
 
+  /**
+   * Guards against responses that count as missing because the event loop itself was late: they had
+   * arrived when it found that the time had passed, while it handled another response.
+   */
+  @Test
+  void aResponseThatABusyEventLoopHasNotReadIsNotMissing() throws Exception {
+    try (ScriptedEngine fast = new ScriptedEngine(RESPONSE);
+        ScriptedEngine slow = new ScriptedEngine(head -> after(RESPONSE_MILLIS))) {
+      CompletableFuture<StoreReply> awaited = callAsync(clientOf(slow), LIMIT_MILLIS);
+      CompletableFuture<Void> busy = new CompletableFuture<>();
+      StoreCall call = new StoreCall(StoreCall.Method.GET, "/x", null, 5_000, false);
+      PooledHttpClient other = clientOf(fast);
+      group
+          .next()
+          .execute(
+              () ->
+                  other.call(
+                      call,
+                      reply -> {
+                        sleep(BUSY_MILLIS);
+                        busy.complete(null);
+                      }));
+      busy.get(20, TimeUnit.SECONDS);
+      assertInstanceOf(StoreReply.Answered.class, awaited.get(20, TimeUnit.SECONDS));
+      assertEquals(List.of(), events);
+    }
+  }
+
+  private PooledHttpClient clientOf(ScriptedEngine server) {
+    return new PooledHttpClient(
+        group,
+        new InetSocketAddress("127.0.0.1", server.port()),
+        (event, fields) -> events.add(event));
+  }
+
+  private static ScriptedEngine.Response after(long millis) {
+    sleep(millis);
+    return RESPONSE;
+  }
+
+  private static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException interrupted) {
+      throw new IllegalStateException(interrupted);
+    }
+  }
+
   private static final LinkServices SERVICES =
       new LinkServices() {
         @Override
