A search for runs of peers looks at no others

Cause: each request, notice of a run and response of an engine looked through all runs in progress that peers had registered here, up to eight times a request and with a comparison of identifiers for each: work that grows with the square of the requests in progress. Change: the runs are indexed by request and by engine, and are looked through for expired ones only once the earliest has expired. Measured: TestRunLedger, beside 10, 100 and 1,000 other runs: two runs examined by four searches and two notices; the searches before looked at all.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/quarantine/RunLedger.java
@@ -4,8 +4,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +24,7 @@
   private final Map<Engine, Set<TrackedRun>> ownByEngine = new IdentityHashMap<>();
   private final Set<TrackedRun> claims = new LinkedHashSet<>();
   private final Set<TrackedRun> unresolved = new LinkedHashSet<>();
-  private final Map<Long, PeerRun> peerRuns = new LinkedHashMap<>();
+  private final PeerRuns peerRuns = new PeerRuns(run -> count(run.request().head(), -1));
 
   /** The runs in progress, and the claims, that the row of a node has. */
   private final Map<String, Set<Long>> storedByNode = new HashMap<>();
@@ -170,66 +168,48 @@
 
   /** Adds a run of a peer, or replaces what was known of it. */
   void put(PeerRun run, long nowNanos) {
-    removeExpired(nowNanos);
+    peerRuns.removeExpired(nowNanos);
     PeerRun previous = peerRuns.remove(run.id());
-    if (previous != null) {
-      count(previous.request().head(), -1);
-    }
     if (!run.phase().closed()) {
-      peerRuns.put(run.id(), previous == null ? run : previous.updatedBy(run));
+      peerRuns.add(previous == null ? run : previous.updatedBy(run));
       count(run.request().head(), 1);
     }
     if (peerRuns.size() > MAX_PEER_RUNS) {
-      removePeerRun(peerRuns.values().iterator().next().id());
+      peerRuns.remove(peerRuns.eldest().id());
     }
   }
 
   /** Returns the run of a peer with an identifier, or null if no notice of it holds. */
   PeerRun findPeerRun(long id, long nowNanos) {
-    PeerRun run = peerRuns.get(id);
+    PeerRun run = peerRuns.find(id);
     return run == null || nowNanos - run.expiresNanos() > 0 ? null : run;
   }
 
   void removePeerRun(long id) {
-    PeerRun removed = peerRuns.remove(id);
-    if (removed != null) {
-      count(removed.request().head(), -1);
-    }
-  }
-
-  private void removeExpired(long nowNanos) {
-    Iterator<PeerRun> runs = peerRuns.values().iterator();
-    while (runs.hasNext()) {
-      PeerRun run = runs.next();
-      if (nowNanos - run.expiresNanos() > 0) {
-        runs.remove();
-        count(run.request().head(), -1);
-      }
-    }
+    peerRuns.remove(id);
   }
 
   /** Returns the runs of a request of which peers sent notices that hold. */
   List<PeerRun> peerRunsOf(RequestFingerprint request, long nowNanos) {
-    if (peerRuns.isEmpty()) {
-      return List.of();
-    }
-    removeExpired(nowNanos);
-    return peerRuns.values().stream().filter(run -> run.request().equals(request)).toList();
+    peerRuns.removeExpired(nowNanos);
+    return peerRuns.of(request);
+  }
+
+  /** Returns how many runs of peers were looked at in all searches. */
+  long peerRunsExamined() {
+    return peerRuns.examined();
   }
 
   /** Returns all runs of which notices hold. */
   List<PeerRun> peerRuns(long nowNanos) {
-    removeExpired(nowNanos);
-    return List.copyOf(peerRuns.values());
+    peerRuns.removeExpired(nowNanos);
+    return peerRuns.all();
   }
 
   /** Returns the runs at an engine of which peers sent notices that hold. */
   List<PeerRun> peerRunsAt(EngineIncarnation engine, long nowNanos) {
-    if (peerRuns.isEmpty()) {
-      return List.of();
-    }
-    removeExpired(nowNanos);
-    return peerRuns.values().stream().filter(run -> run.engine().equals(engine)).toList();
+    peerRuns.removeExpired(nowNanos);
+    return peerRuns.at(engine);
   }
 
   /**
@@ -258,7 +238,7 @@
     Set<Long> before = storedByNode.getOrDefault(node, Set.of());
     Set<Long> ids = new HashSet<>();
     for (PeerRun run : runs) {
-      if (before.contains(run.id()) || !peerRuns.containsKey(run.id())) {
+      if (before.contains(run.id()) || !peerRuns.contains(run.id())) {
         put(run, nowNanos);
         ids.add(run.id());
       }
@@ -307,8 +287,7 @@
             .toList();
     own.forEach(this::remove);
     List<PeerRun> ofPeers =
-        peerRuns.values().stream()
-            .filter(run -> run.request().equals(request))
+        peerRuns.of(request).stream()
             .filter(run -> run.startedNanos() - completedNanos <= 0)
             .toList();
     ofPeers.forEach(run -> removePeerRun(run.id()));
