--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceAdmission.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/admission/ServiceAdmission.java
@@ -32,7 +32,18 @@
   private boolean refreshed;
   private long refreshedNanos;
 
-  private record Key(String route, int rank) {}
+  /** The requests of a route with a rank. */
+  private record Key(String route, int rank) {
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Key key && rank == key.rank && route.equals(key.route);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * route.hashCode() + rank;
+    }
+  }
 
   ServiceAdmission(String service, EngineDirectory engines, RandomGenerator random) {
     this.service = service;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineIncarnation.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/directory/EngineIncarnation.java
@@ -14,4 +14,21 @@
   public static EngineIncarnation of(EngineRecord record) {
     return new EngineIncarnation(new EngineId(record.id()), record.startMillis());
   }
+
+  /**
+   * Implemented by hand because the generated methods of a record are linked at run time, which
+   * delays each process start.
+   */
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || other instanceof EngineIncarnation incarnation
+            && startMillis == incarnation.startMillis
+            && id.equals(incarnation.id);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * id.hashCode() + Long.hashCode(startMillis);
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/program/RequestFingerprint.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/program/RequestFingerprint.java
@@ -84,6 +84,20 @@
     return (int) (value >>> HEAD_SHIFT);
   }
 
+  /**
+   * Implemented by hand because the generated methods of a record are linked at run time, which
+   * delays each process start.
+   */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof RequestFingerprint fingerprint && value == fingerprint.value;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(value);
+  }
+
   @Override
   public int compareTo(RequestFingerprint other) {
     return Long.compareUnsigned(value, other.value);
