Requests that wait for the holder of a limit look for it at growing intervals

Cause: while no node holds the partition of a limit, as after a loss of all nodes, each request of its tenants looked for a holder 50 times a second: work that grows with the requests that wait, when nodes are cold and late already. Change: the interval grows from 20 ms by 20 ms to 120 ms; a holder that appears at once is found as soon as before. Measured: TestSharedRequestLimiter#requestsThatWaitForAHolderLookRarely fails before with 45 looks of each request in 0.9 s (10, 100 and 1,000 requests), 16 are allowed.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/ratelimit/SharedRequestLimiter.java
@@ -35,9 +35,14 @@
    */
   private static final long RETRY_MILLIS_PER_SEND = 30;
 
-  /** The delay until a request proceeds again while no node holds the partition. */
+  /**
+   * While no node holds the partition, a request proceeds again after this delay times the number
+   * of delays so far: many may wait, and a holder appears soon or not for seconds.
+   */
   private static final long NO_HOLDER_RETRY_MILLIS = 20;
 
+  private static final long MAX_NO_HOLDER_RETRY_MILLIS = 120;
+
   /** The number of sends of a query without a reply after which the lease rows are read again. */
   private static final int SENDS_BEFORE_REREAD = 2;
 
@@ -284,6 +289,7 @@
     private PeerAddress queriedHolder;
     private long firstSentNanos;
     private int sends;
+    private int delays;
     private EventLoop.Timer retry;
 
     TokenQuery(
@@ -321,7 +327,7 @@
       if (holder.isPresent()) {
         query(holder.get());
       } else {
-        retryIn(NO_HOLDER_RETRY_MILLIS);
+        awaitHolder();
       }
     }
 
@@ -346,7 +352,9 @@
       return Math.min(millis, remaining);
     }
 
-    private void retryIn(long millis) {
+    private void awaitHolder() {
+      delays++;
+      long millis = Math.min(NO_HOLDER_RETRY_MILLIS * delays, MAX_NO_HOLDER_RETRY_MILLIS);
       retry = eventLoop.schedule(atMostRemaining(millis), this::proceed);
     }
 
@@ -404,7 +412,7 @@
     private void onNotHeld() {
       retry.cancel();
       leases.requestLease(partition);
-      retryIn(NO_HOLDER_RETRY_MILLIS);
+      awaitHolder();
     }
 
     private void cancelRetry() {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/ratelimit/TestSharedRequestLimiter.java
@@ -49,6 +49,12 @@
   private static final PeerAddress UNKNOWN_NODE = new PeerAddress("10.0.0.9", 7_000);
   private static final int CAPACITY = 18;
 
+  /** For so long a request waits for a decision, in milliseconds. */
+  private static final long WAIT_MILLIS = 900;
+
+  /** The most looks for a holder in that time, with those of the leases themselves. */
+  private static final int MAX_LOOKS = 16;
+
   /** The tokens that the rate supplies while a request may wait for one. */
   private static final int LENT = 2;
 
@@ -108,7 +114,7 @@
   private void request(PeerAddress node, int times) {
     for (int i = 0; i < times; i++) {
       LimitedRequest request = new LimitedRequest(TENANT, RequestKind.CONTINUING, Optional.empty());
-      nodes.get(node).decide(request, 900, decisions::add);
+      nodes.get(node).decide(request, WAIT_MILLIS, decisions::add);
     }
   }
 
@@ -192,7 +198,7 @@
     create(OTHER);
     Tenant free = TestingTenancy.tenant("free", 0, 0);
     LimitedRequest request = new LimitedRequest(free, RequestKind.FIRST_TURN, Optional.empty());
-    nodes.get(OTHER).decide(request, 900, decisions::add);
+    nodes.get(OTHER).decide(request, WAIT_MILLIS, decisions::add);
     assertEquals(LimitUse.UNKNOWN.multiple(), receivedUse(0));
   }
 
@@ -460,6 +466,22 @@
     assertInstanceOf(Decision.Undecided.class, decisions.get(0));
   }
 
+  /** Guards against many requests that look for a holder at a short interval for seconds. */
+  @ParameterizedTest(name = "{0} requests wait")
+  @ValueSource(ints = {10, 100, 1_000})
+  void requestsThatWaitForAHolderLookRarely(int requests) {
+    store.fault(TestingStore.Fault.REFUSE);
+    store.failReads(true);
+    start(OTHER);
+    eventLoop.advance(1);
+    long tasksBefore = eventLoop.tasksRun();
+    request(OTHER, requests);
+    eventLoop.advance(WAIT_MILLIS);
+    assertEquals(requests, decisions.size());
+    long looks = (eventLoop.tasksRun() - tasksBefore) / requests;
+    assertTrue(looks <= MAX_LOOKS, () -> looks + " looks of each request");
+  }
+
   @Test
   void renewalsWithLostResponsesDoNotEndALease() {
     startBoth();
