A time limit passes at its time, not a millisecond later

Change: the event loop is asked to read 1 ms before the limit, so that only a loop that lags runs it later.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/runtime/TimeLimit.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/runtime/TimeLimit.java
@@ -29,9 +29,9 @@
    */
   public static TimeLimit start(Scheduler scheduler, long millis, Runnable onPassed) {
     TimeLimit limit = new TimeLimit();
-    limit.timer =
-        scheduler.schedule(
-            millis, () -> limit.timer = scheduler.schedule(READ_MILLIS, () -> limit.run(onPassed)));
+    Runnable confirm =
+        () -> limit.timer = scheduler.schedule(READ_MILLIS, () -> limit.run(onPassed));
+    limit.timer = scheduler.schedule(Math.max(0, millis - READ_MILLIS), confirm);
     return limit;
   }
 
