--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -258,23 +258,6 @@
                 "Sends to engines by their place in the engine's queue; 0 is the most urgent",
                 "rank",
                 sendsByRank),
-            loopWork(
-                "baykeel_gateway_loop_milliseconds",
-                "Time of the event loop by kind of work",
-                work::millis),
-            loopWork(
-                "baykeel_gateway_loop_pieces",
-                "Pieces of work of the event loop by kind",
-                work::count),
-            counters(
-                "baykeel_gateway_peer_messages",
-                "Messages of other nodes by type",
-                "type",
-                work.messages()),
-            counter(
-                "baykeel_gateway_processor_milliseconds",
-                "Processor time of the process",
-                LoopWork.processorMillis()),
             counter(
                 "baykeel_gateway_failed_attempts",
                 "Sends to engines without a whole answer",
@@ -295,6 +278,7 @@
                 firstEventMillis))) {
       snapshots.metricSnapshot(snapshot);
     }
+    workSnapshots().forEach(snapshots::metricSnapshot);
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     try {
       new PrometheusTextFormatWriter(false).write(out, snapshots.build());
@@ -304,6 +288,26 @@
     return out.toByteArray();
   }
 
+  /** Returns what the process spends its time on. */
+  private List<MetricSnapshot> workSnapshots() {
+    return List.of(
+        loopWork(
+            "baykeel_gateway_loop_milliseconds",
+            "Time of the event loop by kind of work",
+            work::millis),
+        loopWork(
+            "baykeel_gateway_loop_pieces", "Pieces of work of the event loop by kind", work::count),
+        counters(
+            "baykeel_gateway_peer_messages",
+            "Messages of other nodes by type",
+            "type",
+            work.messages()),
+        counter(
+            "baykeel_gateway_processor_milliseconds",
+            "Processor time of the process",
+            LoopWork.processorMillis()));
+  }
+
   private static GaugeSnapshot gaugeSnapshot(String name, LongSupplier value) {
     return GaugeSnapshot.builder()
         .name(name)
