--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/TimedReads.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/TimedReads.java
@@ -16,8 +16,6 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    long beganNanos = System.nanoTime();
-    context.fireChannelRead(message);
-    work.done(kind, beganNanos);
+    work.measure(kind, () -> context.fireChannelRead(message));
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageDispatcher.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/peer/PeerMessageDispatcher.java
@@ -44,9 +44,9 @@
 
   @Override
   public void receive(PeerAddress sender, byte[] datagram) {
-    long beganNanos = System.nanoTime();
-    codec.decode(datagram).ifPresent(message -> dispatch(sender, message));
-    work.done(LoopWork.Kind.PEERS, beganNanos);
+    work.measure(
+        LoopWork.Kind.PEERS,
+        () -> codec.decode(datagram).ifPresent(message -> dispatch(sender, message)));
   }
 
   private void dispatch(PeerAddress sender, PeerMessage message) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/LoopWork.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/LoopWork.java
@@ -71,6 +71,13 @@
     sinceReport.get(kind).add(nanos);
   }
 
+  /** Does a piece of work and measures its time. */
+  public void measure(Kind kind, Runnable piece) {
+    long beganNanos = System.nanoTime();
+    piece.run();
+    done(kind, beganNanos);
+  }
+
   /**
    * Counts a message of another node.
    *
