A flush at the end of a pass tells what the connection did not accept

Cause: that only refused bytes count as held stood in without a test that fails each time. Change: DeferredFlush records the writes and tells those that a flush did not complete; the connection counts them.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/IngressConnection.java
@@ -22,11 +22,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Queue;
 import org.baykeel.core.error.BaykeelException;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.buffering.BodyBuffer;
@@ -71,7 +69,6 @@
   private final RequestFramer framer;
   private ChannelHandlerContext context;
   private DeferredFlush eventFlush;
-  private final Queue<WrittenEvent> unflushed = new ArrayDeque<>();
   private HttpRequest head;
   private CallAttributes attributes;
   private BodyBuffer body;
@@ -89,9 +86,6 @@
 
   private Activity activityAtClose = Activity.NONE;
 
-  /** An event that was written and may not be flushed yet. */
-  private record WrittenEvent(ChannelFuture written, int bytes) {}
-
   /** What keeps a connection open when idle connections are closed. */
   private enum Activity {
     /** Nothing, or the connection did not exist then. */
@@ -129,7 +123,9 @@
   @Override
   public void handlerAdded(ChannelHandlerContext handlerContext) {
     context = handlerContext;
-    eventFlush = new DeferredFlush(handlerContext.executor(), this::flushEvents);
+    eventFlush =
+        new DeferredFlush(
+            handlerContext.executor(), handlerContext::flush, this::countUntilDelivered);
   }
 
   /** Returns whether a request is in progress or the caller has not read all of a response. */
@@ -506,22 +502,13 @@
   @Override
   public void sendEvent(byte[] bytes) {
     HttpContent content = new DefaultHttpContent(Unpooled.wrappedBuffer(bytes));
-    unflushed.add(new WrittenEvent(context.write(content), bytes.length));
-    eventFlush.request();
-  }
-
-  /** Counts as held what the connection does not accept, but not what only awaits the flush. */
-  private void flushEvents() {
-    context.flush();
-    for (WrittenEvent event = unflushed.poll(); event != null; event = unflushed.poll()) {
-      countUntilDelivered(event.written(), event.bytes());
-    }
+    eventFlush.written(context.write(content), bytes.length);
   }
 
   @Override
   public void endStream() {
     context.write(LastHttpContent.EMPTY_LAST_CONTENT);
-    flushEvents();
+    eventFlush.flushNow();
     finishResponse(keepAlive);
   }
 
@@ -530,7 +517,7 @@
     responding = false;
     call = null;
     discarding = true;
-    flushEvents();
+    eventFlush.flushNow();
     context.close();
   }
 
