Review case 5: nodes run out of memory for clients that read slowly

Cause: a whole answer leaves the limits of responses once it was taken in, and nothing bounds such answers while they wait to be written.

--- a/review/stand-ins-2/Engine.java
+++ b/review/stand-ins-2/Engine.java
@@ -19,6 +19,7 @@
   private final int eventMillis;
   private final AtomicInteger running = new AtomicInteger();
   private final Consumer<String> note;
+  private int answerBytes;
   final AtomicInteger runs = new AtomicInteger();
 
   Engine(String id, int slots, int events, int eventMillis, Consumer<String> note)
@@ -95,10 +96,21 @@
     }
   }
 
+  /** Makes this an engine of a plain service, whose answers have a length. */
+  Engine answering(int bytes) {
+    answerBytes = bytes;
+    return this;
+  }
+
   private void run(HttpExchange exchange) throws IOException {
     runs.incrementAndGet();
     note.accept("engine " + id + " runs " + exchange.getRequestHeaders().getFirst("Request-Id"));
     exchange.getResponseHeaders().set("Response-Signature", "sig." + runs.get());
+    if (answerBytes > 0) {
+      exchange.sendResponseHeaders(200, answerBytes);
+      exchange.getResponseBody().write(new byte[answerBytes]);
+      return;
+    }
     exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
     exchange.sendResponseHeaders(200, 0);
     OutputStream out = exchange.getResponseBody();
