--- a/review/stand-ins-2/Engine.java
+++ b/review/stand-ins-2/Engine.java
@@ -107,6 +107,7 @@
     note.accept("engine " + id + " runs " + exchange.getRequestHeaders().getFirst("Request-Id"));
     exchange.getResponseHeaders().set("Response-Signature", "sig." + runs.get());
     if (answerBytes > 0) {
+      Rig.sleep(eventMillis);
       exchange.sendResponseHeaders(200, answerBytes);
       exchange.getResponseBody().write(new byte[answerBytes]);
       return;
