--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 rm -rf target/stand-ins-2
 mkdir -p target/stand-ins-2
-javac -d target/stand-ins-2 stand-ins-2/*.java
+javac --release 17 -d target/stand-ins-2 stand-ins-2/*.java
--- a/review/stand-ins-2/ChainsInAnOutage.java
+++ b/review/stand-ins-2/ChainsInAnOutage.java
@@ -19,14 +19,24 @@
  * go on from sessions that the nodes have in memory.
  */
 final class ChainsInAnOutage {
-  private static final int INPUT_BYTES = Integer.getInteger("input", 350_000);
-  private static final int TURNS = Integer.getInteger("turns", 21);
+  private static final int INPUT_BYTES = Integer.getInteger("input", 400_000);
+  private static final int TURNS = Integer.getInteger("turns", 18);
   private static final int SESSIONS = Integer.getInteger("sessions", 2);
   private static final double PER_SECOND = Double.parseDouble(System.getProperty("rate", "3.1"));
-  private static final long DOWN_MILLIS = Long.getLong("down", 4_500);
+  private static final long DOWN_MILLIS = Long.getLong("down", 3_600);
   private static final int OUTAGES = Integer.getInteger("outages", 4);
 
+
+  /** The rule: on two machines at least, processes end by themselves three times. */
+  private static final int MACHINES = 2;
+
+  private static final int ENDS = 3;
+
+  /** The sessions alone bring more whole answers. */
+  private static final int MIN_ANSWERED = 200;
+
   private final PrintWriter record;
+  private final AtomicInteger answered = new AtomicInteger();
   private final AtomicInteger ids = new AtomicInteger();
   private final byte[] input = new byte[INPUT_BYTES];
   private final ExecutorService callers = Executors.newCachedThreadPool(Rig.daemon("caller"));
@@ -40,11 +50,8 @@
     System.setProperty("sun.net.http.allowRestrictedHeaders", "true");
     System.setProperty("sun.net.http.retryPost", "false");
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status;
-    try (PrintWriter record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])), true)) {
-      status = new ChainsInAnOutage(record).run(trouble, Path.of(arguments[1]));
-    }
-    System.exit(status);
+    PrintWriter record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])), true);
+    Rig.main(record, () -> new ChainsInAnOutage(record).run(trouble, Path.of(arguments[1])));
   }
 
   private void note(String line) {
@@ -118,14 +125,16 @@
       nodes.forEach(Rig.Node::stop);
     }
     int machines = 0;
-    int ends = 0;
     for (Rig.Node node : nodes) {
       note(node.name + " ended by itself " + node.ends);
-      ends += node.endCount();
-      machines += node.endCount() > 0 ? 1 : 0;
+      machines += node.endCount() >= ENDS ? 1 : 0;
+    }
+    note("runs at engines " + engines.stream().mapToInt(engine -> engine.runs.get()).sum() + ", whole answers " + answered);
+    if (nodes.stream().anyMatch(Rig.Node::withoutPort) || answered.get() < MIN_ANSWERED) {
+      note("no verdict");
+      return 2;
     }
-    note("runs at engines " + engines.stream().mapToInt(engine -> engine.runs.get()).sum());
-    boolean broken = machines >= 2 && ends >= 3;
+    boolean broken = machines >= MACHINES;
     note(broken ? "BROKEN: processes ended by themselves" : "HELD");
     return broken ? 1 : 0;
   }
@@ -210,6 +219,7 @@
       InputStream in = status < 400 ? call.getInputStream() : call.getErrorStream();
       int bytes = in == null ? 0 : in.readAllBytes().length;
       whole = status == 200;
+      answered.addAndGet(whole ? 1 : 0);
       outcome = status + ", " + bytes + " bytes";
     } catch (IOException e) {
       outcome = "broken off: " + e.getMessage();
--- a/review/stand-ins-2/Rig.java
+++ b/review/stand-ins-2/Rig.java
@@ -36,14 +36,25 @@
     };
   }
 
-  /** Returns free ports; they are all bound at once, so that no two are equal. */
+  /**
+   * Returns free ports. They lie below the range that the system takes for outgoing connections, so
+   * that none is taken while a node starts again.
+   */
   static int[] freePorts(int count) throws IOException {
+    java.util.Random random = new java.util.Random();
     List<ServerSocket> sockets = new ArrayList<>();
     int[] ports = new int[count];
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      sockets.add(socket);
-      ports[i] = socket.getLocalPort();
+    for (int tries = 0; sockets.size() < count; tries++) {
+      int port = 18_000 + random.nextInt(13_000);
+      try {
+        ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+        ports[sockets.size()] = port;
+        sockets.add(socket);
+      } catch (IOException e) {
+        if (tries > 1_000) {
+          throw e;
+        }
+      }
     }
     for (ServerSocket socket : sockets) {
       socket.close();
@@ -51,8 +62,40 @@
     return ports;
   }
 
+  /** A case: returns 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+  interface Case {
+    int run() throws Exception;
+  }
+
+  /** The longest time of a case; below 120 s with the start and the end of the script. */
+  private static final long MAX_MILLIS = 110_000;
+
+  /** Runs a case and ends the process with its status, 2 after an error or too long a time. */
+  static void main(java.io.PrintWriter record, Case ofRule) {
+    Thread limit =
+        daemon("limit")
+            .newThread(
+                () -> {
+                  sleep(MAX_MILLIS);
+                  record.println(millis() + " ms the case took too long");
+                  System.exit(2);
+                });
+    limit.start();
+    int status;
+    try {
+      status = ofRule.run();
+    } catch (Exception e) {
+      record.println(millis() + " ms the case could not run: " + e);
+      status = 2;
+    }
+    record.flush();
+    System.exit(status);
+  }
+
   /** One node: it is started again after it ends, as the platform does. */
   static final class Node {
+    private static final int EXIT_NOT_BOUND = 71;
+
     final String name;
     final int port;
     final int readiness;
@@ -62,6 +105,9 @@
     private Process process;
     private boolean stopped;
 
+    /** Ends for want of a free port; they are the script's own, and the case can't be judged. */
+    private boolean withoutPort;
+
     Node(String name, String zone, String zones, int[] ports, int storePort, Path folder)
         throws IOException {
       this.name = name;
@@ -119,6 +165,7 @@
           if (stopped) {
             return;
           }
+          withoutPort |= status == EXIT_NOT_BOUND;
           ends.add("at " + millis() + " ms with status " + status);
         }
         sleep(500);
@@ -132,13 +179,19 @@
       }
     }
 
+    synchronized boolean withoutPort() {
+      return withoutPort;
+    }
+
     synchronized int endCount() {
       return ends.size();
     }
 
     synchronized void stop() {
       stopped = true;
-      process.destroyForcibly();
+      if (process != null) {
+        process.destroyForcibly();
+      }
     }
 
     boolean ready() {
--- a/review/stand-ins-2/SlowReaders.java
+++ b/review/stand-ins-2/SlowReaders.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -47,11 +48,8 @@
 
   public static void main(String[] arguments) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status;
-    try (PrintWriter record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])), true)) {
-      status = new SlowReaders(record, trouble).run(Path.of(arguments[1]));
-    }
-    System.exit(status);
+    PrintWriter record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])), true);
+    Rig.main(record, () -> new SlowReaders(record, trouble).run(Path.of(arguments[1])));
   }
 
   private void note(String line) {
@@ -136,18 +134,16 @@
     if (kept.get() < 50) {
       return 2;
     }
-    int machines = 0;
-    int ends = 0;
     for (Rig.Node node : nodes) {
       note(node.name + " ended by itself " + node.ends);
-      ends += node.endCount();
-      machines += node.endCount() > 0 ? 1 : 0;
     }
-    note("answers that were whole " + whole + ", cut or missing " + cut);
-    boolean ended = machines >= 2 && ends >= 3;
-    boolean broken = lost || ended;
-    note(broken ? "BROKEN:" + (lost ? " LOST" : "") + (ended ? " Fault" : "") : "HELD");
-    return broken ? 1 : 0;
+    note("slow readers: answers that were whole " + whole + ", cut or missing " + cut);
+    if (nodes.stream().anyMatch(Rig.Node::withoutPort)) {
+      note("no verdict");
+      return 2;
+    }
+    note(lost ? "BROKEN: LOST" : "HELD");
+    return lost ? 1 : 0;
   }
 
   private void read(Rig.Node node) {
@@ -223,6 +219,8 @@
           }
           Rig.sleep(20);
         }
+      } catch (SocketTimeoutException e) {
+        note(node.name + " did not answer " + id + " in time");
       } catch (IOException e) {
         if (id != null && answers > 0) {
           note(node.name + " broke off " + id + ": " + e + ", after " + answers + " answers on the connection");
