Conversations are shared by the calls that continue them, and their memory is limited

What callers saw: closed connections and resets, since nodes ended with status 3 (out of memory), also without an outage, for turns that continue long conversations. Cause: TurnHistory.Lookup.Found.continuedBy copied the whole conversation for each call, and nothing counted the copies. Missing turns were read for each call anew, all at once, as were those that a peer has. Change: EngineBody has parts that are shared and releases them when its call needs them no more, at the latest once its stream is complete. TurnMemory has each turn once and counts what is held or about to be read; ConversationQueue lets conversations wait in order, with a reserve for short ones, and refuses the rest (503; 413 for one that no node can hold) before it is read. TurnReader reads a turn once for all calls and limits the reads in progress. Searches of ended calls are cancelled. Setting conversations.node.bytes, gauges of what is held, read and waiting, refusals by cause. Why it works: what a node holds of conversations is at most a fifth of its heap, whatever the number of calls. TestConversationMemory and TestConversationOfCall count bytes through types that are new. The fingerprint of a body in parts is that of the build before (TestCallFingerprint).

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.baykeel.core.error.ErrorKind;
+import org.baykeel.gateway.buffering.EngineBody;
 import org.baykeel.gateway.buffering.ResponseSource;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.SoftwareVersion;
@@ -60,7 +61,7 @@
   private final CallQuarantine quarantine;
   private final AttemptFailures failures;
   private EngineSelector.Criteria criteria;
-  private byte[] engineBody;
+  private EngineBody engineBody;
   private WaitQueue.Ticket waitTicket;
   private EngineAttempt attempt;
   private int sends;
@@ -106,9 +107,9 @@
   /**
    * Sends the request to an engine, after the requests that already wait for capacity.
    *
-   * @param body the body for engines
+   * @param body the body for engines, which must stay open while another attempt may follow
    */
-  void start(byte[] body) {
+  void start(EngineBody body) {
     engineBody = body;
     quarantine.setBody(body);
     boolean mayWait = quarantine.verdict().sendable() && waitQueue.hasWaiting(requirement());
@@ -295,6 +296,11 @@
     }
   }
 
+  /** Returns the usual time from a send of such a request to its complete response, in ms. */
+  long usualResponseMillis() {
+    return (long) Math.ceil(context.selector().usualResponseMillis(criteria));
+  }
+
   /** Whether a planned stop ends the process before a response is expected. */
   @Override
   public boolean endsBeforeResponse() {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallFingerprint.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallFingerprint.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.call;
 
+import org.baykeel.gateway.buffering.EngineBody;
 import org.baykeel.gateway.directory.PromptPart;
 import org.baykeel.gateway.program.RequestFingerprint;
 
@@ -14,7 +15,7 @@
    *
    * @param engineBody the body for engines, with the whole conversation
    */
-  static RequestFingerprint.Builder builder(AuthorizedCall call, byte[] engineBody) {
+  static RequestFingerprint.Builder builder(AuthorizedCall call, EngineBody engineBody) {
     CallAttributes attributes = call.attributes();
     RequestFingerprint.Builder builder =
         new RequestFingerprint.Builder(engineBody)
@@ -26,7 +27,7 @@
     for (PromptPart part : attributes.prompt()) {
       builder.add(part.id());
     }
-    if (engineBody.length == 0 && attributes.prompt().isEmpty()) {
+    if (engineBody.length() == 0 && attributes.prompt().isEmpty()) {
       // Without content, requests of different programs need not ask for the same work.
       builder.add(attributes.programId()).add(attributes.sessionId());
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallQuarantine.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/CallQuarantine.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.baykeel.gateway.buffering.EngineBody;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.program.RequestFingerprint;
 import org.baykeel.gateway.quarantine.EngineRun;
@@ -26,7 +27,7 @@
   }
 
   /** Sets the body for engines; must precede all other calls. */
-  void setBody(byte[] engineBody) {
+  void setBody(EngineBody engineBody) {
     builder = CallFingerprint.builder(call, engineBody);
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -3,11 +3,13 @@
 import java.util.Optional;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.budget.ReservationStatus;
+import org.baykeel.gateway.buffering.EngineBody;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.directory.SoftwareVersion;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
 import org.baykeel.gateway.resumption.StreamVersions;
 import org.baykeel.gateway.runtime.EventLoop;
+import org.baykeel.gateway.telemetry.GatewayMetrics;
 import org.baykeel.gateway.tenancy.Caller;
 
 /**
@@ -32,7 +34,7 @@
   private AuthorizedCall call;
   private ResponseRelay relay;
   private AttemptSequence attempts;
-  private byte[] engineBody;
+  private EngineBody engineBody;
   private TurnChain turnChain;
   private TurnBudget budget;
   private EventLoop.Timer deadlineTimer;
@@ -173,7 +175,7 @@
 
   private void findHistory() {
     if (!route.retained() || attributes().previousTurn() == null) {
-      onReadyToSend(request.body());
+      onReadyToSend(EngineBody.of(request.body()));
       return;
     }
     record.waitStarted(CallRecord.Wait.HISTORY);
@@ -181,14 +183,19 @@
   }
 
   private void onHistory(Lookup lookup) {
-    if (finished) {
-      return;
-    }
     record.waitEnded(CallRecord.Wait.HISTORY);
     if (lookup instanceof Lookup.Found found) {
-      onReadyToSend(found.continuedBy(request.body()));
+      onReadyToSend(found.conversation().continuedBy(request.body()));
     } else if (lookup instanceof Lookup.Absent) {
       refuse(ErrorKind.UNKNOWN_PROGRAM, 0, "previous turn does not exist");
+    } else if (lookup instanceof Lookup.NoRoom noRoom) {
+      onNoRoom(noRoom.bytes());
+    } else if (lookup instanceof Lookup.TooLong tooLong) {
+      context.metrics().conversationRefused(GatewayMetrics.ConversationRefusal.TOO_LONG);
+      refuse(
+          ErrorKind.TOO_LARGE,
+          0,
+          "conversation of " + tooLong.bytes() + " bytes exceeds the limit of a node");
     } else {
       refuse(
           ErrorKind.STORE_UNAVAILABLE,
@@ -197,7 +204,16 @@
     }
   }
 
-  private void onReadyToSend(byte[] body) {
+  /** Other conversations are let go when their engines have completed, at the latest. */
+  private void onNoRoom(long bytes) {
+    context.metrics().conversationRefused(GatewayMetrics.ConversationRefusal.NO_ROOM);
+    refuse(
+        ErrorKind.OVERLOADED,
+        Math.max(BUSY_RETRY_MILLIS, attempts.usualResponseMillis()),
+        "no memory for a conversation of " + bytes + " bytes");
+  }
+
+  private void onReadyToSend(EngineBody body) {
     engineBody = body;
     if (budget.maySend()) {
       attempts.start(engineBody);
@@ -254,6 +270,8 @@
   @Override
   public void onStreamComplete() {
     streamComplete = true;
+    // No attempt follows, so that nothing of the conversation is needed while the turn is stored.
+    engineBody.release();
     if (budget.status() == ReservationStatus.GRANTED) {
       finishStream();
     }
@@ -388,8 +406,12 @@
     }
     if (budget != null) {
       budget.close();
+      turnChain.close();
     }
     record.callEnded(end(status, outcome));
+    if (engineBody != null) {
+      engineBody.release();
+    }
   }
 
   private CallRecord.End end(int status, String outcome) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnChain.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnChain.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.function.Consumer;
 import org.baykeel.gateway.history.StoredTurn;
+import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
 import org.baykeel.gateway.program.ProgramId;
 
@@ -14,6 +15,7 @@
   private final GatewayContext context;
   private final AuthorizedCall call;
   private List<String> ancestors = List.of();
+  private TurnHistory.Task search = TurnHistory.Task.NONE;
 
   TurnChain(GatewayContext context, AuthorizedCall call) {
     this.context = context;
@@ -27,12 +29,15 @@
     String programId = Objects.requireNonNullElse(attributes.programId(), "");
     ProgramId program = new ProgramId(call.caller().scoped(programId));
     String previousTurn = call.caller().scoped(attributes.previousTurn());
-    context.history().find(program, previousTurn, giveUpNanos, lookup -> onFound(lookup, callback));
+    search =
+        context
+            .history()
+            .find(program, previousTurn, giveUpNanos, lookup -> onFound(lookup, callback));
   }
 
   private void onFound(Lookup lookup, Consumer<Lookup> callback) {
     if (lookup instanceof Lookup.Found found) {
-      ancestors = found.ids();
+      ancestors = found.conversation().ids();
     }
     callback.accept(lookup);
   }
@@ -48,4 +53,9 @@
     StoredTurn turn = new StoredTurn(turnId, ancestors, call.request().body(), output);
     context.history().save(turn, call.deadlineNanos(), callback);
   }
+
+  /** Ends the search, since the call has ended. */
+  void close() {
+    search.cancel();
+  }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -182,8 +183,9 @@
     otherBytes = 0;
     exchange.attach(this, new ConnectionUse(number, ++exchanges, 0));
     sentNanos = System.nanoTime();
-    int bodyBytes = exchange.request().content().readableBytes();
-    written = channel.writeAndFlush(exchange.request());
+    FullHttpRequest request = exchange.takeRequest();
+    int bodyBytes = request.content().readableBytes();
+    written = channel.writeAndFlush(request);
     framer.requestSent(written, bodyBytes);
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/NettyEngineTransport.java
@@ -1,5 +1,6 @@
 package org.baykeel.gateway.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
@@ -14,6 +15,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.baykeel.gateway.buffering.EngineBody;
 import org.baykeel.gateway.call.EngineRequest;
 import org.baykeel.gateway.call.EngineTransport;
 import org.baykeel.gateway.directory.Engine;
@@ -113,14 +115,20 @@
             HttpVersion.HTTP_1_1,
             HttpMethod.valueOf(request.source().method()),
             request.source().target(),
-            Unpooled.wrappedBuffer(request.body()));
+            content(request.body()));
     encoded.headers().set(translator.engineHeaders(request, engine));
-    if (request.body().length > 0 || !request.source().method().equals("GET")) {
-      HttpUtil.setContentLength(encoded, request.body().length);
+    if (request.body().length() > 0 || !request.source().method().equals("GET")) {
+      HttpUtil.setContentLength(encoded, request.body().length());
     }
     return encoded;
   }
 
+  /** Returns a buffer on the parts of a body, which are not copied. */
+  private static ByteBuf content(EngineBody body) {
+    byte[][] parts = body.parts().toArray(byte[][]::new);
+    return Unpooled.wrappedBuffer(parts.length, parts);
+  }
+
   private void connect(Engine engine, EngineConnectionPool pool, PendingExchange exchange) {
     EngineConnection connection =
         new EngineConnection(pool, translator, unrelatedResponses, ++connectionsOpened);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
@@ -8,7 +8,7 @@
 /** A request sent to one engine, with the listener for its response. */
 final class PendingExchange implements EngineTransport.Exchange {
   private final String requestId;
-  private final FullHttpRequest request;
+  private FullHttpRequest request;
   private final EngineTransport.Listener listener;
   private final SilenceListener onSilence;
   private EngineConnection connection;
@@ -43,8 +43,13 @@
     return requestId;
   }
 
-  FullHttpRequest request() {
-    return request;
+  /**
+   * Returns the request, which is not held any more; must be called once, before a cancellation.
+   */
+  FullHttpRequest takeRequest() {
+    FullHttpRequest taken = request;
+    request = null;
+    return taken;
   }
 
   void attach(EngineConnection engineConnection, ConnectionUse use) {
@@ -66,6 +71,7 @@
   @Override
   public void cancel() {
     cancelled = true;
+    request = null;
     if (connection != null && !ended) {
       long silentMillis = connection.abandon();
       if (silentMillis > 0) {
@@ -116,6 +122,7 @@
   }
 
   void fail(EngineTransport.Failure failure, String detail) {
+    request = null;
     if (!ended && !cancelled) {
       ended = true;
       listener.onFailure(failure, detail);
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/program/RequestFingerprint.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/program/RequestFingerprint.java
@@ -8,6 +8,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Objects;
+import org.baykeel.gateway.buffering.EngineBody;
 
 /**
  * Identifies the work that a request asks of an engine. Requests with equal fingerprints differ at
@@ -20,20 +21,29 @@
   private static final int HEAD_SHIFT = 48;
   private static final long BODY_MASK = (1L << HEAD_SHIFT) - 1;
 
-  /** Collects the texts of a request that determine its work; their order matters. */
+  /**
+   * Collects the texts of a request that determine its work; their order matters. The body is read
+   * once at the most, and must be open until then.
+   */
   public static final class Builder {
     private final List<String> texts = new ArrayList<>();
-    private final byte[] body;
+    private final EngineBody body;
+    private RequestFingerprint built;
 
     /**
      * Creates a builder without texts.
      *
      * @param body the body for engines
      */
-    public Builder(byte[] body) {
+    public Builder(EngineBody body) {
       this.body = body;
     }
 
+    /** Creates a builder without texts for a body of one part. */
+    public Builder(byte[] body) {
+      this(EngineBody.of(body));
+    }
+
     /**
      * Adds a text.
      *
@@ -46,21 +56,29 @@
 
     /** Returns the head of the fingerprint, without hashing the body. */
     public int head() {
-      int hash = body.length;
+      int hash = body.length();
       for (String text : texts) {
         hash = 31 * hash + Objects.hashCode(text);
       }
       return (hash ^ hash >>> 16) & 0xFFFF;
     }
 
-    /** Returns the fingerprint. */
+    /**
+     * Returns the fingerprint; all texts must have been added.
+     *
+     * @throws IllegalStateException if it was not built before and the body is released
+     */
     public RequestFingerprint build() {
-      MessageDigest digest = sha256();
-      for (String text : texts) {
-        addText(digest, text);
+      if (built == null) {
+        MessageDigest digest = sha256();
+        for (String text : texts) {
+          addText(digest, text);
+        }
+        body.parts().forEach(digest::update);
+        long hash = ByteBuffer.wrap(digest.digest()).getLong();
+        built = new RequestFingerprint((long) head() << HEAD_SHIFT | hash & BODY_MASK);
       }
-      long hash = ByteBuffer.wrap(digest.digest(body)).getLong();
-      return new RequestFingerprint((long) head() << HEAD_SHIFT | hash & BODY_MASK);
+      return built;
     }
 
     private static void addText(MessageDigest digest, String text) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/telemetry/GatewayMetrics.java
@@ -43,6 +43,7 @@
   private final Map<String, long[]> sendsByLocality = new TreeMap<>();
   private final Map<Integer, long[]> sendsByRank = new TreeMap<>();
   private final Map<String, long[]> rejections = new TreeMap<>();
+  private final Map<String, long[]> conversationRefusals = new TreeMap<>();
   private final Map<String, LongSupplier> gauges = new TreeMap<>();
   private final Map<String, long[]> programs = new TreeMap<>();
   private final LoopWork work = new LoopWork();
@@ -159,6 +160,20 @@
     rejections.computeIfAbsent(cause.label(), key -> new long[1])[0]++;
   }
 
+  /** The causes for which a turn is refused for the length of its conversation. */
+  public enum ConversationRefusal {
+    /** The memory for conversations is in use. */
+    NO_ROOM,
+    /** The conversation is longer than a node can hold. */
+    TOO_LONG
+  }
+
+  /** Counts a turn that is refused for the length of its conversation. */
+  public void conversationRefused(ConversationRefusal cause) {
+    String label = cause.name().toLowerCase(Locale.ROOT);
+    conversationRefusals.computeIfAbsent(label, key -> new long[1])[0]++;
+  }
+
   /**
    * Counts a checked key.
    *
@@ -247,6 +262,11 @@
                 "Requests and connections rejected before a call began, by cause",
                 "cause",
                 rejections),
+            counters(
+                "baykeel_gateway_conversations_refused",
+                "Turns refused for the length of their conversation, by cause",
+                "cause",
+                conversationRefusals),
             counters("baykeel_gateway_keys", "Keys judged, by verdict", "verdict", keyVerdicts),
             counters(
                 "baykeel_gateway_sends",
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
@@ -17,6 +17,9 @@
 import org.baykeel.gateway.directory.EngineRecord;
 import org.baykeel.gateway.directory.SoftwareVersion;
 import org.baykeel.gateway.fairness.AdmissionShares;
+import org.baykeel.gateway.history.ConversationBounds;
+import org.baykeel.gateway.history.TurnHistory;
+import org.baykeel.gateway.history.TurnSource;
 import org.baykeel.gateway.quarantine.Quarantine;
 import org.baykeel.gateway.residency.Residency;
 import org.baykeel.gateway.storage.StoreHealth;
@@ -38,6 +41,7 @@
       new ProgramAdmission(engines, new Random(1), AdmissionShares.EVEN, (event, fields) -> {});
   private final GatewayState state;
   private final CallCoordinator coordinator;
+  private final GatewayContext context;
 
   /** Creates a node whose route gives a request three seconds and allows three runs. */
   SingleRouteNode(RouteKind kind, boolean resumable) {
@@ -46,25 +50,35 @@
 
   /** Creates such a node with a quarantine. */
   SingleRouteNode(RouteKind kind, boolean resumable, Quarantine quarantine) {
+    this(route(kind, resumable, false), quarantine, ConversationBounds.ofNode(1 << 20));
+  }
+
+  /** Creates a node whose route retains turns, with limits of the memory for them. */
+  static SingleRouteNode retaining(ConversationBounds bounds) {
+    return new SingleRouteNode(route(RouteKind.STREAMING, false, true), Quarantine.NONE, bounds);
+  }
+
+  private SingleRouteNode(Route route, Quarantine quarantine, ConversationBounds bounds) {
     StoreHealth storeHealth = new StoreHealth();
     storeHealth.answered(eventLoop.nanoTime());
     state = new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
     startEngine(1_000);
-    coordinator =
-        new CallCoordinator(
-            new TestingContext(eventLoop, state, engines, store, storeHealth, transport)
-                .admission(admission)
-                .quarantine(quarantine)
-                .build());
+    context =
+        new TestingContext(eventLoop, state, engines, store, storeHealth, transport)
+            .admission(admission)
+            .quarantine(quarantine)
+            .history(new TurnHistory(store, eventLoop, bounds, TurnSource.NONE))
+            .build();
+    coordinator = new CallCoordinator(context);
     state.adoptIfNewer(
         new GatewayConfiguration(
             1,
-            List.of(route(kind, resumable)),
+            List.of(route),
             List.of(new ServiceProfile("s", 100, TOKENS_PER_EVENT)),
             RequestLimits.DEFAULT));
   }
 
-  private static Route route(RouteKind kind, boolean resumable) {
+  private static Route route(RouteKind kind, boolean resumable, boolean retained) {
     return new Route(
         "r",
         "h",
@@ -76,8 +90,8 @@
         1,
         List.of(new Backend("s", 1)),
         3,
-        false,
-        0,
+        retained,
+        retained ? 60_000 : 0,
         false,
         resumable,
         false,
@@ -97,6 +111,10 @@
     return store;
   }
 
+  TurnHistory history() {
+    return context.history();
+  }
+
   TestingTransport transport() {
     return transport;
   }
@@ -200,16 +218,33 @@
     return call(responder, attributes);
   }
 
+  /** Sends a turn without a budget; {@code previousTurn} may be null. */
+  ClientCall call(CallResponder responder, String id, String previousTurn, int inputBytes) {
+    CallAttributes attributes =
+        new CallAttributes(
+            id,
+            3_000,
+            -1,
+            "p",
+            "s",
+            CallAttributes.ABSENT,
+            500,
+            List.of(),
+            previousTurn,
+            CallAttributes.ABSENT,
+            null,
+            null);
+    return call(responder, attributes, new byte[inputBytes]);
+  }
+
   private ClientCall call(CallResponder responder, CallAttributes attributes) {
+    return call(responder, attributes, new byte[1]);
+  }
+
+  private ClientCall call(CallResponder responder, CallAttributes attributes, byte[] body) {
     return coordinator.accept(
         new CallRequest(
-            "POST",
-            "/x",
-            "h",
-            new DefaultHttpHeaders(),
-            new byte[1],
-            attributes,
-            eventLoop.nanoTime()),
+            "POST", "/x", "h", new DefaultHttpHeaders(), body, attributes, eventLoop.nanoTime()),
         responder);
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestCallFingerprint.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestCallFingerprint.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import org.baykeel.gateway.buffering.EngineBody;
 import org.baykeel.gateway.configuration.Backend;
 import org.baykeel.gateway.configuration.Route;
 import org.baykeel.gateway.configuration.RouteKind;
@@ -58,7 +59,7 @@
         new CallRequest("POST", target, host, new DefaultHttpHeaders(), bytes(body), attributes, 0);
     AuthorizedCall call =
         new AuthorizedCall(request, ROUTE, Caller.ANONYMOUS, LimitUse.UNKNOWN, "s", 0, 0);
-    return CallFingerprint.builder(call, bytes(engineBody)).build();
+    return CallFingerprint.builder(call, EngineBody.of(bytes(engineBody))).build();
   }
 
   private static byte[] bytes(String text) {
@@ -133,4 +134,23 @@
     assertEquals(builder.build().head(), builder.head());
     assertEquals(Optional.of(16), Optional.of(builder.build().toString().length()));
   }
+
+  /** The value was computed by the build in production, with which this one compares it. */
+  @Test
+  void bodyInPartsHasFingerprintOfJoinedOne() {
+    EngineBody parts =
+        new EngineBody(List.of(bytes("earlier "), bytes(""), bytes("turns, new input")), () -> {});
+    RequestFingerprint.Builder builder = new RequestFingerprint.Builder(parts);
+    assertEquals("68a0f194973f1178", builder.add("x").add(null).build().toString());
+  }
+
+  @Test
+  void fingerprintOutlivesItsBody() {
+    EngineBody body = EngineBody.of(bytes(BODY));
+    RequestFingerprint.Builder builder = new RequestFingerprint.Builder(body).add("x");
+    RequestFingerprint built = builder.build();
+    body.release();
+    assertEquals(built, builder.build());
+    assertEquals(built.head(), builder.head());
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestTurnHistory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestTurnHistory.java
@@ -23,12 +23,11 @@
 
 class TestTurnHistory {
   private static final ProgramId PROGRAM = new ProgramId("p");
-  private static final long CACHE_BYTES = 1 << 20;
+  private static final ConversationBounds BOUNDS = ConversationBounds.ofNode(1 << 20);
 
   private final TestingEventLoop eventLoop = new TestingEventLoop();
   private final TestingStore store = new TestingStore(eventLoop);
-  private final TurnHistory history =
-      new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
+  private final TurnHistory history = new TurnHistory(store, eventLoop, BOUNDS, TurnSource.NONE);
 
   private static StoredTurn turn(String id, List<String> ancestors, int inputBytes) {
     byte[] output = ("out " + id + "\n").getBytes(StandardCharsets.UTF_8);
@@ -56,9 +55,10 @@
     save(history, turn("a", List.of(), 10), 10);
     save(history, turn("b", List.of("a"), 20), 10);
     save(history, turn("c", List.of("a", "b"), 30), 10);
-    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
+    TurnHistory other = new TurnHistory(store, eventLoop, BOUNDS, TurnSource.NONE);
     Lookup.Found found = assertInstanceOf(Lookup.Found.class, find(other, "c"));
-    assertEquals(List.of("a", "b", "c"), found.chain().stream().map(StoredTurn::id).toList());
+    assertEquals(
+        List.of("a", "b", "c"), found.conversation().turns().stream().map(StoredTurn::id).toList());
     assertTrue(other.inMemory("c"));
   }
 
@@ -66,10 +66,10 @@
   void turnLargerThanARowIsRestoredCompletely() {
     StoredTurn large = turn("x", List.of(), 150_000);
     assertEquals(true, save(history, large, 10));
-    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
+    TurnHistory other = new TurnHistory(store, eventLoop, BOUNDS, TurnSource.NONE);
     Lookup.Found found = assertInstanceOf(Lookup.Found.class, find(other, "x"));
-    assertArrayEquals(large.input(), found.chain().get(0).input());
-    assertArrayEquals(large.output(), found.chain().get(0).output());
+    assertArrayEquals(large.input(), found.conversation().turns().get(0).input());
+    assertArrayEquals(large.output(), found.conversation().turns().get(0).output());
   }
 
   @Test
@@ -81,7 +81,7 @@
   void aTurnThatCannotBeReadIsUnavailableAndNotAbsent() {
     save(history, turn("a", List.of(), 10), 10);
     store.failReads(true);
-    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
+    TurnHistory other = new TurnHistory(store, eventLoop, BOUNDS, TurnSource.NONE);
     assertInstanceOf(Lookup.Unavailable.class, find(other, "a"));
   }
 
@@ -92,7 +92,7 @@
     save(history, turn("a", List.of(), 10), 10);
     RowAddress address = store.rows("turn").get(0).address();
     store.put(address, HexFormat.of().parseHex(hex));
-    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
+    TurnHistory other = new TurnHistory(store, eventLoop, BOUNDS, TurnSource.NONE);
     AtomicReference<Lookup> found = new AtomicReference<>();
     other.find(PROGRAM, "a", eventLoop.nanoTime() + 1_000_000_000L, found::set);
     // The store logs the error.
@@ -104,7 +104,7 @@
   void aReadFromAnOldStateDoesNotMakeATurnAbsent() {
     store.freezeReads(true);
     save(history, turn("a", List.of(), 10), 10);
-    TurnHistory other = new TurnHistory(store, eventLoop, CACHE_BYTES, TurnSource.NONE);
+    TurnHistory other = new TurnHistory(store, eventLoop, BOUNDS, TurnSource.NONE);
     assertInstanceOf(Lookup.Unavailable.class, find(other, "a"));
     store.freezeReads(false);
     assertInstanceOf(Lookup.Found.class, find(other, "a"));
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestEngineConnection.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.baykeel.gateway.buffering.EngineBody;
 import org.baykeel.gateway.call.CallRequest;
 import org.baykeel.gateway.call.EngineRequest;
 import org.baykeel.gateway.call.EngineTransport;
@@ -104,7 +105,8 @@
             () ->
                 transport.send(
                     engine,
-                    new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1),
+                    new EngineRequest(
+                        source, EngineBody.of(new byte[3]), 1, Caller.WITHOUT_KEYS, -1, -1),
                     listener));
     String result = end.get(20, TimeUnit.SECONDS);
     // The connection returns to the pool after the read that completed the response.
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/http/TestSilentConnections.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.baykeel.gateway.budget.GrantTransfer;
+import org.baykeel.gateway.buffering.EngineBody;
 import org.baykeel.gateway.call.CallRequest;
 import org.baykeel.gateway.call.EngineRequest;
 import org.baykeel.gateway.call.EngineTransport;
@@ -101,7 +102,8 @@
     CallRequest source =
         new CallRequest(
             "POST", "/x", "h", headers, new byte[3], TestingTranslator.attributesOf(id), 0);
-    EngineRequest request = new EngineRequest(source, new byte[3], 1, Caller.WITHOUT_KEYS, -1, -1);
+    EngineRequest request =
+        new EngineRequest(source, EngineBody.of(new byte[3]), 1, Caller.WITHOUT_KEYS, -1, -1);
     Sent sent = new Sent();
     group.next().execute(() -> sent.exchange.complete(transport.send(engine, request, sent)));
     return sent;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedEngines.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedEngines.java
@@ -12,6 +12,7 @@
 import org.baykeel.gateway.call.ResponseHead;
 import org.baykeel.gateway.call.ResponseTraits;
 import org.baykeel.gateway.directory.Engine;
+import org.baykeel.gateway.testing.EngineBodies;
 import org.baykeel.gateway.testing.TestingEventLoop;
 
 /**
@@ -140,7 +141,7 @@
 
     private void run() {
       runs.merge(id(), 1, Integer::sum);
-      bodies.put(id(), new String(request.body(), StandardCharsets.UTF_8));
+      bodies.put(id(), EngineBodies.text(request.body()));
       if (random.nextInt(100) < 5) {
         return;
       }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedNode.java
@@ -15,6 +15,7 @@
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.directory.EngineId;
 import org.baykeel.gateway.directory.EngineRecord;
+import org.baykeel.gateway.history.ConversationBounds;
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.storage.StoreHealth;
 import org.baykeel.gateway.testing.TestingContext;
@@ -27,7 +28,8 @@
  * One incarnation of a node. All its state is lost with it; only the store and the engines remain.
  */
 final class SimulatedNode {
-  private static final long CACHE_BYTES = 400;
+  /** Few turns stay in memory without a call that continues them. */
+  private static final ConversationBounds CONVERSATIONS = new ConversationBounds(1 << 20, 400);
 
   private final TestingEventLoop eventLoop;
   private final EngineDirectory directory;
@@ -56,7 +58,7 @@
     state.replaceEngines(records);
     state.adoptIfNewer(configuration);
     handoverNode = handover.new Node();
-    history = new TurnHistory(store, eventLoop, CACHE_BYTES, handoverNode);
+    history = new TurnHistory(store, eventLoop, CONVERSATIONS, handoverNode);
     ProgramBudgets budgets =
         new ProgramBudgets(store, eventLoop, new GrantIds(random.nextLong()), handoverNode);
     handoverNode.serve(budgets, history);
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/TestGatewaySimulation.java
@@ -212,7 +212,7 @@
         fresh.history().find(new ProgramId("any"), program.lastCompleted(), giveUp, found::set);
         eventLoop.advance(2_000);
         assertTrue(found.get() instanceof Lookup.Found, seed + ": lost " + program.lastCompleted());
-        List<StoredTurn> chain = ((Lookup.Found) found.get()).chain();
+        List<StoredTurn> chain = ((Lookup.Found) found.get()).conversation().turns();
         assertEquals(program.lastCompleted(), chain.get(chain.size() - 1).id());
       }
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
@@ -12,6 +12,7 @@
 import org.baykeel.gateway.call.GatewayState;
 import org.baykeel.gateway.directory.EngineDirectory;
 import org.baykeel.gateway.fairness.AdmissionShares;
+import org.baykeel.gateway.history.ConversationBounds;
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.history.TurnSource;
 import org.baykeel.gateway.quarantine.Quarantine;
@@ -35,7 +36,7 @@
   private static final ResponseBytesLimiter.Bounds RESPONSES =
       new ResponseBytesLimiter.Bounds(64 << 20, 64 << 20, 64 << 20);
 
-  private static final long HISTORY_CACHE_BYTES = 1 << 20;
+  private static final ConversationBounds CONVERSATIONS = ConversationBounds.ofNode(1 << 20);
 
   private final EventLoop eventLoop;
   private final GatewayState state;
@@ -146,7 +147,7 @@
             ? new ProgramBudgets(store, eventLoop, new GrantIds(1), GrantSource.NONE)
             : budgets,
         history == null
-            ? new TurnHistory(store, eventLoop, HISTORY_CACHE_BYTES, TurnSource.NONE)
+            ? new TurnHistory(store, eventLoop, CONVERSATIONS, TurnSource.NONE)
             : history,
         new TestingStreamVersions(),
         quarantine,
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
@@ -18,6 +18,10 @@
   public static final class Sent implements Exchange {
     private final Engine engine;
     private final EngineRequest request;
+
+    /** The body as it was sent, since the call releases its parts. */
+    private final String body;
+
     private final Listener listener;
     private boolean cancelled;
     private boolean paused;
@@ -25,6 +29,7 @@
     Sent(Engine engine, EngineRequest request, Listener listener) {
       this.engine = engine;
       this.request = request;
+      this.body = EngineBodies.text(request.body());
       this.listener = listener;
     }
 
@@ -37,7 +42,7 @@
     }
 
     public String body() {
-      return new String(request.body(), StandardCharsets.UTF_8);
+      return body;
     }
 
     public boolean cancelled() {
