Turns that wait for the store are not all encoded anew every 60 ms

What callers saw: nothing by itself; beside large inputs a node spent its time and memory on writes that failed. Cause: TurnHistory.save encoded and sent each waiting turn every 60 ms, all at once when the store was back, and went on until the deadline for callers that had left. Change: TurnWriter limits the bytes of the writes in progress; after three failures in a row writes are repeated one at a time until one succeeds; the writes of ended calls are cancelled. Gauge of the bytes being written. Why it works: a turn is encoded only while its write is in progress; first tries are not held back, so that a store that is back is noticed as soon as before. Measured: TestTurnWrites, TestConversationOfCall, TestClientCall and TestGatewaySimulation pass.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnChain.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnChain.java
@@ -15,7 +15,7 @@
   private final GatewayContext context;
   private final AuthorizedCall call;
   private List<String> ancestors = List.of();
-  private TurnHistory.Task search = TurnHistory.Task.NONE;
+  private TurnHistory.Task task = TurnHistory.Task.NONE;
 
   TurnChain(GatewayContext context, AuthorizedCall call) {
     this.context = context;
@@ -29,7 +29,7 @@
     String programId = Objects.requireNonNullElse(attributes.programId(), "");
     ProgramId program = new ProgramId(call.caller().scoped(programId));
     String previousTurn = call.caller().scoped(attributes.previousTurn());
-    search =
+    task =
         context
             .history()
             .find(program, previousTurn, giveUpNanos, lookup -> onFound(lookup, callback));
@@ -51,11 +51,11 @@
   void store(byte[] output, Consumer<Boolean> callback) {
     String turnId = call.caller().scoped(call.attributes().requestId());
     StoredTurn turn = new StoredTurn(turnId, ancestors, call.request().body(), output);
-    context.history().save(turn, call.deadlineNanos(), callback);
+    task = context.history().save(turn, call.deadlineNanos(), callback);
   }
 
-  /** Ends the search, since the call has ended. */
+  /** Ends the search, or the storing of the call's own turn, since the call has ended. */
   void close() {
-    search.cancel();
+    task.cancel();
   }
 }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
@@ -9,7 +9,6 @@
 import org.baykeel.gateway.program.ProgramId;
 import org.baykeel.gateway.runtime.EventLoop;
 import org.baykeel.gateway.storage.DurableStore;
-import org.baykeel.gateway.storage.TransactionOutcome;
 
 /**
  * Saves turns in the store and finds them again.
@@ -20,13 +19,9 @@
  * never as unknown. The turns in memory, with the room for those being read, are within the bounds.
  */
 public final class TurnHistory {
-  private static final long RETRY_MILLIS = 60;
-
-  private final DurableStore store;
-  private final EventLoop eventLoop;
-
   private final TurnMemory memory;
   private final TurnReader reader;
+  private final TurnWriter writer;
   private final ConversationQueue queue;
   private final TurnSource source;
 
@@ -51,7 +46,7 @@
     record TooLong(long bytes) implements Lookup {}
   }
 
-  /** A search for a turn on behalf of a call. */
+  /** A search for a turn, or the saving of one, on behalf of a call. */
   @FunctionalInterface
   public interface Task {
     /** A task that has ended. */
@@ -69,10 +64,9 @@
    */
   public TurnHistory(
       DurableStore store, EventLoop eventLoop, ConversationBounds bounds, TurnSource source) {
-    this.store = store;
-    this.eventLoop = eventLoop;
     this.memory = new TurnMemory(bounds);
     this.reader = new TurnReader(store, eventLoop);
+    this.writer = new TurnWriter(store, eventLoop);
     this.queue = new ConversationQueue(memory, bounds, eventLoop);
     this.source = source;
   }
@@ -134,23 +128,18 @@
    * @param giveUpNanos the time after which a failed write is not repeated
    * @param callback receives true once the store has the turn; false if that is not certain
    */
-  public void save(StoredTurn turn, long giveUpNanos, Consumer<Boolean> callback) {
-    store.transact(
-        TurnRows.insertion(turn), outcome -> onSaved(turn, giveUpNanos, outcome, callback));
-  }
-
-  private void onSaved(
-      StoredTurn turn, long giveUpNanos, TransactionOutcome outcome, Consumer<Boolean> callback) {
-    // A conflict means that an earlier copy of the same write was applied: identifiers are unique.
-    if (outcome instanceof TransactionOutcome.Applied
-        || outcome instanceof TransactionOutcome.Conflict) {
-      memory.put(turn);
-      callback.accept(true);
-    } else if (eventLoop.nanoTime() - giveUpNanos >= 0) {
-      callback.accept(false);
-    } else {
-      eventLoop.schedule(RETRY_MILLIS, () -> save(turn, giveUpNanos, callback));
-    }
+  public Task save(StoredTurn turn, long giveUpNanos, Consumer<Boolean> callback) {
+    TurnWriter.Write write =
+        writer.write(
+            turn,
+            giveUpNanos,
+            written -> {
+              if (written) {
+                memory.put(turn);
+              }
+              callback.accept(written);
+            });
+    return write::cancel;
   }
 
   /** Returns the bytes of the turns that calls continue, and of the room for those being read. */
@@ -168,6 +157,11 @@
     return reader.bytesInProgress();
   }
 
+  /** Returns the bytes of turns whose writes to the store are in progress. */
+  public long writingBytes() {
+    return writer.bytesInProgress();
+  }
+
   /** Returns the number of conversations that wait for memory. */
   public long waitingConversations() {
     return queue.waiting();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestConversationOfCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestConversationOfCall.java
@@ -36,6 +36,12 @@
           run.sent.stream().event(1);
           run.call.callerDisconnected();
         }),
+    CALLER_LEFT_WHILE_THE_TURN_IS_STORED(
+        run -> {
+          run.node.store().fault(Fault.REFUSE);
+          run.sent.stream().event(1).complete();
+          run.call.callerDisconnected();
+        }),
     DEADLINE(run -> run.node.eventLoop().advance(4_000)),
     NODE_STOPS(run -> run.call.endForStop()),
     ENGINE_FAILED(run -> run.sent.stream().event(1).breakConnection()),
@@ -85,6 +91,7 @@
     end.end.accept(run);
     node.eventLoop().advance(4_000);
     assertEquals(0, node.history().heldBytes());
+    assertEquals(0, node.history().writingBytes());
     assertThrows(IllegalStateException.class, () -> run.sent.request().body().parts());
   }
 
