Turns are sent to a peer up to a limit, and only while the peer reads

What callers saw: turns that moved to another node at a high rate found both nodes out of memory. Cause: a node sent the whole chain that it had in memory, in one message of up to 17 MB that it encoded in several copies, for each request, whether or not the peer had read the one before. Change: TurnHistory.turnsInMemory returns the last turns up to 1 MiB; the peer reads the others from the store. LinkServer answers without turns while earlier responses to the same peer are not written. Why it works: a connection holds one response of at most 1 MiB beyond what the operating system takes.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnHistory.java
@@ -19,6 +19,9 @@
  * never as unknown. The turns in memory, with the room for those being read, are within the bounds.
  */
 public final class TurnHistory {
+  /** The most bytes of turns that are sent to another process at once. */
+  private static final long MAX_TRANSFER_BYTES = 1 << 20;
+
   private final TurnMemory memory;
   private final TurnReader reader;
   private final TurnWriter writer;
@@ -78,15 +81,23 @@
   }
 
   /**
-   * Returns those of a turn and of the turns that it continues that are in memory; each of them is
-   * in the store.
+   * Returns those of a turn and of the turns that it continues that are in memory, oldest first;
+   * each of them is in the store. Beyond a limit of bytes, the oldest ones are left out.
    */
   public List<StoredTurn> turnsInMemory(String turnId) {
     StoredTurn last = memory.get(turnId);
     if (last == null) {
       return List.of();
     }
-    return last.chain().stream().map(memory::get).filter(Objects::nonNull).toList();
+    List<StoredTurn> present =
+        last.chain().stream().map(memory::get).filter(Objects::nonNull).toList();
+    long bytes = 0;
+    int from = present.size();
+    while (from > 0 && bytes + present.get(from - 1).bytes() <= MAX_TRANSFER_BYTES) {
+      from--;
+      bytes += present.get(from).bytes();
+    }
+    return present.subList(from, present.size());
   }
 
   /**
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkServer.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/link/LinkServer.java
@@ -8,6 +8,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.List;
+import org.baykeel.gateway.history.StoredTurn;
 import org.baykeel.gateway.remote.StoreReply;
 
 /** Serves the requests of other nodes. */
@@ -64,12 +66,17 @@
       } else if (message instanceof LinkMessage.GrantRequest request) {
         send(new LinkMessage.GrantResponse(id, services.releaseGrant(request.program())));
       } else if (message instanceof LinkMessage.TurnsRequest request) {
-        send(new LinkMessage.TurnsResponse(id, services.turnsInMemory(request.turnId())));
+        send(new LinkMessage.TurnsResponse(id, turnsInMemory(request.turnId())));
       } else {
         channel.close();
       }
     }
 
+    /** Sends no turns while earlier ones are on their way, so that a slow peer holds few bytes. */
+    private List<StoredTurn> turnsInMemory(String turnId) {
+      return channel.isWritable() ? services.turnsInMemory(turnId) : List.of();
+    }
+
     private void callStore(LinkMessage.StoreRequest request) {
       long id = request.correlationId();
       if (storeCalls >= MAX_STORE_CALLS_PER_CONNECTION) {
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestConversationMemory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestConversationMemory.java
@@ -314,4 +314,15 @@
     }
     assertEquals(0, history.heldBytes());
   }
+
+  /** Guards against a chain that a peer encodes and receives as one message of any length. */
+  @Test
+  void turnsForAnotherNodeAreTheLastOnesUpToALimit() {
+    String last = storeChain("a", 18, TURN_BYTES);
+    TurnHistory whole = history(ConversationBounds.ofNode(64 << 20));
+    whole.find(PROGRAM, last, eventLoop.nanoTime() + 1_000_000_000L, found::add);
+    eventLoop.advance(500);
+    List<String> sent = whole.turnsInMemory(last).stream().map(StoredTurn::id).toList();
+    assertEquals(conversation(0).ids().subList(8, 18), sent);
+  }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/link/TestLink.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/link/TestLink.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
@@ -12,12 +13,14 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.baykeel.gateway.budget.GrantTransfer;
 import org.baykeel.gateway.history.StoredTurn;
@@ -37,6 +40,11 @@
   /** Within this time, what was sent on loopback has arrived. */
   private static final long SETTLE_MILLIS = 100;
 
+  private static final int TURNS_REQUESTS = 1_000;
+
+  /** More than the operating system holds of a connection on loopback. */
+  private static final long MAX_SOCKET_BYTES = 20L << 20;
+
   private static final ProgramId PROGRAM = new ProgramId("p");
   private static final GrantTransfer TRANSFER = new GrantTransfer(500, 2_000, 17, 99);
   private static final StoredTurn TURN =
@@ -228,4 +236,49 @@
     assertArrayEquals(TURN.input(), turn.input());
     assertArrayEquals(TURN.output(), turn.output());
   }
+
+  /** Guards against turns that fill the memory of this node on their way to a peer. */
+  @Test
+  void peerThatDoesNotReadIsSentNoFurtherTurns() throws Exception {
+    AtomicLong turnBytes = new AtomicLong();
+    CompletableFuture<Void> allReceived = new CompletableFuture<>();
+    LinkServices services =
+        new LinkServices() {
+          @Override
+          public void callStore(StoreCall call, Consumer<StoreReply> callback) {}
+
+          @Override
+          public Optional<GrantTransfer> releaseGrant(ProgramId program) {
+            allReceived.complete(null);
+            return Optional.empty();
+          }
+
+          @Override
+          public List<StoredTurn> turnsInMemory(String turnId) {
+            turnBytes.addAndGet(TURN.output().length);
+            return List.of(TURN);
+          }
+        };
+    ChannelFuture bound =
+        new LinkServer(services).listen(group, new InetSocketAddress(LOOPBACK, 0));
+    bound.syncUninterruptibly();
+    int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+    try (Socket socket = new Socket(LOOPBACK, port)) {
+      OutputStream out = socket.getOutputStream();
+      for (int i = 0; i < TURNS_REQUESTS; i++) {
+        out.write(frame(new LinkMessage.TurnsRequest(i, TURN.id())));
+      }
+      out.write(frame(new LinkMessage.GrantRequest(TURNS_REQUESTS, PROGRAM)));
+      allReceived.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+    assertTrue(turnBytes.get() <= MAX_SOCKET_BYTES, turnBytes + " bytes");
+  }
+
+  private static byte[] frame(LinkMessage message) {
+    byte[] content = LinkCodec.encode(message);
+    return ByteBuffer.allocate(Integer.BYTES + content.length)
+        .putInt(content.length)
+        .put(content)
+        .array();
+  }
 }
