The outputs of turns that are to be stored count with the responses of the node

What callers saw: nothing so far; found by reading, on a path beside that of the conversations. Cause: the data of a stream that is to be stored was limited for each call (8 MiB) and for all calls by nothing, until the store had the turn; the same bytes were held twice while it waited. Change: AttemptSequence counts the output from its first event to the end of its call in ResponseBytesLimiter; beyond the limit the largest response is given up, as for responses that are no streams. ResponseRelay collects it in blocks.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.baykeel.core.error.ErrorKind;
 import org.baykeel.gateway.buffering.EngineBody;
+import org.baykeel.gateway.buffering.ResponseBytesLimiter;
 import org.baykeel.gateway.buffering.ResponseSource;
 import org.baykeel.gateway.directory.Engine;
 import org.baykeel.gateway.directory.SoftwareVersion;
@@ -70,6 +71,7 @@
   private long retryNotBeforeNanos;
   private boolean anyEngineFull;
   private boolean hasEvents;
+  private ResponseBytesLimiter.Response storedOutput;
   private boolean responseTooLarge;
   private boolean ended;
 
@@ -155,6 +157,9 @@
     if (waitTicket != null) {
       waitTicket.leave();
     }
+    if (storedOutput != null) {
+      storedOutput.close();
+    }
     silenceWatch.end();
   }
 
@@ -399,9 +404,26 @@
       attempt.softwareVersion().ifPresent(this::recordBegin);
     }
     owner.onStreamEvent(event);
-    if (attempt != null && relay.outputBytes() > context.responseBytes().responseBytes()) {
+    if (!ended && relay.outputBytes() > 0) {
+      countOutput();
+    }
+  }
+
+  /** The output that is to be stored is counted from its first event to the end of the call. */
+  private void countOutput() {
+    if (storedOutput == null) {
+      storedOutput = context.responseBytes().open(this, this::onOutputTooLarge);
+    }
+    storedOutput.hold(relay.outputBytes());
+  }
+
+  private void onOutputTooLarge(String detail) {
+    storedOutput = null;
+    if (attempt != null) {
       attempt.cancel();
-      onResponseTooLarge("stream to be stored exceeds the limit of a response");
+      onResponseTooLarge("stream to be stored: " + detail);
+    } else if (!ended) {
+      owner.onAttemptsFailed(ErrorKind.RESPONSE_TOO_LARGE, 0, "stream to be stored: " + detail);
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -308,7 +308,7 @@
       return;
     }
     record.waitStarted(CallRecord.Wait.STORE_TURN);
-    turnChain.store(relay.output(), this::onTurnStored);
+    turnChain.store(relay.takeOutput(), this::onTurnStored);
   }
 
   private void onTurnStored(boolean stored) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ResponseRelay.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ResponseRelay.java
@@ -1,8 +1,8 @@
 package org.baykeel.gateway.call;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
+import org.baykeel.gateway.buffering.BodyBuffer;
 import org.baykeel.gateway.buffering.ResponseSource;
 
 /**
@@ -11,8 +11,10 @@
  * While too many bytes are held for the caller, the engine is not read.
  */
 final class ResponseRelay implements ResponseSource {
+  private static final byte[] LINE_FEED = {'\n'};
+
   private final CallResponder responder;
-  private final ByteArrayOutputStream output;
+  private final BodyBuffer output;
   private final List<StreamEvent> held = new ArrayList<>();
   private ResponseSource source = ResponseSource.NONE;
   private ResponseHead head;
@@ -30,7 +32,7 @@
   ResponseRelay(CallResponder responder, long lastEventId, boolean collectOutput) {
     this.responder = responder;
     this.lastEventId = lastEventId;
-    this.output = collectOutput ? new ByteArrayOutputStream() : null;
+    this.output = collectOutput ? new BodyBuffer() : null;
   }
 
   /** Sets the source of the response from now on. */
@@ -97,8 +99,8 @@
     sendHead();
     eventsSent++;
     if (output != null && event.data() != null) {
-      output.writeBytes(event.data());
-      output.write('\n');
+      output.add(event.data());
+      output.add(LINE_FEED);
     }
     responder.sendEvent(event.bytes());
   }
@@ -152,11 +154,11 @@
 
   /** The length of the data that is collected for storage, in bytes. */
   long outputBytes() {
-    return output == null ? 0 : output.size();
+    return output == null ? 0 : output.length();
   }
 
-  /** The data of the events, a line feed after each. */
-  byte[] output() {
-    return output.toByteArray();
+  /** Returns the data of the events, a line feed after each, and collects it no longer. */
+  byte[] takeOutput() {
+    return output.take();
   }
 }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/SingleRouteNode.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.baykeel.gateway.admission.ProgramAdmission;
+import org.baykeel.gateway.buffering.ResponseBytesLimiter;
 import org.baykeel.gateway.configuration.Backend;
 import org.baykeel.gateway.configuration.GatewayConfiguration;
 import org.baykeel.gateway.configuration.RequestLimits;
@@ -50,15 +51,30 @@
 
   /** Creates such a node with a quarantine. */
   SingleRouteNode(RouteKind kind, boolean resumable, Quarantine quarantine) {
-    this(route(kind, resumable, false), quarantine, ConversationBounds.ofNode(1 << 20));
+    this(
+        route(kind, resumable, false),
+        quarantine,
+        ConversationBounds.ofNode(1 << 20),
+        ResponseBytesLimiter.Bounds.DEFAULT);
   }
 
   /** Creates a node whose route retains turns, with limits of the memory for them. */
   static SingleRouteNode retaining(ConversationBounds bounds) {
-    return new SingleRouteNode(route(RouteKind.STREAMING, false, true), Quarantine.NONE, bounds);
+    return retaining(bounds, ResponseBytesLimiter.Bounds.DEFAULT);
   }
 
-  private SingleRouteNode(Route route, Quarantine quarantine, ConversationBounds bounds) {
+  /** The same with limits of what is held of responses. */
+  static SingleRouteNode retaining(
+      ConversationBounds bounds, ResponseBytesLimiter.Bounds responses) {
+    return new SingleRouteNode(
+        route(RouteKind.STREAMING, false, true), Quarantine.NONE, bounds, responses);
+  }
+
+  private SingleRouteNode(
+      Route route,
+      Quarantine quarantine,
+      ConversationBounds bounds,
+      ResponseBytesLimiter.Bounds responses) {
     StoreHealth storeHealth = new StoreHealth();
     storeHealth.answered(eventLoop.nanoTime());
     state = new GatewayState(eventLoop, storeHealth, engines, (event, fields) -> {});
@@ -67,6 +83,7 @@
         new TestingContext(eventLoop, state, engines, store, storeHealth, transport)
             .admission(admission)
             .quarantine(quarantine)
+            .responses(responses)
             .history(new TurnHistory(store, eventLoop, bounds, TurnSource.NONE))
             .build();
     coordinator = new CallCoordinator(context);
@@ -115,6 +132,10 @@
     return context.history();
   }
 
+  ResponseBytesLimiter responseBytes() {
+    return context.responseBytes();
+  }
+
   TestingTransport transport() {
     return transport;
   }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestConversationOfCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestConversationOfCall.java
@@ -92,6 +92,7 @@
     node.eventLoop().advance(4_000);
     assertEquals(0, node.history().heldBytes());
     assertEquals(0, node.history().writingBytes());
+    assertEquals(0, node.responseBytes().totalBytes());
     assertThrows(IllegalStateException.class, () -> run.sent.request().body().parts());
   }
 
@@ -103,6 +104,7 @@
     node.eventLoop().advance(500);
     assertEquals(List.of("begin", "id: 1 data: d1"), responder.received());
     assertEquals(0, node.history().heldBytes());
+    assertEquals("d1\n".length(), node.responseBytes().totalBytes());
     node.store().fault(Fault.NONE);
     node.eventLoop().advance(200);
     assertEquals(List.of("begin", "id: 1 data: d1", "end"), responder.received());
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingContext.java
@@ -52,6 +52,7 @@
   private TurnHistory history;
   private Urgency urgency = Urgency.NONE;
   private Quarantine quarantine = Quarantine.NONE;
+  private ResponseBytesLimiter.Bounds responses = RESPONSES;
   private GatewayLog log = (event, fields) -> {};
 
   /**
@@ -125,6 +126,12 @@
     return this;
   }
 
+  /** Sets the limits of what is held of responses. */
+  public TestingContext responses(ResponseBytesLimiter.Bounds newResponses) {
+    responses = newResponses;
+    return this;
+  }
+
   /** Sets the log of calls. */
   public TestingContext log(GatewayLog newLog) {
     log = newLog;
@@ -153,7 +160,7 @@
         quarantine,
         urgency,
         transport,
-        new ResponseBytesLimiter(RESPONSES),
+        new ResponseBytesLimiter(responses),
         storeHealth,
         log,
         new GatewayMetrics());
