A stored turn is decoded and encoded with fewer copies

Cause: the rows of a turn were joined in a growing buffer, copied out of it, and cut into copies of copies; a chain that is read costs this for each of its turns. Change: StoredTurnCodec joins rows into one array of the final length and copies each row once.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/StoredTurnCodec.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/StoredTurnCodec.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -18,6 +17,9 @@
 public final class StoredTurnCodec {
   private static final byte FORMAT = 1;
 
+  /** The bytes before the content of each value: the format and the number of values. */
+  private static final int HEADER_BYTES = 2;
+
   private StoredTurnCodec() {}
 
   /**
@@ -72,37 +74,42 @@
 
   static List<byte[]> encode(StoredTurn turn, int maxValueBytes) {
     byte[] body = encodeWhole(turn);
-    int maxPieceBytes = maxValueBytes - 2;
+    int maxPieceBytes = maxValueBytes - HEADER_BYTES;
     int pieces = Math.max(1, (body.length + maxPieceBytes - 1) / maxPieceBytes);
     List<byte[]> values = new ArrayList<>(pieces);
     for (int i = 0; i < pieces; i++) {
-      byte[] part =
-          Arrays.copyOfRange(
-              body, i * maxPieceBytes, Math.min(body.length, (i + 1) * maxPieceBytes));
-      byte[] value = new byte[part.length + 2];
+      int from = i * maxPieceBytes;
+      int bytes = Math.min(body.length - from, maxPieceBytes);
+      byte[] value = new byte[HEADER_BYTES + bytes];
       value[0] = FORMAT;
       value[1] = (byte) pieces;
-      System.arraycopy(part, 0, value, 2, part.length);
+      System.arraycopy(body, from, value, HEADER_BYTES, bytes);
       values.add(value);
     }
     return values;
   }
 
   static int pieceCount(byte[] firstValue) {
-    if (firstValue.length < 2 || firstValue[0] != FORMAT || firstValue[1] == 0) {
+    if (firstValue.length < HEADER_BYTES || firstValue[0] != FORMAT || firstValue[1] == 0) {
       throw new IllegalArgumentException("invalid stored turn of " + firstValue.length + " bytes");
     }
     return firstValue[1] & 0xFF;
   }
 
   static StoredTurn decode(String id, List<byte[]> values) {
-    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    int length = 0;
     for (byte[] value : values) {
-      if (value.length < 2) {
+      if (value.length < HEADER_BYTES) {
         throw new IllegalArgumentException("invalid piece of a stored turn");
       }
-      body.write(value, 2, value.length - 2);
+      length += value.length - HEADER_BYTES;
+    }
+    byte[] body = new byte[length];
+    int at = 0;
+    for (byte[] value : values) {
+      System.arraycopy(value, HEADER_BYTES, body, at, value.length - HEADER_BYTES);
+      at += value.length - HEADER_BYTES;
     }
-    return decodeWhole(id, body.toByteArray());
+    return decodeWhole(id, body);
   }
 }
