A conversation is let go once its engine has it and responds, if no attempt can follow

Cause: a turn that may run only once held its conversation until the end of its stream, though it is not sent again after the head of the response. Change: EngineTransport.Exchange tells whether the request is written; AttemptSequence releases the body of such a turn with the head or an event once it is, and of every turn at the end of the stream. Failed before: TestConversationOfCall#nothingIsHeldOnceTheEngineHasTheBodyAndResponds needs the new method; held bytes were those of the conversation there until complete(). Result: it passes, as do TestClientCall, TestQuarantinedCall, TestEngineConnection and TestGatewaySimulation.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/AttemptSequence.java
@@ -109,7 +109,7 @@
   /**
    * Sends the request to an engine, after the requests that already wait for capacity.
    *
-   * @param body the body for engines, which must stay open while another attempt may follow
+   * @param body the body for engines, which is released as soon as no attempt can follow
    */
   void start(EngineBody body) {
     engineBody = body;
@@ -391,6 +391,7 @@
   @Override
   public void onStreamHead(ResponseHead head) {
     quarantine.responded(attempt);
+    releaseBodyIfUnneeded();
     if (relay.setHead(head)) {
       record.responseTaken(attempt);
     }
@@ -399,6 +400,7 @@
   @Override
   public void onStreamEvent(StreamEvent event) {
     silenceWatch.eventReceived();
+    releaseBodyIfUnneeded();
     if (!hasEvents) {
       hasEvents = true;
       attempt.softwareVersion().ifPresent(this::recordBegin);
@@ -427,6 +429,18 @@
     }
   }
 
+  /** A stream that may run only once is not sent again after its head. */
+  private void releaseBodyIfUnneeded() {
+    if (!call.route().repeatable() && attempt.isRequestWritten()) {
+      releaseBody();
+    }
+  }
+
+  private void releaseBody() {
+    quarantine.identify();
+    engineBody.release();
+  }
+
   private void recordBegin(SoftwareVersion version) {
     criteria = criteria.requiring(version);
     if (call.route().resumable()) {
@@ -440,6 +454,7 @@
     endAttempt("complete", EngineRun::completed);
     quarantine.completed();
     context.streamVersions().recordComplete(call.attributes().requestId());
+    releaseBody();
     owner.onStreamComplete();
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineAttempt.java
@@ -129,6 +129,11 @@
     return exchange.connectionUse();
   }
 
+  /** Whether nothing of the request is held for the engine any more. */
+  boolean isRequestWritten() {
+    return exchange.isRequestWritten();
+  }
+
   /** The engine's signature of the response, or null. */
   String signature() {
     return head == null ? null : head.traits().signature();
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/EngineTransport.java
@@ -23,6 +23,9 @@
     /** Resumes reading the response. */
     void resumeReading();
 
+    /** Whether the operating system has the whole request, so that nothing of it is held here. */
+    boolean isRequestWritten();
+
     /** The connection that carries the request; {@link ConnectionUse#NONE} until it is sent. */
     default ConnectionUse connectionUse() {
       return ConnectionUse.NONE;
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/EngineConnection.java
@@ -189,6 +189,11 @@
     framer.requestSent(written, bodyBytes);
   }
 
+  /** Whether the operating system has the whole request in progress. */
+  boolean isRequestWritten() {
+    return written.isDone();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/http/PendingExchange.java
@@ -85,6 +85,11 @@
     return connectionUse;
   }
 
+  @Override
+  public boolean isRequestWritten() {
+    return connection != null && (ended || connection.isRequestWritten());
+  }
+
   @Override
   public void pauseReading() {
     paused = true;
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestConversationOfCall.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestConversationOfCall.java
@@ -110,6 +110,22 @@
     assertEquals(List.of("begin", "id: 1 data: d1", "end"), responder.received());
   }
 
+  @Test
+  void nothingIsHeldOnceTheEngineHasTheBodyAndResponds() {
+    Run run = continued();
+    run.sent.stream();
+    assertEquals(0, node.history().heldBytes());
+  }
+
+  @Test
+  void conversationIsHeldWhileTheEngineHasNotReadIt() {
+    Run run = continued();
+    run.sent.bodyUnread().stream().event(1);
+    assertEquals(TURN_BYTES, node.history().heldBytes());
+    run.sent.complete();
+    assertEquals(0, node.history().heldBytes());
+  }
+
   @Test
   void conversationIsHeldForTheNextAttempt() {
     Run run = continued();
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestToolCallsUnderLoad.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/call/TestToolCallsUnderLoad.java
@@ -69,6 +69,11 @@
     public Exchange send(Engine engine, EngineRequest request, Listener listener) {
       eventLoop.schedule(1, () -> arrive(engine.record().id(), listener));
       return new Exchange() {
+        @Override
+        public boolean isRequestWritten() {
+          return true;
+        }
+
         @Override
         public void cancel() {}
 
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedEngines.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/simulation/SimulatedEngines.java
@@ -86,6 +86,11 @@
       inProgress.remove(this);
     }
 
+    @Override
+    public boolean isRequestWritten() {
+      return true;
+    }
+
     @Override
     public void pauseReading() {
       throw new IllegalStateException("reading is never paused");
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/testing/TestingTransport.java
@@ -25,6 +25,7 @@
     private final Listener listener;
     private boolean cancelled;
     private boolean paused;
+    private boolean written = true;
 
     Sent(Engine engine, EngineRequest request, Listener listener) {
       this.engine = engine;
@@ -54,6 +55,17 @@
       cancelled = true;
     }
 
+    @Override
+    public boolean isRequestWritten() {
+      return written;
+    }
+
+    /** The engine has not read the whole body. */
+    public Sent bodyUnread() {
+      written = false;
+      return this;
+    }
+
     @Override
     public void pauseReading() {
       paused = true;
