--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/ClientCall.java
@@ -189,7 +189,7 @@
     } else if (lookup instanceof Lookup.Absent) {
       refuse(ErrorKind.UNKNOWN_PROGRAM, 0, "previous turn does not exist");
     } else if (lookup instanceof Lookup.NoRoom noRoom) {
-      onNoRoom(noRoom.bytes());
+      onNoRoom(noRoom);
     } else if (lookup instanceof Lookup.TooLong tooLong) {
       context.metrics().conversationRefused(GatewayMetrics.ConversationRefusal.TOO_LONG);
       refuse(
@@ -204,13 +204,13 @@
     }
   }
 
-  /** Other conversations are let go when their engines have completed, at the latest. */
-  private void onNoRoom(long bytes) {
+  /** The conversations that are held now are let go once their engines have completed. */
+  private void onNoRoom(Lookup.NoRoom noRoom) {
     context.metrics().conversationRefused(GatewayMetrics.ConversationRefusal.NO_ROOM);
     refuse(
         ErrorKind.OVERLOADED,
-        Math.max(BUSY_RETRY_MILLIS, attempts.usualResponseMillis()),
-        "no memory for a conversation of " + bytes + " bytes");
+        Math.max(BUSY_RETRY_MILLIS, noRoom.turnovers() * attempts.usualResponseMillis()),
+        "no memory for a conversation of " + noRoom.bytes() + " bytes");
   }
 
   private void onReadyToSend(EngineBody body) {
@@ -270,8 +270,6 @@
   @Override
   public void onStreamComplete() {
     streamComplete = true;
-    // No attempt follows, so that nothing of the conversation is needed while the turn is stored.
-    engineBody.release();
     if (budget.status() == ReservationStatus.GRANTED) {
       finishStream();
     }
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnChain.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/call/TurnChain.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Consumer;
+import org.baykeel.gateway.history.SearchLimits;
 import org.baykeel.gateway.history.StoredTurn;
 import org.baykeel.gateway.history.TurnHistory;
 import org.baykeel.gateway.history.TurnHistory.Lookup;
@@ -12,6 +13,11 @@
 final class TurnChain {
   private static final long LOOKUP_TIMEOUT_MILLIS = 1_000;
 
+  /** Of the time that remains, two thirds may be spent waiting; the rest is for another node. */
+  private static final long WAIT_NUMERATOR = 2;
+
+  private static final long WAIT_DENOMINATOR = 3;
+
   private final GatewayContext context;
   private final AuthorizedCall call;
   private List<String> ancestors = List.of();
@@ -25,14 +31,21 @@
   /** Finds the turn that the call continues and all turns before that one. */
   void findPrevious(Consumer<Lookup> callback) {
     CallAttributes attributes = call.attributes();
-    long giveUpNanos = context.eventLoop().nanoTime() + LOOKUP_TIMEOUT_MILLIS * 1_000_000;
     String programId = Objects.requireNonNullElse(attributes.programId(), "");
     ProgramId program = new ProgramId(call.caller().scoped(programId));
     String previousTurn = call.caller().scoped(attributes.previousTurn());
     task =
         context
             .history()
-            .find(program, previousTurn, giveUpNanos, lookup -> onFound(lookup, callback));
+            .find(program, previousTurn, searchLimits(), lookup -> onFound(lookup, callback));
+  }
+
+  private SearchLimits searchLimits() {
+    long now = context.eventLoop().nanoTime();
+    long remainingNanos = Math.max(0, call.deadlineNanos() - now);
+    return new SearchLimits(
+        now + LOOKUP_TIMEOUT_MILLIS * 1_000_000,
+        now + remainingNanos / WAIT_DENOMINATOR * WAIT_NUMERATOR);
   }
 
   private void onFound(Lookup lookup, Consumer<Lookup> callback) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/ChainLookup.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/ChainLookup.java
@@ -19,7 +19,7 @@
   private final TurnReader reader;
   private final ConversationQueue queue;
   private final String turnId;
-  private final long giveUpNanos;
+  private final SearchLimits limits;
   private final Consumer<Lookup> callback;
 
   /** The rows of the turns that are not in memory; those of one row are not in here. */
@@ -32,23 +32,19 @@
   private boolean failed;
   private boolean cancelled;
 
-  /**
-   * Creates a search.
-   *
-   * @param giveUpNanos the time after which a turn that cannot be read is unavailable
-   */
+  /** Creates a search. */
   ChainLookup(
       TurnMemory memory,
       TurnReader reader,
       ConversationQueue queue,
       String turnId,
-      long giveUpNanos,
+      SearchLimits limits,
       Consumer<Lookup> callback) {
     this.memory = memory;
     this.reader = reader;
     this.queue = queue;
     this.turnId = turnId;
-    this.giveUpNanos = giveUpNanos;
+    this.limits = limits;
     this.callback = callback;
   }
 
@@ -60,7 +56,7 @@
     if (last != null) {
       onLast(last);
     } else {
-      reader.readFirstRow(turnId, giveUpNanos, this::onLastRead);
+      reader.readFirstRow(turnId, limits.readUntilNanos(), this::onLastRead);
     }
   }
 
@@ -72,7 +68,7 @@
 
   private void onLastRead(TurnReader.Result result) {
     if (result instanceof TurnReader.Result.Part part) {
-      reader.readWhole(turnId, part.rows(), giveUpNanos, this::onLastRead);
+      reader.readWhole(turnId, part.rows(), limits.readUntilNanos(), this::onLastRead);
     } else if (result instanceof TurnReader.Result.Whole whole) {
       memory.put(whole.turn());
       onLast(whole.turn());
@@ -103,7 +99,7 @@
       onFound.accept(TurnSize.of(turn));
       return;
     }
-    reader.readFirstRow(id, giveUpNanos, result -> onFound.accept(sizeOf(id, result)));
+    reader.readFirstRow(id, limits.readUntilNanos(), result -> onFound.accept(sizeOf(id, result)));
   }
 
   /** Returns the size of a turn of which the first row was read, or null if it was not. */
@@ -132,7 +128,7 @@
     }
     sizes = List.of(found);
     if (!cancelled) {
-      ticket = queue.hold(sizes, giveUpNanos, this::onDecision);
+      ticket = queue.hold(sizes, limits.waitUntilNanos(), this::onDecision);
     }
   }
 
@@ -145,7 +141,7 @@
         holding = held;
         load();
       }
-      case NO_ROOM -> answer(new Lookup.NoRoom(bytes));
+      case NO_ROOM -> answer(new Lookup.NoRoom(bytes, queue.turnovers()));
       case TOO_LONG -> answer(new Lookup.TooLong(bytes));
     }
   }
@@ -163,15 +159,15 @@
   private void loadTurn(String id) {
     Integer known = rows.get(id);
     if (known == null) {
-      reader.readFirstRow(id, giveUpNanos, result -> onLoaded(id, result));
+      reader.readFirstRow(id, limits.readUntilNanos(), result -> onLoaded(id, result));
     } else {
-      reader.readWhole(id, known, giveUpNanos, result -> onLoaded(id, result));
+      reader.readWhole(id, known, limits.readUntilNanos(), result -> onLoaded(id, result));
     }
   }
 
   private void onLoaded(String id, TurnReader.Result result) {
     if (result instanceof TurnReader.Result.Part part) {
-      reader.readWhole(id, part.rows(), giveUpNanos, whole -> onLoaded(id, whole));
+      reader.readWhole(id, part.rows(), limits.readUntilNanos(), whole -> onLoaded(id, whole));
       return;
     }
     if (result instanceof TurnReader.Result.Whole whole) {
