Conversations, reads and writes that end at once do not start the next one from within

Cause: the end of a holding admitted the next conversation that waits, from within its own end; with many short ones that end at once the stack grew with the queue. Evidence: 370 of 2,000 were served before a StackOverflowError on a thread with the stack of a node (256 KiB). Change: ConversationQueue, TurnReader and TurnWriter start what waits in one loop. Failed before: TestConversationMemory#conversationsThatEndAtOnceDoNotRecur. Result: all 2,000 are served; the tests of history and calls pass.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/ConversationQueue.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/ConversationQueue.java
@@ -25,6 +25,7 @@
   private long waitingBytes;
   private long reservedBytes;
   private long sendingBytes;
+  private boolean admitting;
 
   /** The decision on one conversation. */
   enum Decision {
@@ -173,12 +174,24 @@
     return waited;
   }
 
-  /** Holds the turns of conversations that wait, in order, as far as there is room. */
+  /**
+   * Holds the turns of conversations that wait, in order, as far as there is room. A holding that
+   * ends at once does not admit the next one by itself, so that the stack does not grow with the
+   * queue.
+   */
   void admitWaiting() {
-    while (!waiting.isEmpty() && fitsShared(waiting.peekFirst().turns)) {
-      Waiting first = waiting.peekFirst();
-      remove(first);
-      first.callback.onDecision(Decision.HELD, new Holding(first.turns, 0));
+    if (admitting) {
+      return;
+    }
+    admitting = true;
+    try {
+      while (!waiting.isEmpty() && fitsShared(waiting.peekFirst().turns)) {
+        Waiting first = waiting.peekFirst();
+        remove(first);
+        first.callback.onDecision(Decision.HELD, new Holding(first.turns, 0));
+      }
+    } finally {
+      admitting = false;
     }
   }
 
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnReader.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnReader.java
@@ -28,6 +28,7 @@
   private final Map<Key, PendingRead> pending = new HashMap<>();
   private final Deque<PendingRead> queue = new ArrayDeque<>();
   private long bytesInProgress;
+  private boolean starting;
 
   /** What was read of a turn. */
   sealed interface Result {
@@ -96,7 +97,19 @@
     startNext();
   }
 
+  /** A read that ends at once does not start the next one by itself. */
   private void startNext() {
+    if (!starting) {
+      starting = true;
+      try {
+        startAllowed();
+      } finally {
+        starting = false;
+      }
+    }
+  }
+
+  private void startAllowed() {
     while (!queue.isEmpty()
         && (bytesInProgress == 0
             || bytesInProgress + queue.peekFirst().key.bytes() <= MAX_BYTES_IN_PROGRESS)) {
--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnWriter.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnWriter.java
@@ -31,6 +31,8 @@
   /** While the store refuses writes, whether a repeated one is in progress or has just failed. */
   private boolean repeating;
 
+  private boolean starting;
+
   /** A turn that waits for its write, or is being written. */
   final class Write {
     private final long giveUpNanos;
@@ -78,7 +80,19 @@
     return write;
   }
 
+  /** A write that fails at once does not start the next one by itself. */
   private void startNext() {
+    if (!starting) {
+      starting = true;
+      try {
+        startAllowed();
+      } finally {
+        starting = false;
+      }
+    }
+  }
+
+  private void startAllowed() {
     while (!first.isEmpty() && hasRoomFor(first.peekFirst())) {
       start(first.removeFirst(), false);
     }
--- a/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestConversationMemory.java
+++ b/baykeel-gateway/src/test/java/org/baykeel/gateway/history/TestConversationMemory.java
@@ -365,4 +365,37 @@
     List<String> sent = whole.turnsInMemory(last).stream().map(StoredTurn::id).toList();
     assertEquals(conversation(0).ids().subList(8, 18), sent);
   }
+
+  /** Guards against a stack that grows with the queue, on a thread with the stack of a node. */
+  @Test
+  void conversationsThatEndAtOnceDoNotRecur() throws InterruptedException {
+    TurnMemory memory = new TurnMemory(BOUNDS);
+    ConversationQueue queue = new ConversationQueue(memory, BOUNDS, eventLoop);
+    List<ConversationQueue.Holding> first = new ArrayList<>();
+    hold(queue, "blocking", BOUNDS.sharedBytes(), (decision, holding) -> first.add(holding));
+    for (int i = 0; i < 4; i++) {
+      hold(queue, "reserve" + i, BOUNDS.nodeBytes() / 16, (decision, holding) -> {});
+    }
+    int[] served = {0};
+    for (int i = 0; i < 2_000; i++) {
+      hold(
+          queue,
+          "waiting" + i,
+          2_500,
+          (decision, holding) -> {
+            served[0]++;
+            holding.end();
+          });
+    }
+    assertEquals(2_000, queue.waiting());
+    Thread thread = new Thread(null, () -> first.get(0).end(), "small stack", 256 << 10);
+    thread.start();
+    thread.join();
+    assertEquals(2_000, served[0]);
+  }
+
+  private void hold(
+      ConversationQueue queue, String id, long bytes, ConversationQueue.Callback callback) {
+    queue.hold(List.of(new TurnSize(id, bytes)), limits().waitUntilNanos(), callback);
+  }
 }
