The identity of a read is compared without linking at run time

Cause: generated methods of records are linked at their first use, which delays a process that was just started. Change: TurnReader.Key has its own equals and hashCode, as other values that are compared for each request. Result: TestConversationMemory and TestTurnHistory pass; the time was not measured.

--- a/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnReader.java
+++ b/baykeel-gateway/src/main/java/org/baykeel/gateway/history/TurnReader.java
@@ -45,11 +45,24 @@
     record Unavailable() implements Result {}
   }
 
-  /** Identifies a read. */
+  /**
+   * Identifies a read. Its methods are implemented by hand because the generated ones of a record
+   * are linked at run time, which delays the first reads of a process.
+   */
   private record Key(String id, int rows) {
     long bytes() {
       return (long) rows * TurnRows.MAX_VALUE_BYTES;
     }
+
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Key key && rows == key.rows && id.equals(key.id);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * id.hashCode() + rows;
+    }
   }
 
   /** Someone who waits for the result of a read. */
